Check configurations whole and make their acceptance definite

Cause: a document was checked only against the schema and each selector's first wrong term, with every fault on line 1; a write whose answer was lost was compared with the row alone, so it was called a conflict when another operator had replaced it since, and called refused when it took effect late; nothing of a replaced version was kept.

Ruled out: one row per version (not bounded, the table has no delete); keeping a version after it was replaced (lost when the writer stops between the two writes); read-back without writing again (a delayed write may still take effect).

Change: ConfigurationChecker reports every finding with path, line and hint; what the operator may insist on is refused unless forced. ConfigurationStore moves to core.configuration; a record carries schema, write id, base version, who, when and note; a version is copied into a ring of 100 history rows before it is replaced, at a place that follows from its base version, so the successor of a version is found by one read. A conflict names both versions and the difference. ConfigurationInForce never goes back and keeps the last good version when it meets one that it cannot read.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationView.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationView.java
@@ -1,5 +1,6 @@
 package org.foxtailford.core.configuration;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -113,6 +114,11 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns every upstream of the VM list. */
+  public Collection<Upstream> upstreams() {
+    return upstreams.values();
+  }
+
   /** Returns an upstream by the name of its VM. */
   public Optional<Upstream> upstream(String name) {
     return Optional.ofNullable(upstreams.get(name));
--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -57,4 +57,19 @@
   public void leadershipGained() {
     registry.counter("foxtailford.leadership.gained").increment();
   }
+
+  /** Counts a configuration version that came into force on this VM. */
+  public void configurationAccepted() {
+    registry.counter("foxtailford.configuration.accepted").increment();
+  }
+
+  /** Counts a read of a configuration version that this build cannot use. */
+  public void configurationUnreadable() {
+    registry.counter("foxtailford.configuration.unreadable").increment();
+  }
+
+  /** Counts a poll of the platform that failed. */
+  public void configurationPollFailed() {
+    registry.counter("foxtailford.configuration.poll.failures").increment();
+  }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
@@ -52,6 +52,10 @@
   INVALID_CONFIGURATION(4002, 422, Effect.NOT_RUN, "The configuration document has faults."),
   PLATFORM_UNAVAILABLE(4003, 503, Effect.NOT_RUN, "The platform does not answer."),
   UNKNOWN_RESOURCE(4004, 404, Effect.NOT_RUN, "The operators' interface has no such resource."),
+  ACCEPTANCE_UNKNOWN(
+      4005, 504, Effect.UNKNOWN, "The table did not say whether the configuration was accepted."),
+  UNREADABLE_CONFIGURATION(
+      4006, 500, Effect.NOT_RUN, "The configuration is damaged or of a newer schema."),
 
   OTHER_SYSTEM(5001, 403, Effect.NOT_RUN, "The peer belongs to another system."),
   INVALID_PEER_MESSAGE(5002, 400, Effect.NOT_RUN, "The peer sent a message out of order."),
--- a/foxtailford-core/src/main/java/org/foxtailford/core/selector/LabelSelector.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/selector/LabelSelector.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -28,58 +30,72 @@
   private static final Pattern TERM_SEPARATOR = Pattern.compile(",(?![^(]*\\))");
 
   private final String text;
-  private final List<Predicate<Map<String, String>>> terms;
+  private final List<Term> terms;
 
-  private LabelSelector(String text, List<Predicate<Map<String, String>>> terms) {
+  private LabelSelector(String text, List<Term> terms) {
     this.text = text;
     this.terms = terms;
   }
 
+  /** Condition on one label. */
+  private record Term(String label, Predicate<Map<String, String>> condition) {}
+
   /**
    * Parses a selector.
    *
-   * @throws IllegalArgumentException if a term has another form; the message names the term
+   * @throws IllegalArgumentException if a term has another form; the message names each such term
    */
   public static LabelSelector parse(String text) {
     Assert.notNull(text, "text");
-    List<Predicate<Map<String, String>>> terms = new ArrayList<>();
+    List<Term> terms = new ArrayList<>();
+    List<String> wrong = new ArrayList<>();
     for (String part : TERM_SEPARATOR.split(text, -1)) {
-      terms.add(parseTerm(part.strip()));
+      parseTerm(part.strip()).ifPresentOrElse(terms::add, () -> wrong.add(part.strip()));
+    }
+    if (!wrong.isEmpty()) {
+      String quoted = wrong.stream().map(t -> '"' + t + '"').collect(Collectors.joining(", "));
+      throw new IllegalArgumentException("not a selector term: " + quoted);
     }
     return new LabelSelector(text, List.copyOf(terms));
   }
 
-  private static Predicate<Map<String, String>> parseTerm(String term) {
+  private static Optional<Term> parseTerm(String term) {
     Matcher exists = EXISTS.matcher(term);
     if (exists.matches()) {
       String name = exists.group(2);
       boolean wanted = exists.group(1).isEmpty();
-      return labels -> labels.containsKey(name) == wanted;
+      return Optional.of(new Term(name, labels -> labels.containsKey(name) == wanted));
     }
     Matcher compare = COMPARE.matcher(term);
     if (compare.matches()) {
       boolean wanted = !compare.group(2).equals("!=");
-      return membership(compare.group(1), Set.of(compare.group(3)), wanted);
+      return Optional.of(membership(compare.group(1), Set.of(compare.group(3)), wanted));
     }
     Matcher member = MEMBER.matcher(term);
     if (member.matches()) {
-      Set<String> values = Set.of(member.group(3).strip().split("\\s*,\\s*"));
-      return membership(member.group(1), values, member.group(2).equals("in"));
+      Set<String> values = Set.copyOf(List.of(member.group(3).strip().split("\\s*,\\s*")));
+      return Optional.of(membership(member.group(1), values, member.group(2).equals("in")));
     }
-    throw new IllegalArgumentException("not a selector term: \"" + term + "\"");
+    return Optional.empty();
   }
 
-  private static Predicate<Map<String, String>> membership(
-      String name, Set<String> values, boolean wanted) {
-    return labels -> {
-      String value = labels.get(name);
-      return (value != null && values.contains(value)) == wanted;
-    };
+  private static Term membership(String name, Set<String> values, boolean wanted) {
+    return new Term(
+        name,
+        labels -> {
+          String value = labels.get(name);
+          return (value != null && values.contains(value)) == wanted;
+        });
   }
 
   /** Tells whether all terms hold for the labels. */
   public boolean matches(Map<String, String> labels) {
-    return terms.stream().allMatch(term -> term.test(labels));
+    return terms.stream().allMatch(term -> term.condition().test(labels));
+  }
+
+  /** Returns the names of the labels that its terms refer to, in order. */
+  public List<String> labelNames() {
+    return terms.stream().map(Term::label).distinct().toList();
   }
 
   @Override
--- a/foxtailford-core/src/main/java/org/foxtailford/core/settings/SettingsReader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/settings/SettingsReader.java
@@ -9,11 +9,14 @@
 import com.google.protobuf.Message;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.Constraint;
@@ -56,13 +59,24 @@
    * @return the checked message with defaults filled in
    * @throws InvalidSettingsException if the document has faults
    */
-  @SuppressWarnings("unchecked") // the supplier gives builders of M
   public M read(String text) {
+    return readWithLines(text).message();
+  }
+
+  /**
+   * Reads a document and keeps the line of each value, for checks that go beyond the schema.
+   *
+   * @param text the document
+   * @throws InvalidSettingsException if the document has faults
+   */
+  @SuppressWarnings("unchecked") // the supplier gives builders of M
+  public ReadDocument<M> readWithLines(String text) {
     Assert.notNull(text, "text");
     Message.Builder builder = newBuilder.get();
     List<SettingsFault> faults = new ArrayList<>();
+    Map<String, Integer> lines = new HashMap<>();
     try (JsonParser parser = FACTORY.createParser(text)) {
-      Walk walk = new Walk(parser, faults);
+      Walk walk = new Walk(parser, faults, lines);
       parser.nextToken();
       walk.readMessage(builder, "$");
       walk.requireEnd();
@@ -74,7 +88,7 @@
     if (!faults.isEmpty()) {
       throw new InvalidSettingsException(faultCode, faults);
     }
-    return (M) builder.build();
+    return new ReadDocument<>((M) builder.build(), lines);
   }
 
   private static int lineOf(JsonProcessingException e) {
@@ -90,10 +104,12 @@
 
     private final JsonParser parser;
     private final List<SettingsFault> faults;
+    private final Map<String, Integer> lines;
 
-    Walk(JsonParser parser, List<SettingsFault> faults) {
+    Walk(JsonParser parser, List<SettingsFault> faults, Map<String, Integer> lines) {
       this.parser = parser;
       this.faults = faults;
+      this.lines = lines;
     }
 
     void requireEnd() throws IOException {
@@ -124,7 +140,7 @@
               .filter(f -> f.getJsonName().equals(name))
               .findFirst();
       if (field.isEmpty()) {
-        fault(path, "unknown key");
+        fault(path, "unknown key; known keys are " + keysOf(builder));
       } else if (!seen.add(field.get())) {
         fault(path, "key stands twice");
       }
@@ -140,6 +156,12 @@
       }
     }
 
+    private static String keysOf(Message.Builder builder) {
+      return builder.getDescriptorForType().getFields().stream()
+          .map(FieldDescriptor::getJsonName)
+          .collect(Collectors.joining(", "));
+    }
+
     private void readList(Message.Builder builder, FieldDescriptor field, String path)
         throws IOException {
       if (parser.currentToken() != JsonToken.START_ARRAY) {
@@ -176,6 +198,7 @@
 
     private Optional<Object> readValue(Message.Builder builder, FieldDescriptor field, String path)
         throws IOException {
+      lines.put(path, line());
       if (field.getJavaType() == FieldDescriptor.JavaType.MESSAGE) {
         Message.Builder nested = builder.newBuilderForField(field);
         readMessage(nested, path);
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationInForceTests.java
@@ -0,0 +1,87 @@
+package org.foxtailford.core.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.ConfigurationRecord;
+import org.foxtailford.schema.ConfigurationVersion;
+import org.foxtailford.schema.LabelledVm;
+import org.foxtailford.schema.VmList;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ConfigurationInForceTests {
+
+  private List<Long> published;
+  private ConfigurationInForce inForce;
+
+  @BeforeMethod
+  public void create() {
+    published = new ArrayList<>();
+    inForce = new ConfigurationInForce(view -> published.add(view.version()));
+  }
+
+  @Test
+  public void nothingIsPublishedBeforeTheVmListIsKnown() {
+    assertThat(inForce.offer(version(3, "a"))).isTrue();
+    assertThat(published).isEmpty();
+    inForce.acceptVms(VmList.getDefaultInstance());
+    assertThat(published).containsExactly(3L);
+  }
+
+  @Test
+  public void olderVersionIsLeftAside() {
+    inForce.acceptVms(VmList.getDefaultInstance());
+    inForce.offer(version(3, "a"));
+    assertThat(inForce.offer(version(2, "b"))).isFalse();
+    assertThat(published).containsExactly(3L);
+  }
+
+  @Test
+  public void versionOfNewerSchemaLeavesTheLastGoodOneInForce() {
+    inForce.acceptVms(VmList.getDefaultInstance());
+    inForce.offer(version(3, "a"));
+    ConfigurationVersion newer = version(4, "b");
+    ConfigurationRecord record =
+        newer.getRecord().toBuilder().setSchema(ConfigurationRecords.SCHEMA + 1).build();
+    assertThat(inForce.offer(newer.toBuilder().setRecord(record).build())).isFalse();
+    assertThat(inForce.version()).isEqualTo(3);
+    assertThat(inForce.unreadableVersion()).hasValue(4);
+    assertThat(inForce.unreadableReason().orElseThrow()).contains("schema 2");
+    inForce.offer(version(5, "c"));
+    assertThat(inForce.unreadableVersion()).isEmpty();
+  }
+
+  @Test
+  public void documentThatCannotBeUsedLeavesTheLastGoodOneInForce() {
+    inForce.acceptVms(VmList.getDefaultInstance());
+    inForce.offer(version(3, "a"));
+    assertThat(inForce.offer(version(4, "a", "a"))).isFalse();
+    assertThat(inForce.version()).isEqualTo(3);
+    assertThat(inForce.unreadableVersion()).hasValue(4);
+  }
+
+  @Test
+  public void deltaFromAnotherVersionIsLeftAside() {
+    inForce.offer(version(3, "a"));
+    var delta = ConfigurationDeltas.between(version(2, "z"), version(4, "z", "y"));
+    assertThat(inForce.offer(delta)).isFalse();
+    assertThat(inForce.version()).isEqualTo(3);
+  }
+
+  private static ConfigurationVersion version(long number, String... vms) {
+    ConfigurationDocument.Builder document = ConfigurationDocument.newBuilder();
+    for (String vm : vms) {
+      document.addVms(LabelledVm.newBuilder().setName(vm));
+    }
+    return ConfigurationVersion.newBuilder()
+        .setVersion(number)
+        .setRecord(
+            ConfigurationRecord.newBuilder()
+                .setSchema(ConfigurationRecords.SCHEMA)
+                .setDocument(document))
+        .build();
+  }
+}
--- a/foxtailford-core/src/test/java/org/foxtailford/core/selector/LabelSelectorTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/selector/LabelSelectorTests.java
@@ -22,6 +22,7 @@
       {"tier", true},
       {"draining", false},
       {"rack!=r1", true},
+      {"zone in (a, a)", true},
     };
   }
 
@@ -36,4 +37,18 @@
         .isThrownBy(() -> LabelSelector.parse("zone=a, tier>>gold"))
         .withMessageContaining("tier>>gold");
   }
+
+  @Test
+  public void messageNamesEveryWrongTerm() {
+    assertThatIllegalArgumentException()
+        .isThrownBy(() -> LabelSelector.parse("??, tier=gold, zone in ()"))
+        .withMessageContaining("\"??\"")
+        .withMessageContaining("\"zone in ()\"");
+  }
+
+  @Test
+  public void labelNamesStandInOrderAndOnce() {
+    assertThat(LabelSelector.parse("zone in (a,b), !draining, zone!=c").labelNames())
+        .containsExactly("zone", "draining");
+  }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.foxtailford.core.configuration.ConfigurationInForce;
+import org.foxtailford.core.configuration.ConfigurationStore;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.LeaseElection;
@@ -26,7 +28,6 @@
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.daemon.control.ConfigurationPoller;
-import org.foxtailford.daemon.control.ConfigurationStore;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
@@ -67,6 +68,7 @@
   private final EventLoopGroup loops;
   private final ScheduledExecutorService control;
   private final RoutingState state;
+  private final ConfigurationInForce inForce;
   private final RequestPath path;
   private final PeerNetwork peers;
   private final HttpServer callers;
@@ -93,6 +95,7 @@
     loops = new MultiThreadIoEventLoopGroup(eventLoopThreads, NioIoHandler.newFactory());
     control = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
     state = new RoutingState(settings.getDataCentre());
+    inForce = new ConfigurationInForce(state::acceptConfiguration);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
     int maxFrameBytes = maxAnswerBytes + FRAME_OVERHEAD_BYTES;
     PeerIdentity self =
@@ -117,8 +120,10 @@
         new ConfigurationPoller(
             table,
             new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
+            inForce,
             state,
-            peers::update);
+            peers::update,
+            metrics);
     OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
     election = newElection(table, timing, random, self.bootId());
     leader = newLeader(timing);
@@ -174,7 +179,9 @@
             () -> accepting,
             leader::leads,
             registry,
-            new ConfigurationStore(table));
+            new ConfigurationStore(table),
+            inForce::vms,
+            new SecureRandom());
     HttpLimits limits =
         new HttpLimits(settings.getRequests().getMaxHeaderBytes(), OPERATOR_BODY_BYTES);
     return new HttpServer(loops, limits, handler);
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
@@ -7,69 +7,111 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.foxtailford.core.configuration.ConfigurationView;
+import org.foxtailford.core.configuration.ConfigurationInForce;
+import org.foxtailford.core.configuration.ConfigurationRecords;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
+import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.platform.TableRow;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.platform.VmListSource;
+import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.HomeRanges;
 import org.foxtailford.schema.VmList;
+import org.jspecify.annotations.Nullable;
 
-/** Reads the configuration, the VM list and the homes of ranges from the platform. */
+/**
+ * Reads the configuration, the VM list and the homes of ranges from the platform.
+ *
+ * <p>Each of them is taken as it comes, so that a failure to read one does not hold up the others.
+ */
 public final class ConfigurationPoller {
 
-  /** Row of the configuration in force. */
-  public static final String CONFIGURATION_ROW = "configuration";
-
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final TableService table;
   private final VmListSource vmList;
+  private final ConfigurationInForce inForce;
   private final RoutingState state;
   private final Consumer<VmList> vmListener;
+  private final RouterMetrics metrics;
 
   /**
    * Creates a poller.
    *
    * @param table the table service
    * @param vmList the VM list
-   * @param state receives what was read
+   * @param inForce receives configurations and VM lists
+   * @param state receives the homes of ranges
    * @param vmListener receives each VM list that was read
+   * @param metrics counters
    */
   public ConfigurationPoller(
-      TableService table, VmListSource vmList, RoutingState state, Consumer<VmList> vmListener) {
+      TableService table,
+      VmListSource vmList,
+      ConfigurationInForce inForce,
+      RoutingState state,
+      Consumer<VmList> vmListener,
+      RouterMetrics metrics) {
     this.table = Assert.notNull(table, "table");
     this.vmList = Assert.notNull(vmList, "vmList");
+    this.inForce = Assert.notNull(inForce, "inForce");
     this.state = Assert.notNull(state, "state");
     this.vmListener = Assert.notNull(vmListener, "vmListener");
+    this.metrics = Assert.notNull(metrics, "metrics");
   }
 
   /** Reads everything once. The future fails if the platform does not answer. */
   public CompletableFuture<Void> poll() {
-    CompletableFuture<Optional<TableRow>> row = table.read(CONFIGURATION_ROW);
-    return vmList.read().thenCombine(row, this::accept).thenCompose(accepted -> pollHomes());
+    CompletableFuture<Void> vms = vmList.read().thenAccept(this::acceptVms);
+    CompletableFuture<Void> row = pollConfiguration();
+    return CompletableFuture.allOf(vms, row)
+        .thenCompose(read -> pollHomes())
+        .whenComplete(this::countFailure);
+  }
+
+  /** Reads the configuration alone, as when a peer has told of a newer version. */
+  public CompletableFuture<Void> pollConfiguration() {
+    return table
+        .read(ConfigurationRecords.ROW)
+        .thenAccept(row -> row.ifPresent(this::acceptConfiguration));
   }
 
-  private boolean accept(VmList vms, Optional<TableRow> row) {
+  private void countFailure(@Nullable Void polled, @Nullable Throwable failure) {
+    if (failure != null) {
+      metrics.configurationPollFailed();
+    }
+  }
+
+  private void acceptVms(VmList vms) {
     vmListener.accept(vms);
-    row.flatMap(ConfigurationPoller::parse)
-        .map(document -> ConfigurationView.of(row.get().version(), document, vms))
-        .ifPresent(state::acceptConfiguration);
-    return true;
+    inForce.acceptVms(vms);
   }
 
-  private static Optional<ConfigurationDocument> parse(TableRow row) {
+  private void acceptConfiguration(TableRow row) {
+    if (row.version() <= inForce.version()) {
+      return;
+    }
     try {
-      return Optional.of(ConfigurationDocument.parseFrom(row.value()));
-    } catch (InvalidProtocolBufferException e) {
-      logger.atSevere().withCause(e).log("configuration version %d is unreadable", row.version());
-      return Optional.empty();
+      if (inForce.offer(ConfigurationRecords.parse(row))) {
+        metrics.configurationAccepted();
+        logger.atInfo().log("configuration version %d is in force", row.version());
+        return;
+      }
+    } catch (ResultCodeException e) {
+      inForce.noteUnreadable(row.version(), String.valueOf(e.getMessage()));
     }
+    inForce.unreadableReason().ifPresent(this::reportUnreadable);
+  }
+
+  private void reportUnreadable(String reason) {
+    metrics.configurationUnreadable();
+    logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).log(
+        "keeping configuration version %d: %s", inForce.version(), reason);
   }
 
   private CompletableFuture<Void> pollHomes() {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorHandler.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorHandler.java
@@ -13,18 +13,23 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.foxtailford.core.configuration.ConfigurationChange;
+import org.foxtailford.core.configuration.ConfigurationChecker;
+import org.foxtailford.core.configuration.ConfigurationStore;
 import org.foxtailford.core.ownership.KeyHashing;
 import org.foxtailford.core.ownership.SliceAssignment;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.daemon.control.ConfigurationStore;
-import org.foxtailford.daemon.control.ConfigurationStore.StoredConfiguration;
 import org.foxtailford.daemon.request.Answers;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.net.http.HttpExchangeHandler;
+import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.ConfigurationVersion;
+import org.foxtailford.schema.VmList;
 
 /** The operators' HTTP interface. Thread-safe. */
 public final class OperatorHandler implements HttpExchangeHandler {
@@ -41,6 +46,9 @@
   private final BooleanSupplier leads;
   private final PrometheusMeterRegistry registry;
   private final ConfigurationStore configurations;
+  private final Supplier<Optional<VmList>> vmLists;
+  private final RandomGenerator random;
+  private final ConfigurationChecker checker = new ConfigurationChecker();
 
   /**
    * Creates the handler.
@@ -51,6 +59,8 @@
    * @param leads tells whether this VM leads its data centre
    * @param registry meters
    * @param configurations the stored configuration
+   * @param vmLists gives the last VM list
+   * @param random source of write ids
    */
   public OperatorHandler(
       String vm,
@@ -58,19 +68,25 @@
       BooleanSupplier accepting,
       BooleanSupplier leads,
       PrometheusMeterRegistry registry,
-      ConfigurationStore configurations) {
+      ConfigurationStore configurations,
+      Supplier<Optional<VmList>> vmLists,
+      RandomGenerator random) {
     this.vm = Assert.hasLength(vm, "vm");
     this.snapshots = Assert.notNull(snapshots, "snapshots");
     this.accepting = Assert.notNull(accepting, "accepting");
     this.leads = Assert.notNull(leads, "leads");
     this.registry = Assert.notNull(registry, "registry");
     this.configurations = Assert.notNull(configurations, "configurations");
+    this.vmLists = Assert.notNull(vmLists, "vmLists");
+    this.random = Assert.notNull(random, "random");
   }
 
   @Override
   public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
     if (exchange.path().equals(CONFIGURATION_PATH)) {
-      return configuration(exchange).exceptionally(this::failed);
+      return CompletableFuture.completedFuture(exchange)
+          .thenCompose(this::configuration)
+          .exceptionally(this::failed);
     }
     return CompletableFuture.completedFuture(answer(exchange));
   }
@@ -91,7 +107,13 @@
     }
     long expectedVersion = Long.parseLong(tag.substring(1, tag.length() - 1));
     String text = new String(exchange.body(), StandardCharsets.UTF_8);
-    return configurations.apply(text, expectedVersion).thenApply(OperatorHandler::accepted);
+    ConfigurationDocument document =
+        checker.check(text, vmLists.get()).requireAcceptable(exchange.uri().contains("force"));
+    ConfigurationChange change =
+        new ConfigurationChange(random.nextLong(1, Long.MAX_VALUE), false, "operator", 0, "");
+    return configurations
+        .apply(document, expectedVersion, change)
+        .thenApply(accepted -> accepted(accepted.getVersion()));
   }
 
   private static HttpAnswer accepted(long version) {
@@ -99,11 +121,11 @@
     return HttpAnswer.json(200, "{\"version\":" + version + "}\n");
   }
 
-  private static HttpAnswer toAnswer(StoredConfiguration stored) {
+  private static HttpAnswer toAnswer(ConfigurationVersion stored) {
     try {
       HttpAnswer answer =
-          HttpAnswer.json(200, JsonFormat.printer().print(stored.document()) + "\n");
-      answer.headers().set(HttpHeaderNames.ETAG, '"' + Long.toString(stored.version()) + '"');
+          HttpAnswer.json(200, JsonFormat.printer().print(stored.getRecord().getDocument()) + "\n");
+      answer.headers().set(HttpHeaderNames.ETAG, '"' + Long.toString(stored.getVersion()) + '"');
       return answer;
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalStateException(e);
