--- a/foxtailford-core/src/main/java/org/foxtailford/core/platform/TableService.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/platform/TableService.java
@@ -17,6 +17,17 @@
   /** Reads a row; empty if it does not exist. */
   CompletableFuture<Optional<TableRow>> read(String key);
 
+  /**
+   * Reads a row unless it still has a version that the reader knows.
+   *
+   * @param key name of the row
+   * @param knownVersion version that the reader has
+   * @return the row; empty if it does not exist or has that version
+   */
+  default CompletableFuture<Optional<TableRow>> readIfChanged(String key, long knownVersion) {
+    return read(key).thenApply(row -> row.filter(found -> found.version() != knownVersion));
+  }
+
   /**
    * Writes a row if its version is the expected one.
    *
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationPropagationProperties.java
@@ -0,0 +1,85 @@
+package org.foxtailford.core.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.ConfigurationRecord;
+import org.foxtailford.schema.LabelledVm;
+
+class ConfigurationPropagationProperties {
+
+  private static final long TARGET_MS = 9000;
+  private static final long ROUND_MS = 700;
+
+  @Property(seed = "9", tries = 300)
+  void versionsNeverGoBackAndAllNodesConvergeOnceFaultsEnd(
+      @ForAll long seed,
+      @ForAll @IntRange(min = 1, max = 3) int dataCentres,
+      @ForAll @IntRange(min = 1, max = 12) int nodesOfEach) {
+    Random random = new Random(seed);
+    PropagationNetwork network =
+        new PropagationNetwork(random, new PropagationTiming(1000, 2500, 3500, 2, 2, 4));
+    network.addDataCentres(dataCentres, nodesOfEach);
+    ConfigurationDocument document = ConfigurationDocument.getDefaultInstance();
+    for (int round = 0; round < 25; round++) {
+      document = changed(document, round, random);
+      network.accept(ConfigurationRecord.newBuilder().setDocument(document).build());
+      disturb(network, random);
+      network.runUntil(network.nowMs() + ROUND_MS);
+    }
+    network.heal();
+    network.runUntil(network.nowMs() + TARGET_MS);
+    assertThat(network.isInForceEverywhere()).isTrue();
+  }
+
+  @Property(seed = "9", tries = 200)
+  void versionIsInForceInTimeWithOneNodeInThreeCutOffFromTheTable(@ForAll long seed) {
+    Random random = new Random(seed);
+    PropagationNetwork network = new PropagationNetwork(random, PropagationTiming.DEFAULT);
+    network.addDataCentres(2, 30);
+    network.runUntil(5000);
+    toggle(network, network.withoutTable(), random, 3);
+    network.setLossRate(0.1);
+    network.accept(ConfigurationRecord.getDefaultInstance());
+    network.runUntil(network.nowMs() + TARGET_MS);
+    assertThat(network.isInForceEverywhere()).isTrue();
+  }
+
+  private static void disturb(PropagationNetwork network, Random random) {
+    network.setLossRate(random.nextInt(3) * 0.3);
+    toggle(network, network.cutOff(), random, 4);
+    toggle(network, network.withoutTable(), random, 2);
+    toggle(network, network.paused(), random, 6);
+    for (String name : network.names()) {
+      if (random.nextInt(20) == 0) {
+        network.restart(name);
+      }
+    }
+  }
+
+  private static void toggle(
+      PropagationNetwork network, Set<String> names, Random random, int oneIn) {
+    names.clear();
+    network.names().stream().filter(name -> random.nextInt(oneIn) == 0).forEach(names::add);
+  }
+
+  private static ConfigurationDocument changed(
+      ConfigurationDocument document, int round, Random random) {
+    ConfigurationDocument.Builder next = document.toBuilder();
+    int known = next.getVmsCount();
+    if (known == 0 || random.nextBoolean()) {
+      next.addVms(LabelledVm.newBuilder().setName(String.format("vm-%03d", round)));
+    } else if (random.nextBoolean()) {
+      next.removeVms(random.nextInt(known));
+    } else {
+      LabelledVm.Builder vm = next.getVmsBuilder(random.nextInt(known));
+      vm.setDraining(!vm.getDraining());
+    }
+    return ConfigurationDocuments.canonical(next.build());
+  }
+}
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
@@ -77,7 +77,7 @@
   /** Reads the configuration alone, as when a peer has told of a newer version. */
   public CompletableFuture<Void> pollConfiguration() {
     return table
-        .read(ConfigurationRecords.ROW)
+        .readIfChanged(ConfigurationRecords.ROW, inForce.version())
         .thenAccept(row -> row.ifPresent(this::acceptConfiguration));
   }
 
--- a/foxtailford-platform/src/main/java/org/foxtailford/platform/HttpTableService.java
+++ b/foxtailford-platform/src/main/java/org/foxtailford/platform/HttpTableService.java
@@ -22,12 +22,14 @@
  * Table service over HTTP: {@code GET /table/KEY} and {@code PUT /table/KEY} with entity tags.
  *
  * <p>The entity tag of a row is its version. A write carries {@code If-Match} with the expected
- * version, or {@code If-None-Match: *} for a row that must not exist. Thread-safe.
+ * version, or {@code If-None-Match: *} for a row that must not exist. A read carries {@code
+ * If-None-Match} with a version that need not be sent again. Thread-safe.
  */
 public final class HttpTableService implements TableService {
 
   private static final byte[] NO_BODY = new byte[0];
   private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
   private static final int NOT_FOUND = 404;
   private static final int PRECONDITION_FAILED = 412;
 
@@ -43,13 +45,22 @@
 
   @Override
   public CompletableFuture<Optional<TableRow>> read(String key) {
-    HttpExchange get =
-        new HttpExchange(HttpMethod.GET, "/table/" + key, new DefaultHttpHeaders(), NO_BODY);
+    return read(key, new DefaultHttpHeaders());
+  }
+
+  @Override
+  public CompletableFuture<Optional<TableRow>> readIfChanged(String key, long knownVersion) {
+    String tag = '"' + Long.toString(knownVersion) + '"';
+    return read(key, new DefaultHttpHeaders().set(HttpHeaderNames.IF_NONE_MATCH, tag));
+  }
+
+  private CompletableFuture<Optional<TableRow>> read(String key, HttpHeaders headers) {
+    HttpExchange get = new HttpExchange(HttpMethod.GET, "/table/" + key, headers, NO_BODY);
     return client.send(endpoint, get, timeoutMs).thenApply(answer -> toRow(key, answer));
   }
 
   private static Optional<TableRow> toRow(String key, HttpAnswer answer) {
-    if (answer.status() == NOT_FOUND) {
+    if (answer.status() == NOT_FOUND || answer.status() == NOT_MODIFIED) {
       return Optional.empty();
     }
     requireStatus(answer, OK);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/platform/PlatformStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/platform/PlatformStandIn.java
@@ -58,7 +58,7 @@
     HttpAnswer answer;
     if (path.startsWith(TABLE)) {
       String key = path.substring(TABLE.length());
-      answer = write ? writeRow(key, exchange) : readRow(key);
+      answer = write ? writeRow(key, exchange) : readRow(key, exchange);
     } else if (path.startsWith(OBJECTS)) {
       String name = path.substring(OBJECTS.length());
       answer = write ? putObject(name, exchange) : getObject(name);
@@ -71,11 +71,15 @@
     return lost ? new CompletableFuture<>() : CompletableFuture.completedFuture(answer);
   }
 
-  private HttpAnswer readRow(String key) {
+  private HttpAnswer readRow(String key, HttpExchange exchange) {
     Optional<TableRow> row = table.find(key);
     if (row.isEmpty()) {
       return HttpAnswer.text(404, "text/plain", "");
     }
+    String known = exchange.headers().get(HttpHeaderNames.IF_NONE_MATCH);
+    if (('"' + Long.toString(row.get().version()) + '"').equals(known)) {
+      return withVersion(row.get().version(), 304, new byte[0]);
+    }
     return withVersion(row.get().version(), 200, row.get().value().toByteArray());
   }
 
