Add foxtailctl and split the operators' interface into resources

Cause: operators had to write HTTP requests by hand; one handler class held every resource, a fault or conflict came back as one line of text, and a change whose answer was lost could not be told from a refused one.

Ruled out: placing the read-change-write of `dc out` in the entry VM (it would need the same retry and could not name the operator's own view); a default base version for `config apply` (it would overwrite what others changed since the file was made).

Versions of peers in `status` want wiring.

--- /dev/null
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/StatusCommand.java
@@ -0,0 +1,86 @@
+package org.foxtailford.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.TreeMap;
+import org.foxtailford.core.result.ResultCodeException;
+import org.kohsuke.args4j.Option;
+
+/** Shows which configuration version is in force where, and waits until it is everywhere. */
+final class StatusCommand extends AbstractCommand {
+
+  private static final long UNREACHABLE = -1;
+
+  @Option(name = "--wait", usage = "wait until the stored version is in force everywhere")
+  private boolean wait;
+
+  @Option(name = "--wait-ms", metaVar = "MS", usage = "longest time to wait")
+  private long waitMs = 30_000;
+
+  @Override
+  String usage() {
+    return "[--wait]";
+  }
+
+  @Override
+  ExitStatus run(CommandIo io) {
+    arguments(0);
+    OperatorClient client = client(io);
+    long untilMs = io.epochMs().getAsLong() + waitMs;
+    while (true) {
+      long stored = client.get("/v1/configuration").version();
+      Map<String, Long> versions = versions(client);
+      boolean done = versions.values().stream().allMatch(version -> version >= stored);
+      if (done || !wait || io.epochMs().getAsLong() >= untilMs) {
+        print(io, stored, versions);
+        return done || !wait ? ExitStatus.DONE : ExitStatus.NOT_YET;
+      }
+      long behind = versions.values().stream().filter(version -> version < stored).count();
+      io.err().printf("version %d: %d of %d VMs behind%n", stored, behind, versions.size());
+      io.pause().run();
+    }
+  }
+
+  /** Asks every endpoint; what a VM says of itself goes before what others heard of it. */
+  private static Map<String, Long> versions(OperatorClient client) {
+    Map<String, Long> versions = new TreeMap<>();
+    for (String endpoint : client.endpoints()) {
+      try {
+        JsonNode status = client.getFrom(endpoint, "/v1/status").body();
+        versions.put(text(status, "vm"), status.path("configurationVersion").asLong());
+        for (JsonNode vm : status.path("vms")) {
+          versions.putIfAbsent(text(vm, "vm"), vm.path("configurationVersion").asLong());
+        }
+      } catch (ResultCodeException e) {
+        versions.put(endpoint, UNREACHABLE);
+      }
+    }
+    return versions;
+  }
+
+  private void print(CommandIo io, long stored, Map<String, Long> versions) {
+    ObjectNode body = new ObjectMapper().createObjectNode().put("storedVersion", stored);
+    ObjectNode vms = body.putObject("versionsInForce");
+    versions.forEach(vms::put);
+    if (printedAsJson(io, body)) {
+      return;
+    }
+    io.out().println("stored version: " + stored);
+    TextTable table = new TextTable("VM", "VERSION", "STATE");
+    versions.forEach((vm, version) -> table.add(vm, shown(version), state(version, stored)));
+    table.print(io.out());
+  }
+
+  private static String shown(long version) {
+    return version == UNREACHABLE ? "-" : Long.toString(version);
+  }
+
+  private static String state(long version, long stored) {
+    if (version == UNREACHABLE) {
+      return "does not answer";
+    }
+    return version >= stored ? "in force" : "behind";
+  }
+}
--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/package-info.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/package-info.java
@@ -1,4 +1,4 @@
-/** The operators' command line client. */
+/** The operators' client. */
 @NullMarked
 package org.foxtailford.cli;
 
--- /dev/null
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -0,0 +1,221 @@
+package org.foxtailford.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class FoxtailctlCommandTests {
+
+  private static final String CLOSED_ENDPOINT = "127.0.0.1:1";
+
+  private OperatorFixture fixture;
+  private Path folder;
+
+  @BeforeMethod
+  public void start() throws IOException {
+    fixture = new OperatorFixture();
+    folder = Files.createTempDirectory("foxtailctl");
+    assertThat(fixture.run("config", "apply", file(OperatorFixture.DOCUMENT)))
+        .as(fixture.err())
+        .isEqualTo(ExitStatus.DONE);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    fixture.close();
+  }
+
+  @Test
+  public void printedDocumentCanBeAppliedAgainAndKeepsEveryValue() throws IOException {
+    fixture.run("config", "get");
+    String printed = fixture.out();
+    assertThat(fixture.run("config", "diff", file(printed))).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out()).isEmpty();
+    assertThat(fixture.run("config", "apply", file(printed))).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out()).isEqualTo("version 2 accepted\n");
+    var services = fixture.store().read().join().getRecord().getDocument().getServicesList();
+    assertThat(services.get(1).getKinds(0).getWorth()).isZero();
+  }
+
+  @Test
+  public void documentFromAnOlderVersionIsAConflictThatNamesBothAndTheDifference()
+      throws IOException {
+    fixture.run("vm", "drain", "menu-a1", "--as", "bela");
+    assertThat(fixture.run("config", "apply", "--base", "1", file(OperatorFixture.DOCUMENT)))
+        .isEqualTo(ExitStatus.CONFLICT);
+    assertThat(fixture.err())
+        .contains("made from version 1, but version 2 of bela is in force")
+        .contains("vms[menu-a1].draining: in force true, yours -");
+  }
+
+  @Test
+  public void faultyDocumentIsRefusedWithPathsLinesAndHints() throws IOException {
+    String text = OperatorFixture.DOCUMENT.replace("service=pantry", "service=>pantry");
+    assertThat(fixture.run("config", "check", file(text))).isEqualTo(ExitStatus.REFUSED);
+    assertThat(fixture.err()).contains("$.services[1].selector", "line 6", "hint:");
+    assertThat(fixture.store().read().join().getVersion()).isEqualTo(1);
+  }
+
+  @Test
+  public void selectorWithoutUpstreamNeedsForce() throws IOException {
+    String text = OperatorFixture.DOCUMENT.replace("service=pantry", "service=none");
+    String file = file(text);
+    assertThat(fixture.run("config", "apply", "--base", "1", file)).isEqualTo(ExitStatus.REFUSED);
+    assertThat(fixture.run("config", "apply", "--base", "1", "--force", file))
+        .isEqualTo(ExitStatus.DONE);
+  }
+
+  @Test
+  public void dataCentreIsTakenOutAndBroughtBack() {
+    assertThat(fixture.run("dc", "out", "dc-b", "--note", "flood")).isEqualTo(ExitStatus.DONE);
+    fixture.run("dc", "status");
+    assertThat(fixture.out()).containsPattern("dc-b +true +1 +2 +0");
+    fixture.run("dc", "in", "dc-b");
+    fixture.run("dc", "status");
+    assertThat(fixture.out()).containsPattern("dc-b +false +1 +2 +2");
+    fixture.run("config", "history");
+    assertThat(fixture.out()).containsPattern("2 +2023-11-14T22:13:20Z +asha +flood");
+  }
+
+  @Test
+  public void editIsMadeAgainWhenAnotherOperatorChangedSomethingElse() {
+    ChangeSender sender = sender();
+    boolean[] raced = new boolean[1];
+    sender.edit(
+        "vms",
+        "menu-a1",
+        vm -> {
+          if (!raced[0]) {
+            raced[0] = true;
+            sender().edit("vms", "menu-b1", other -> other.put("draining", true));
+          }
+          vm.put("draining", true);
+        });
+    fixture.run("vms");
+    assertThat(fixture.out())
+        .containsPattern("menu-a1 .*true")
+        .containsPattern("menu-b1 .*true")
+        .containsPattern("menu-a2 .*false");
+  }
+
+  @Test
+  public void editOfAnItemThatAnotherOperatorChangedIsAConflict() {
+    ChangeSender sender = sender();
+    boolean[] raced = new boolean[1];
+    ResultCodeException failure =
+        catchThrowableOfType(
+            ResultCodeException.class,
+            () ->
+                sender.edit(
+                    "dataCentres",
+                    "dc-a",
+                    dc -> {
+                      if (!raced[0]) {
+                        raced[0] = true;
+                        sender().edit("dataCentres", "dc-a", o -> o.put("out", true));
+                      }
+                      dc.putObject("labels").put("tier", "gold");
+                    }));
+    assertThat(failure.code()).isEqualTo(ResultCode.CONFIGURATION_CONFLICT);
+    assertThat(fixture.store().read().join().getVersion()).isEqualTo(2);
+  }
+
+  @Test
+  public void changeWhoseAnswerIsLostIsSentAgainAndMadeOnce() throws IOException {
+    try (OperatorFixture lossy = new OperatorFixture(OperatorFixture.FirstAnswerLost::new)) {
+      String file = file(OperatorFixture.DOCUMENT);
+      assertThat(lossy.run("config", "apply", "--timeout-ms", "300", file))
+          .isEqualTo(ExitStatus.DONE);
+      assertThat(lossy.out()).isEqualTo("version 1 accepted\n");
+      assertThat(lossy.store().history().join()).hasSize(1);
+    }
+  }
+
+  @Test
+  public void endpointsAreTriedInOrder() {
+    assertThat(fixture.runAt(CLOSED_ENDPOINT + "," + fixture.endpoint(), "vms"))
+        .isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.runAt(CLOSED_ENDPOINT, "vms")).isEqualTo(ExitStatus.UNAVAILABLE);
+    assertThat(fixture.err()).contains("6004", CLOSED_ENDPOINT);
+  }
+
+  @Test
+  public void ownerAndWhyTellTheDecision() {
+    fixture.grant("menu-planning", "menu-a2");
+    assertThat(fixture.run("owner", "menu-planning", "dal makhani")).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out())
+        .containsPattern("key +dal makhani")
+        .containsPattern("owner +menu-a2")
+        .containsPattern("fence +3.1");
+    fixture.run("why", "menu-planning", "lookup", "--key", "dal makhani");
+    assertThat(fixture.out())
+        .containsPattern("decision +send to the owner of the key")
+        .containsPattern("upstream +menu-a2");
+    fixture.run("why", "pantry", "weigh");
+    assertThat(fixture.out()).containsPattern("decision +refuse").contains("UNKNOWN_KIND");
+    fixture.run("slices");
+    assertThat(fixture.out()).containsPattern("menu-planning +\\S+ +menu-a2 +3.1");
+    assertThat(fixture.run("owner", "pantry", "rice")).isEqualTo(ExitStatus.NOT_FOUND);
+  }
+
+  @Test
+  public void statusWaitsUntilEveryVmHasTheStoredVersion() {
+    fixture.peerVersions().put("entry-b1", 0L);
+    assertThat(fixture.run("status", "--wait", "--wait-ms", "3000")).isEqualTo(ExitStatus.NOT_YET);
+    assertThat(fixture.err()).contains("version 1: 1 of 2 VMs behind");
+    assertThat(fixture.out()).containsPattern("entry-b1 +0 +behind");
+    fixture.peerVersions().put("entry-b1", 1L);
+    assertThat(fixture.run("status", "--wait")).isEqualTo(ExitStatus.DONE);
+  }
+
+  @Test
+  public void everyListIsAlsoPrintedAsJson() throws IOException {
+    for (String command : List.of("vms", "upstreams", "slices", "status", "dc status")) {
+      String[] words = (command + " --json").split(" ");
+      assertThat(fixture.run(words)).isEqualTo(ExitStatus.DONE);
+      assertThat(new ObjectMapper().readTree(fixture.out()).isObject()).isTrue();
+    }
+  }
+
+  @Test
+  public void wrongCommandLineIsUsage() {
+    assertThat(fixture.run("vm", "explode", "menu-a1")).isEqualTo(ExitStatus.USAGE);
+    assertThat(fixture.run("vm", "drain")).isEqualTo(ExitStatus.USAGE);
+    assertThat(fixture.run("vms", "--colour")).isEqualTo(ExitStatus.USAGE);
+    assertThat(fixture.runAt("", "vms")).isEqualTo(ExitStatus.USAGE);
+    assertThat(fixture.runAt("nonsense", "vms")).isEqualTo(ExitStatus.USAGE);
+  }
+
+  @Test
+  public void helpVersionAndCompletionArePrinted() {
+    assertThat(fixture.run("--help")).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out()).contains("foxtailctl dc out NAME");
+    assertThat(fixture.run("dc", "out", "--help")).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out()).contains("--force");
+    assertThat(fixture.run("--version")).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.run("completion", "bash")).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out()).contains("dc) words=\"in out status\"");
+  }
+
+  private ChangeSender sender() {
+    OperatorClient client =
+        new OperatorClient(List.of(fixture.endpoint()), Optional.empty(), Duration.ofSeconds(5));
+    return new ChangeSender(client, fixture.io(fixture.endpoint()), "asha", "", false);
+  }
+
+  private String file(String text) throws IOException {
+    return Files.writeString(Files.createTempFile(folder, "document", ".json"), text).toString();
+  }
+}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
@@ -62,7 +62,8 @@
 
   INVALID_SETTINGS(6001, 500, Effect.NOT_RUN, "The settings file has faults; exit status 78."),
   USAGE(6002, 500, Effect.NOT_RUN, "The command line is not valid; exit status 64."),
-  ADDRESS_IN_USE(6003, 500, Effect.NOT_RUN, "A listener cannot be bound; exit status 71.");
+  ADDRESS_IN_USE(6003, 500, Effect.NOT_RUN, "A listener cannot be bound; exit status 71."),
+  OPERATORS_UNREACHABLE(6004, 503, Effect.UNKNOWN, "No operators' interface answered.");
 
   private final int number;
   private final int httpStatus;
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.security.SecureRandom;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -29,6 +30,7 @@
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.RoutingState;
+import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
@@ -69,6 +71,7 @@
   private final ScheduledExecutorService control;
   private final RoutingState state;
   private final ConfigurationInForce inForce;
+  private final RequestRouter router;
   private final RequestPath path;
   private final PeerNetwork peers;
   private final HttpServer callers;
@@ -104,7 +107,9 @@
     peers = new PeerNetwork(loops, self, maxFrameBytes);
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
-    path = newRequestPath(random);
+    InFlightCounter inFlight = new InFlightCounter();
+    router = new RequestRouter(new TwoChoicesChooser(u -> inFlight.inFlight(u.name()), random));
+    path = newRequestPath(inFlight);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
     HttpLimits callerLimits =
@@ -130,10 +135,7 @@
     operators = newOperatorServer(table);
   }
 
-  private RequestPath newRequestPath(RandomGenerator random) {
-    InFlightCounter inFlight = new InFlightCounter();
-    RequestRouter router =
-        new RequestRouter(new TwoChoicesChooser(u -> inFlight.inFlight(u.name()), random));
+  private RequestPath newRequestPath(InFlightCounter inFlight) {
     return new RequestPath(
         router,
         state::snapshot,
@@ -172,16 +174,19 @@
   }
 
   private HttpServer newOperatorServer(TableService table) {
-    OperatorHandler handler =
-        new OperatorHandler(
+    OperatorContext context =
+        new OperatorContext(
             settings.getVm(),
             state::snapshot,
+            inForce,
+            new ConfigurationStore(table),
+            router,
             () -> accepting,
             leader::leads,
-            registry,
-            new ConfigurationStore(table),
-            inForce::vms,
-            new SecureRandom());
+            Map::of,
+            new SecureRandom()::nextLong,
+            () -> control.execute(guarded(this::poll)));
+    OperatorHandler handler = new OperatorHandler(context, registry);
     HttpLimits limits =
         new HttpLimits(settings.getRequests().getMaxHeaderBytes(), OPERATOR_BODY_BYTES);
     return new HttpServer(loops, limits, handler);
--- /dev/null
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
@@ -0,0 +1,133 @@
+package org.foxtailford.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailford.core.configuration.ServiceView;
+import org.foxtailford.core.ownership.KeyHashing;
+import org.foxtailford.core.ownership.SliceAssignment;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.routing.RequestAttributes;
+import org.foxtailford.core.routing.RouteDecision;
+import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.http.HttpAnswer;
+
+/** Who owns a key, and what would be done with a request, without sending it. */
+final class RoutingResources {
+
+  private static final long DEADLINE_MS = Long.MAX_VALUE;
+
+  private final OperatorContext context;
+
+  RoutingResources(OperatorContext context) {
+    this.context = Assert.notNull(context, "context");
+  }
+
+  CompletableFuture<HttpAnswer> owner(OperatorRequest request) {
+    List<String> rest = request.after(2);
+    if (rest.size() < 2 || rest.get(0).isEmpty()) {
+      throw new ResultCodeException(
+          ResultCode.UNKNOWN_RESOURCE, "the path must be /v1/owner/SERVICE/KEY");
+    }
+    String service = rest.get(0);
+    requireKeyed(service);
+    String key = String.join("/", rest.subList(1, rest.size()));
+    ObjectNode node = JsonAnswers.object().put("service", service).put("key", key);
+    describeOwner(node, service, key);
+    return JsonAnswers.okNow(node);
+  }
+
+  private void requireKeyed(String service) {
+    ServiceView view =
+        context
+            .snapshots()
+            .get()
+            .configuration()
+            .service(service)
+            .orElseThrow(
+                () ->
+                    new ResultCodeException(
+                        ResultCode.UNKNOWN_SERVICE, "no service \"" + service + "\""));
+    if (!view.definition().getKeyed()) {
+      throw new ResultCodeException(
+          ResultCode.UNKNOWN_RESOURCE, "service \"" + service + "\" has no keys");
+    }
+  }
+
+  private void describeOwner(ObjectNode node, String service, String key) {
+    RoutingSnapshot snapshot = context.snapshots().get();
+    long hash = KeyHashing.hash(key);
+    Optional<String> home = snapshot.homes().home(service, hash);
+    Optional<SliceAssignment> owner = snapshot.owners().owner(service, hash);
+    node.put("hash", String.format("%016x", hash));
+    node.put("home", home.orElse(null));
+    node.put("owner", owner.map(SliceAssignment::upstream).orElse(null));
+    node.put("fence", owner.map(o -> o.fence().toString()).orElse(null));
+    node.put("slice", owner.map(o -> o.range().toString()).orElse(null));
+    node.put("ownershipVersion", snapshot.owners().version().toString());
+    node.put("reason", reason(snapshot, home, owner));
+  }
+
+  private static String reason(
+      RoutingSnapshot snapshot, Optional<String> home, Optional<SliceAssignment> owner) {
+    if (home.isEmpty()) {
+      return "the range of the key has no home data centre yet";
+    }
+    if (!home.get().equals(snapshot.dataCentre())) {
+      return "its home is " + home.get() + "; ask an entry VM there for the owner";
+    }
+    return owner
+        .map(o -> "the leader of " + home.get() + " granted its slice to " + o.upstream())
+        .orElse("the leader of " + home.get() + " has granted its slice to nobody");
+  }
+
+  CompletableFuture<HttpAnswer> why(OperatorRequest request) {
+    String service = request.requiredParameter("service");
+    String kind = request.requiredParameter("kind");
+    Optional<String> key = request.parameter("key");
+    Optional<String> requestId = Optional.of(request.parameter("request-id").orElse("why"));
+    RoutingSnapshot snapshot = context.snapshots().get();
+    RequestAttributes attributes =
+        new RequestAttributes(service, kind, key, requestId, DEADLINE_MS, 0);
+    RouteDecision decision = context.router().decide(attributes, snapshot, 0);
+    ObjectNode node = JsonAnswers.object().put("vm", context.vm());
+    node.put("configurationVersion", snapshot.configuration().version());
+    describe(node, decision);
+    snapshot
+        .configuration()
+        .service(service)
+        .ifPresent(view -> describeService(node, view, snapshot, key));
+    return JsonAnswers.okNow(node);
+  }
+
+  private void describeService(
+      ObjectNode node, ServiceView view, RoutingSnapshot snapshot, Optional<String> key) {
+    node.put("selector", view.definition().getSelector());
+    node.put("matchingUpstreams", view.upstreams().size());
+    node.put("availableHere", view.availableIn(snapshot.dataCentre()).size());
+    if (view.definition().getKeyed() && key.isPresent()) {
+      describeOwner(node, view.definition().getName(), key.get());
+    }
+  }
+
+  private static void describe(ObjectNode node, RouteDecision decision) {
+    if (decision instanceof RouteDecision.ToOwner owner) {
+      node.put("decision", "send to the owner of the key");
+      node.put("upstream", owner.upstream().name());
+    } else if (decision instanceof RouteDecision.ToAny any) {
+      node.put("decision", "send to an upstream that the selector matches");
+      node.put("upstream", any.upstream().name());
+    } else if (decision instanceof RouteDecision.ToDataCentre relay) {
+      node.put("decision", "relay to the home data centre of the key");
+      node.put("dataCentre", relay.dataCentre());
+    } else if (decision instanceof RouteDecision.Refuse refuse) {
+      node.put("decision", "refuse");
+      node.put("code", refuse.code().number());
+      node.put("name", refuse.code().name());
+      node.put("message", refuse.message());
+    }
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
@@ -18,6 +18,8 @@
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.tls.ChannelSecurity;
+import org.foxtailford.net.tls.ClientSubjectHandler;
 import org.foxtailford.schema.Endpoint;
 import org.jspecify.annotations.Nullable;
 
@@ -33,10 +35,21 @@
   private final EventLoopGroup loops;
   private final HttpLimits limits;
   private final HttpExchangeHandler handler;
+  private final ChannelSecurity security;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private volatile @Nullable Channel listener;
 
   public HttpServer(EventLoopGroup loops, HttpLimits limits, HttpExchangeHandler handler) {
+    this(loops, limits, handler, ChannelSecurity.NONE);
+  }
+
+  /** Creates a server whose connections are protected. */
+  public HttpServer(
+      EventLoopGroup loops,
+      HttpLimits limits,
+      HttpExchangeHandler handler,
+      ChannelSecurity security) {
+    this.security = Assert.notNull(security, "security");
     this.loops = Assert.notNull(loops, "loops");
     this.limits = Assert.notNull(limits, "limits");
     this.handler = Assert.notNull(handler, "handler");
@@ -76,6 +89,7 @@
 
   private void addHandlers(SocketChannel channel) {
     connections.add(channel);
+    security.secure(channel);
     HttpDecoderConfig config =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(limits.maxHeaderBytes())
@@ -83,6 +97,7 @@
     channel
         .pipeline()
         .addLast(new HttpServerCodec(config))
+        .addLast(new ClientSubjectHandler())
         .addLast(new RefusingAggregator(limits.maxBodyBytes(), handler))
         .addLast(new FlowControlHandler())
         .addLast(new HttpServerHandler(handler));
--- /dev/null
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/tls/ClientTls.java
@@ -0,0 +1,37 @@
+package org.foxtailford.net.tls;
+
+import io.netty.handler.ssl.JdkSslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import java.io.File;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLException;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+
+/** Certificates of an operators' client. */
+public final class ClientTls {
+
+  private ClientTls() {}
+
+  /**
+   * Reads PEM files for the JDK's HTTP client.
+   *
+   * @throws ResultCodeException with {@link ResultCode#USAGE} if a file cannot be used
+   */
+  public static SSLContext context(String certificateFile, String keyFile, String trustFile) {
+    try {
+      JdkSslContext context =
+          (JdkSslContext)
+              SslContextBuilder.forClient()
+                  .sslProvider(SslProvider.JDK)
+                  .keyManager(new File(certificateFile), new File(keyFile))
+                  .trustManager(new File(trustFile))
+                  .build();
+      return context.context();
+    } catch (SSLException | IllegalArgumentException e) {
+      throw new ResultCodeException(
+          ResultCode.USAGE, "the certificate files cannot be used: " + e.getMessage(), e);
+    }
+  }
+}
