Protect the operators' interface and peer links by TLS with client certificates

Cause: anyone who reached the operators' port could change the configuration, and any process could join as a peer.

Ruled out: comparing a peer's certificate with its address (VMs are replaced at any time; the authority's signature decides); demanding a certificate for health checks and metrics too (the platform's balancer has none; /v1 does).

Change: TlsContexts from PEM files, swapped as a whole when the files change, kept when the new ones cannot be used; the subject of the client certificate goes into the log and the history, and a client cannot set it by itself. Settings with an operators' listener off loopback and without the three files are refused, with path and line. Certificates in src/test/resources/tls are for tests and last 100 years.

A first form of one test expected the JDK client to offer a certificate of a foreign authority; it does not, so the check passed nothing. It now uses a key manager that offers it, and shows that the same way is open to an accepted one.

--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/ExitStatus.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/ExitStatus.java
@@ -45,6 +45,7 @@
       case UNKNOWN_SERVICE:
       case UNKNOWN_KIND:
         return NOT_FOUND;
+      case CERTIFICATE_REQUIRED:
       case USAGE:
       case INVALID_HEADER:
         return USAGE;
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
@@ -97,6 +97,7 @@
             () -> true,
             () -> peerVersions,
             writeIds::incrementAndGet,
+            false,
             () -> inForce.offer(store.read().join()));
     OperatorHandler handler =
         new OperatorHandler(context, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -72,4 +72,9 @@
   public void configurationPollFailed() {
     registry.counter("foxtailford.configuration.poll.failures").increment();
   }
+
+  /** Counts changed certificate files, by what became of them. */
+  public void certificateReload(String outcome) {
+    registry.counter("foxtailford.tls.reloads", "outcome", outcome).increment();
+  }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
@@ -56,6 +56,8 @@
       4005, 504, Effect.UNKNOWN, "The table did not say whether the configuration was accepted."),
   UNREADABLE_CONFIGURATION(
       4006, 500, Effect.NOT_RUN, "The configuration is damaged or of a newer schema."),
+  CERTIFICATE_REQUIRED(
+      4007, 403, Effect.NOT_RUN, "The operators' interface needs a client certificate."),
 
   OTHER_SYSTEM(5001, 403, Effect.NOT_RUN, "The peer belongs to another system."),
   INVALID_PEER_MESSAGE(5002, 400, Effect.NOT_RUN, "The peer sent a message out of order."),
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.security.SecureRandom;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -25,6 +26,7 @@
 import org.foxtailford.core.routing.InFlightCounter;
 import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.routing.TwoChoicesChooser;
+import org.foxtailford.core.settings.DaemonSettingsReader;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
@@ -43,6 +45,9 @@
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.net.peer.PeerServer;
+import org.foxtailford.net.tls.ChannelSecurity;
+import org.foxtailford.net.tls.TlsContexts;
+import org.foxtailford.net.tls.TlsFiles;
 import org.foxtailford.platform.HttpTableService;
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
@@ -69,6 +74,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final EventLoopGroup loops;
   private final ScheduledExecutorService control;
+  private final Optional<TlsContexts> tls;
   private final RoutingState state;
   private final ConfigurationInForce inForce;
   private final RequestRouter router;
@@ -97,6 +103,10 @@
     metrics = new RouterMetrics(registry);
     loops = new MultiThreadIoEventLoopGroup(eventLoopThreads, NioIoHandler.newFactory());
     control = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+    tls =
+        DaemonSettingsReader.isProtected(settings)
+            ? Optional.of(new TlsContexts(TlsFiles.of(settings.getTls())))
+            : Optional.empty();
     state = new RoutingState(settings.getDataCentre());
     inForce = new ConfigurationInForce(state::acceptConfiguration);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
@@ -104,7 +114,8 @@
     PeerIdentity self =
         new PeerIdentity(
             settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
-    peers = new PeerNetwork(loops, self, maxFrameBytes);
+    ChannelSecurity linkSecurity = tls.map(TlsContexts::peerLink).orElse(ChannelSecurity.NONE);
+    peers = new PeerNetwork(loops, self, maxFrameBytes, linkSecurity);
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
     InFlightCounter inFlight = new InFlightCounter();
@@ -117,7 +128,13 @@
             settings.getRequests().getMaxHeaderBytes(), settings.getRequests().getMaxBodyBytes());
     callers =
         new HttpServer(loops, callerLimits, new CallerHandler(path, classifier, metrics, clock));
-    peerServer = new PeerServer(loops, self, maxFrameBytes, new Messages(classifier));
+    peerServer =
+        new PeerServer(
+            loops,
+            self,
+            maxFrameBytes,
+            new Messages(classifier),
+            tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
     PlatformSettings platform = settings.getPlatform();
     TableService table =
         new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
@@ -185,11 +202,16 @@
             leader::leads,
             Map::of,
             new SecureRandom()::nextLong,
+            tls.isPresent(),
             () -> control.execute(guarded(this::poll)));
     OperatorHandler handler = new OperatorHandler(context, registry);
     HttpLimits limits =
         new HttpLimits(settings.getRequests().getMaxHeaderBytes(), OPERATOR_BODY_BYTES);
-    return new HttpServer(loops, limits, handler);
+    return new HttpServer(
+        loops,
+        limits,
+        handler,
+        tls.map(TlsContexts::operatorListener).orElse(ChannelSecurity.NONE));
   }
 
   /** Binds the listeners and starts the control loops. */
@@ -201,6 +223,14 @@
     int renewMs = settings.getOwnership().getRenewIntervalMs();
     control.scheduleWithFixedDelay(guarded(this::poll), 0, pollMs, TimeUnit.MILLISECONDS);
     control.scheduleAtFixedRate(guarded(this::tick), 0, renewMs, TimeUnit.MILLISECONDS);
+    int reloadMs = settings.getTls().getReloadIntervalMs();
+    tls.ifPresent(
+        contexts ->
+            control.scheduleWithFixedDelay(
+                guarded(() -> reloadCertificates(contexts)),
+                reloadMs,
+                reloadMs,
+                TimeUnit.MILLISECONDS));
     logger.atInfo().log(
         "started %s in %s, callers at %s:%d",
         settings.getVm(),
@@ -219,6 +249,14 @@
     };
   }
 
+  private void reloadCertificates(TlsContexts contexts) {
+    TlsContexts.Reload outcome = contexts.reload();
+    if (outcome != TlsContexts.Reload.UNCHANGED) {
+      metrics.certificateReload(outcome.name());
+      logger.atInfo().log("changed certificate files: %s", outcome);
+    }
+  }
+
   private void poll() {
     poller
         .poll()
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/FoxtaildCommand.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/FoxtaildCommand.java
@@ -7,7 +7,7 @@
 import java.nio.file.Path;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
-import org.foxtailford.core.settings.SettingsReader;
+import org.foxtailford.core.settings.DaemonSettingsReader;
 import org.foxtailford.schema.DaemonSettings;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -100,9 +100,7 @@
   }
 
   private static DaemonSettings readSettings(Path file) throws IOException {
-    SettingsReader<DaemonSettings> reader =
-        new SettingsReader<>(DaemonSettings::newBuilder, ResultCode.INVALID_SETTINGS);
-    return reader.read(Files.readString(file));
+    return new DaemonSettingsReader().read(Files.readString(file));
   }
 
   private static void stop(EntryVm vm) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorContext.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorContext.java
@@ -21,6 +21,7 @@
  * @param leads tells whether this VM leads its data centre
  * @param peerVersions gives the configuration version that each live peer last reported
  * @param writeIds gives ids for changes that come without one
+ * @param certificateRequired whether operators must come with a certificate
  * @param onAccepted runs after a configuration was accepted here
  */
 public record OperatorContext(
@@ -33,4 +34,5 @@
     BooleanSupplier leads,
     Supplier<Map<String, Long>> peerVersions,
     LongSupplier writeIds,
+    boolean certificateRequired,
     Runnable onAccepted) {}
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorHandler.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorHandler.java
@@ -16,6 +16,7 @@
 
   private static final String VERSION_PREFIX = "v1";
 
+  private final boolean certificateRequired;
   private final Map<String, OperatorResource> resources;
 
   /**
@@ -26,6 +27,7 @@
    */
   public OperatorHandler(OperatorContext context, PrometheusMeterRegistry registry) {
     Assert.notNull(context, "context");
+    certificateRequired = context.certificateRequired();
     HealthResources health = new HealthResources(context, registry);
     InventoryResources inventory = new InventoryResources(context);
     RoutingResources routing = new RoutingResources(context);
@@ -60,6 +62,10 @@
 
   private OperatorResource resource(OperatorRequest request) {
     String name = request.segments().get(0);
+    if (name.equals(VERSION_PREFIX) && certificateRequired && !request.hasCertificate()) {
+      throw new ResultCodeException(
+          ResultCode.CERTIFICATE_REQUIRED, "come with a certificate of an accepted authority");
+    }
     if (name.equals(VERSION_PREFIX) && request.segments().size() > 1) {
       name += "/" + request.segments().get(1);
     }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorRequest.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/OperatorRequest.java
@@ -75,6 +75,10 @@
     return Optional.ofNullable(exchange.headers().get(name)).filter(value -> !value.isEmpty());
   }
 
+  boolean hasCertificate() {
+    return header(ClientSubjectHandler.HEADER).isPresent();
+  }
+
   /** Returns who asks: the subject of the client's certificate, else the name that is given. */
   String who() {
     return header(ClientSubjectHandler.HEADER)
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
@@ -11,6 +11,7 @@
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerLink;
+import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.VmEntry;
 import org.foxtailford.schema.VmList;
@@ -22,9 +23,12 @@
   private final EventLoopGroup loops;
   private final PeerIdentity self;
   private final int maxFrameBytes;
+  private final ChannelSecurity security;
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
 
-  public PeerNetwork(EventLoopGroup loops, PeerIdentity self, int maxFrameBytes) {
+  public PeerNetwork(
+      EventLoopGroup loops, PeerIdentity self, int maxFrameBytes, ChannelSecurity security) {
+    this.security = Assert.notNull(security, "security");
     this.loops = Assert.notNull(loops, "loops");
     this.self = Assert.notNull(self, "self");
     this.maxFrameBytes = maxFrameBytes;
@@ -60,7 +64,7 @@
           if (link != null) {
             link.close();
           }
-          return new PeerLink(loops, self, vm.getAddress(), maxFrameBytes);
+          return new PeerLink(loops, self, vm.getAddress(), maxFrameBytes, security);
         });
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerLink.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerLink.java
@@ -18,6 +18,7 @@
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.RelayAnswer;
@@ -46,6 +47,17 @@
   private volatile @Nullable ResultCode rejection;
 
   public PeerLink(EventLoopGroup loops, PeerIdentity self, Endpoint endpoint, int maxFrameBytes) {
+    this(loops, self, endpoint, maxFrameBytes, ChannelSecurity.NONE);
+  }
+
+  /** Creates a link that is protected. */
+  public PeerLink(
+      EventLoopGroup loops,
+      PeerIdentity self,
+      Endpoint endpoint,
+      int maxFrameBytes,
+      ChannelSecurity security) {
+    Assert.notNull(security, "security");
     this.self = Assert.notNull(self, "self");
     this.endpoint = Assert.notNull(endpoint, "endpoint");
     this.bootstrap =
@@ -58,6 +70,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel created) {
+                    security.secure(created);
                     PeerPipelines.addHandlers(created.pipeline(), maxFrameBytes, new Handler());
                   }
                 });
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
@@ -14,6 +14,7 @@
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.schema.Endpoint;
 import org.jspecify.annotations.Nullable;
 
@@ -24,11 +25,23 @@
   private final PeerIdentity self;
   private final int maxFrameBytes;
   private final PeerMessageHandler handler;
+  private final ChannelSecurity security;
   private final ChannelGroup links = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private volatile @Nullable Channel listener;
 
   public PeerServer(
       EventLoopGroup loops, PeerIdentity self, int maxFrameBytes, PeerMessageHandler handler) {
+    this(loops, self, maxFrameBytes, handler, ChannelSecurity.NONE);
+  }
+
+  /** Creates a server whose links are protected. */
+  public PeerServer(
+      EventLoopGroup loops,
+      PeerIdentity self,
+      int maxFrameBytes,
+      PeerMessageHandler handler,
+      ChannelSecurity security) {
+    this.security = Assert.notNull(security, "security");
     this.loops = Assert.notNull(loops, "loops");
     this.self = Assert.notNull(self, "self");
     this.maxFrameBytes = maxFrameBytes;
@@ -53,6 +66,7 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     links.add(channel);
+                    security.secure(channel);
                     PeerPipelines.addHandlers(
                         channel.pipeline(), maxFrameBytes, new PeerServerHandler(self, handler));
                   }
--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
@@ -0,0 +1,328 @@
+package org.foxtailford.net.tls;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.KeyFactory;
+import java.security.KeyStore;
+import java.security.Principal;
+import java.security.PrivateKey;
+import java.security.SecureRandom;
+import java.security.cert.CertificateFactory;
+import java.security.cert.X509Certificate;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.KeyManager;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLEngine;
+import javax.net.ssl.TrustManagerFactory;
+import javax.net.ssl.X509ExtendedKeyManager;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.HttpExchangeHandler;
+import org.foxtailford.net.http.HttpLimits;
+import org.foxtailford.net.http.HttpServer;
+import org.foxtailford.net.peer.PeerIdentity;
+import org.foxtailford.net.peer.PeerLink;
+import org.foxtailford.net.peer.PeerMessageHandler;
+import org.foxtailford.net.peer.PeerServer;
+import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.PeerFrame;
+import org.foxtailford.schema.RelayAnswer;
+import org.foxtailford.schema.RelayRequest;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class TlsTests {
+
+  private static final Path FILES = Path.of("src", "test", "resources", "tls");
+  private static final Endpoint ANY = Endpoint.newBuilder().setHost("127.0.0.1").build();
+  private static final int TIMEOUT_MS = 5000;
+
+  private EventLoopGroup loops;
+  private Path folder;
+  private TlsContexts contexts;
+  private HttpServer server;
+  private int port;
+
+  @BeforeMethod
+  public void start() throws IOException {
+    loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    folder = Files.createTempDirectory("tls");
+    copy("authority.pem", "trust.pem");
+    copy("entry-a1.pem", "own.pem");
+    copy("entry-a1.key", "own.key");
+    contexts = new TlsContexts(files());
+    HttpLimits limits = new HttpLimits(4096, 1000);
+    server = new HttpServer(loops, limits, new SubjectHandler(), contexts.operatorListener());
+    port = server.bind(ANY);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void subjectOfTheClientCertificateIsTold() throws Exception {
+    assertThat(get(client("asha", "authority")).body()).isEqualTo("CN=asha");
+  }
+
+  @Test
+  public void clientWithoutCertificateHasNoSubjectWhateverItSays() throws Exception {
+    assertThat(get(clientWithoutCertificate()).body()).isEqualTo("none");
+  }
+
+  @Test
+  public void certificateOfAnotherAuthorityIsRejected() throws Exception {
+    SSLContext insistent = context(new InsistentKeyManager("stranger"));
+    assertThatThrownBy(() -> get(insistent)).isInstanceOf(IOException.class);
+    SSLContext accepted = context(new InsistentKeyManager("asha"));
+    assertThat(get(accepted).body()).isEqualTo("CN=asha");
+  }
+
+  @Test
+  public void peerListenerNeedsACertificate() throws Exception {
+    server.close();
+    HttpLimits limits = new HttpLimits(4096, 1000);
+    server = new HttpServer(loops, limits, new SubjectHandler(), contexts.peerListener());
+    port = server.bind(ANY);
+    assertThatThrownBy(() -> get(clientWithoutCertificate())).isInstanceOf(IOException.class);
+    assertThat(get(client("asha", "authority")).body()).isEqualTo("CN=asha");
+  }
+
+  @Test
+  public void clientRejectsServerOfAnotherAuthority() {
+    assertThatThrownBy(() -> get(client("asha", "stranger-authority")))
+        .isInstanceOf(IOException.class);
+  }
+
+  @Test
+  public void changedFilesAreUsedByNewConnections() throws Exception {
+    assertThat(contexts.reload()).isEqualTo(TlsContexts.Reload.UNCHANGED);
+    assertThat(serverSubject()).isEqualTo("CN=entry-a1");
+    copy("entry-a1-renewed.pem", "own.pem");
+    copy("entry-a1-renewed.key", "own.key");
+    assertThat(contexts.reload()).isEqualTo(TlsContexts.Reload.RELOADED);
+    assertThat(serverSubject()).isEqualTo("CN=entry-a1-renewed");
+  }
+
+  @Test
+  public void filesThatCannotBeUsedLeaveTheEarlierOnesInForce() throws Exception {
+    copy("entry-a1-renewed.pem", "own.pem");
+    Files.writeString(folder.resolve("own.key"), "half a ke");
+    assertThat(contexts.reload()).isEqualTo(TlsContexts.Reload.REJECTED);
+    assertThat(contexts.reload()).isEqualTo(TlsContexts.Reload.UNCHANGED);
+    assertThat(serverSubject()).isEqualTo("CN=entry-a1");
+    Files.delete(folder.resolve("own.key"));
+    assertThat(contexts.reload()).isEqualTo(TlsContexts.Reload.REJECTED);
+    copy("entry-a1-renewed.key", "own.key");
+    assertThat(contexts.reload()).isEqualTo(TlsContexts.Reload.RELOADED);
+  }
+
+  @Test
+  public void missingFileIsAFaultOfTheSettings() throws IOException {
+    Files.delete(folder.resolve("own.pem"));
+    assertThatThrownBy(() -> new TlsContexts(files()))
+        .isInstanceOf(ResultCodeException.class)
+        .hasMessageContaining("$.tls")
+        .satisfies(
+            e ->
+                assertThat(((ResultCodeException) e).code())
+                    .isEqualTo(ResultCode.INVALID_SETTINGS));
+  }
+
+  @Test
+  public void peersWithCertificatesOfOneAuthorityAreLinked() throws Exception {
+    CompletableFuture<String> received = new CompletableFuture<>();
+    try (PeerServer peers = peerServer(received)) {
+      Endpoint endpoint = ANY.toBuilder().setPort(peers.bind(ANY)).build();
+      try (PeerLink link = link(endpoint, contexts.peerLink())) {
+        link.connect();
+        while (link.remote().isEmpty()) {
+          Thread.onSpinWait();
+        }
+        link.send(PeerFrame.getDefaultInstance());
+        assertThat(received.get(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isEqualTo("entry-b1");
+      }
+    }
+  }
+
+  @Test
+  public void peerWithoutProtectionIsNotLinked() throws Exception {
+    CompletableFuture<String> received = new CompletableFuture<>();
+    try (PeerServer peers = peerServer(received);
+        PeerLink link =
+            link(ANY.toBuilder().setPort(peers.bind(ANY)).build(), ChannelSecurity.NONE)) {
+      link.connect();
+      HttpClient plain = HttpClient.newHttpClient();
+      HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port)).build();
+      assertThatThrownBy(() -> plain.send(request, HttpResponse.BodyHandlers.ofString()))
+          .isInstanceOf(IOException.class);
+      assertThat(link.remote()).isEmpty();
+      assertThat(received).isNotDone();
+    }
+  }
+
+  private PeerServer peerServer(CompletableFuture<String> received) {
+    PeerIdentity self = new PeerIdentity("system", "entry-a1", "dc-a", 1);
+    PeerMessageHandler handler =
+        new PeerMessageHandler() {
+          @Override
+          public void onMessage(PeerIdentity sender, PeerFrame frame) {
+            received.complete(sender.vm());
+          }
+
+          @Override
+          public CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request) {
+            return new CompletableFuture<>();
+          }
+        };
+    return new PeerServer(loops, self, 4096, handler, contexts.peerListener());
+  }
+
+  private PeerLink link(Endpoint endpoint, ChannelSecurity security) {
+    PeerIdentity self = new PeerIdentity("system", "entry-b1", "dc-b", 2);
+    return new PeerLink(loops, self, endpoint, 4096, security);
+  }
+
+  private TlsFiles files() {
+    return new TlsFiles(
+        folder.resolve("own.pem"), folder.resolve("own.key"), folder.resolve("trust.pem"));
+  }
+
+  private void copy(String from, String to) throws IOException {
+    Files.copy(FILES.resolve(from), folder.resolve(to), StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  private static SSLContext client(String name, String trust) {
+    return ClientTls.context(
+        FILES.resolve(name + ".pem").toString(),
+        FILES.resolve(name + ".key").toString(),
+        FILES.resolve(trust + ".pem").toString());
+  }
+
+  private static SSLContext clientWithoutCertificate() throws Exception {
+    return context();
+  }
+
+  private static SSLContext context(KeyManager... keys) throws Exception {
+    KeyStore store = KeyStore.getInstance(KeyStore.getDefaultType());
+    store.load(null, null);
+    store.setCertificateEntry("authority", certificate("authority"));
+    TrustManagerFactory factory = TrustManagerFactory.getInstance("PKIX");
+    factory.init(store);
+    SSLContext context = SSLContext.getInstance("TLS");
+    context.init(keys, factory.getTrustManagers(), new SecureRandom());
+    return context;
+  }
+
+  private static X509Certificate certificate(String name) throws Exception {
+    try (InputStream in = Files.newInputStream(FILES.resolve(name + ".pem"))) {
+      return (X509Certificate) CertificateFactory.getInstance("X.509").generateCertificate(in);
+    }
+  }
+
+  private HttpResponse<String> get(SSLContext context) throws IOException, InterruptedException {
+    HttpClient client =
+        HttpClient.newBuilder()
+            .sslContext(context)
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(TIMEOUT_MS))
+            .build();
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("https://127.0.0.1:" + port + "/"))
+            .header(ClientSubjectHandler.HEADER, "CN=somebody")
+            .timeout(Duration.ofMillis(TIMEOUT_MS))
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  private String serverSubject() throws Exception {
+    HttpResponse<String> response = get(client("asha", "authority"));
+    return response.sslSession().orElseThrow().getPeerPrincipal().getName();
+  }
+
+  private static final class SubjectHandler implements HttpExchangeHandler {
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
+      String subject = exchange.headers().get(ClientSubjectHandler.HEADER, "none");
+      return CompletableFuture.completedFuture(HttpAnswer.text(200, "text/plain", subject));
+    }
+
+    @Override
+    public HttpAnswer refuse(ResultCode code, String message) {
+      return HttpAnswer.text(code.httpStatus(), "text/plain", message);
+    }
+  }
+
+  /** Sends its certificate whatever authorities the server names. */
+  private static final class InsistentKeyManager extends X509ExtendedKeyManager {
+
+    private final X509Certificate certificate;
+    private final PrivateKey key;
+
+    InsistentKeyManager(String name) throws Exception {
+      certificate = certificate(name);
+      String pem = Files.readString(FILES.resolve(name + ".key"));
+      byte[] encoded = Base64.getMimeDecoder().decode(pem.replaceAll("-----[A-Z ]+-----", ""));
+      key = KeyFactory.getInstance("EC").generatePrivate(new PKCS8EncodedKeySpec(encoded));
+    }
+
+    @Override
+    public String chooseClientAlias(String[] types, Principal[] issuers, Socket socket) {
+      return "own";
+    }
+
+    @Override
+    public String chooseEngineClientAlias(String[] types, Principal[] issuers, SSLEngine engine) {
+      return "own";
+    }
+
+    @Override
+    public String[] getClientAliases(String type, Principal[] issuers) {
+      return new String[] {"own"};
+    }
+
+    @Override
+    public String[] getServerAliases(String type, Principal[] issuers) {
+      return new String[0];
+    }
+
+    @Override
+    public String chooseServerAlias(String type, Principal[] issuers, Socket socket) {
+      return "own";
+    }
+
+    @Override
+    public X509Certificate[] getCertificateChain(String alias) {
+      return new X509Certificate[] {certificate};
+    }
+
+    @Override
+    public PrivateKey getPrivateKey(String alias) {
+      return key;
+    }
+  }
+}
