--- /dev/null
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
@@ -0,0 +1,32 @@
+package org.foxtailford.testkit.scenario;
+
+import java.util.List;
+
+/**
+ * Something that fails for a time.
+ *
+ * @param atMs when it begins, from the start of the run, in milliseconds
+ * @param forMs how long it lasts, in milliseconds
+ * @param action what fails
+ * @param targets names of the nodes; {@code leader} stands for whoever leads at that time
+ */
+public record ScenarioFault(long atMs, long forMs, Action action, List<String> targets) {
+
+  /** What can fail. */
+  public enum Action {
+    /** The process is lost and started again without memory at the end. */
+    LOSE,
+    /** The process stands still and goes on at the end. */
+    PAUSE,
+    /** No message passes between the first target and the others. */
+    CUT,
+    /** No message passes from the first target to the others. */
+    CUT_ONE_WAY,
+    /** Messages are lost, delayed, repeated and reordered. */
+    DISTURB
+  }
+
+  public ScenarioFault {
+    targets = List.copyOf(targets);
+  }
+}
