--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/load/KeyLoad.java
@@ -0,0 +1,9 @@
+package org.foxtailford.core.load;
+
+/**
+ * Load of one key.
+ *
+ * @param keyHash hash of the key
+ * @param rate requests a second, never above the real rate of the measured window
+ */
+public record KeyLoad(long keyHash, double rate) {}
