Load-aware placement with splits, merges and bounded moves

Cause: EvenCountPolicy balances counts of equal slices; a hot slice or a smaller upstream stays overloaded for good, and at 1,500 upstreams 64 slices leave most upstreams without any. Ruled out: recomputing the whole assignment each round (churn); minimum-cost flow (as many moves, a solver in the control path); a policy with memory of earlier rounds (a new leader has none). Change: LoadAwarePolicy places free slices, empties leaving upstreams, sheds the excess of upstreams above a trigger down to a target, divides slices too heavy to move (a hot key by itself), joins cold neighbours. PlacementPolicy stays a functional interface; planRound is a default method.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementPolicy.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementPolicy.java
@@ -14,4 +14,13 @@
    * @return moves of this round; free slices first
    */
   List<SliceMove> plan(List<PlacedSlice> slices, List<String> upstreams);
+
+  /**
+   * Plans one round with capacities and hot keys. A policy that knows of neither plans as if every
+   * accepting upstream had the same capacity.
+   */
+  default PlacementPlan planRound(PlacementRound round) {
+    List<SliceMove> moves = plan(round.slices(), round.acceptingNames());
+    return new PlacementPlan(List.of(), List.of(), moves);
+  }
 }
