HTTP: whole answers or none, bounded slow peers, silent connections dropped

The server did not notice a caller that left, and waited without end for slow senders and slow readers.

Ruled out: Netty's FixedChannelPool with a health check (it can't bound the connections being opened, wait no longer than the request may, or close idle ones on evidence from another); HttpServerCodec (its decoder removes Content-Length beside Transfer-Encoding instead of rejecting the request).

Conclusion: no broken answer is passed on as whole; each has its code.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
@@ -47,6 +47,7 @@
   ANSWER_TIMEOUT(3003, 504, Effect.UNKNOWN, "The answer did not come before the deadline."),
   ANSWER_TOO_LARGE(3004, 502, Effect.UNKNOWN, "The upstream's answer is over the limit."),
   INTERNAL_ERROR(3005, 500, Effect.UNKNOWN, "The router failed."),
+  CROSSED_ANSWER(3006, 502, Effect.UNKNOWN, "The upstream answered another attempt."),
 
   CONFIGURATION_CONFLICT(4001, 409, Effect.NOT_RUN, "Another version was accepted first."),
   INVALID_CONFIGURATION(4002, 422, Effect.NOT_RUN, "The configuration document has faults."),
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.ownership.Fence;
-import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.routing.InFlightCounter;
 import org.foxtailford.core.util.Assert;
@@ -55,15 +54,10 @@
     return client
         .send(upstream.address(), outgoing, timeoutMs)
         .whenComplete((answer, failure) -> inFlight.ended(upstream.name()))
-        .thenApply(answer -> check(answer, attempt, upstream));
+        .thenApply(answer -> check(answer, upstream));
   }
 
-  private static HttpAnswer check(HttpAnswer answer, String attempt, Upstream upstream) {
-    String echoed = answer.headers().get(FoxtailHeaders.ATTEMPT);
-    if (echoed != null && !echoed.equals(attempt)) {
-      throw new ResultCodeException(
-          ResultCode.TRUNCATED_ANSWER, "the answer belongs to another request");
-    }
+  private static HttpAnswer check(HttpAnswer answer, Upstream upstream) {
     Optional<UpstreamRefusal> refusal = UpstreamRefusal.of(answer);
     if (refusal.isPresent()) {
       throw new ResultCodeException(
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
@@ -13,10 +13,24 @@
 import org.foxtailford.core.result.ResultCodeException;
 import org.jspecify.annotations.Nullable;
 
-/** One request at a time on one client connection. Runs on the connection's event loop. */
+/**
+ * One request at a time on one client connection. Runs on the connection's event loop.
+ *
+ * <p>An answer is given out only when the bytes that came with it are used up, so that nothing of
+ * them can meet the next request. A failed connection is closed before its failure is given out.
+ */
 final class HttpClientHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+  private final AnswerDecoder decoder;
   private @Nullable CompletableFuture<HttpAnswer> pending;
+  private @Nullable HttpAnswer received;
+  private @Nullable String attempt;
+  private boolean keepAlive;
+  private boolean reused;
+
+  HttpClientHandler(AnswerDecoder decoder) {
+    this.decoder = decoder;
+  }
 
   /** Sends a request. The connection must have none in flight. */
   CompletableFuture<HttpAnswer> exchange(Channel channel, FullHttpRequest request, long timeoutMs) {
@@ -41,20 +55,22 @@
       return;
     }
     pending = answer;
+    attempt = request.headers().get(FoxtailHeaders.ATTEMPT);
+    decoder.expect(request.method());
     var timer =
         channel
             .eventLoop()
             .schedule(
-                () -> fail(ResultCode.ANSWER_TIMEOUT, "no answer in " + timeoutMs + " ms"),
+                () -> fail(channel, ResultCode.ANSWER_TIMEOUT, "no answer in " + timeoutMs + " ms"),
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
-    answer.whenComplete((received, failure) -> timer.cancel(false));
+    answer.whenComplete((value, failure) -> timer.cancel(false));
     channel
         .writeAndFlush(request)
         .addListener(
             written -> {
               if (!written.isSuccess()) {
-                fail(ResultCode.OUTCOME_UNKNOWN, "the request was not sent whole");
+                fail(channel, lost(channel));
               }
             });
   }
@@ -62,52 +78,102 @@
   /** Closes the connection if its request was given up before the answer came. */
   void abandon(Channel channel, CompletableFuture<HttpAnswer> exchanged) {
     if (!exchanged.isDone()) {
-      channel
-          .eventLoop()
-          .execute(() -> fail(ResultCode.OUTCOME_UNKNOWN, "the request was cancelled"));
+      channel.eventLoop().execute(() -> cancel(channel, exchanged));
+    }
+  }
+
+  private void cancel(Channel channel, CompletableFuture<HttpAnswer> exchanged) {
+    if (exchanged == pending) {
+      fail(channel, ResultCode.OUTCOME_UNKNOWN, "the request was cancelled");
     }
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+    if (pending == null || received != null) {
+      fail(ctx.channel(), ResultCode.TRUNCATED_ANSWER, "more than one answer came");
+      return;
+    }
+    if (response.decoderResult().isFailure()) {
+      boolean tooLong = response.decoderResult().cause() instanceof TooLongFrameException;
+      ResultCode code = tooLong ? ResultCode.ANSWER_TOO_LARGE : ResultCode.TRUNCATED_ANSWER;
+      fail(ctx.channel(), code, "the answer is not valid: " + response.decoderResult().cause());
+      return;
+    }
+    String echoed = response.headers().get(FoxtailHeaders.ATTEMPT);
+    if (attempt != null && echoed != null && !echoed.equals(attempt)) {
+      fail(ctx.channel(), ResultCode.CROSSED_ANSWER, "the answer belongs to attempt " + echoed);
+      return;
+    }
+    keepAlive = HttpUtil.isKeepAlive(response);
+    received = HttpMessages.toAnswer(response);
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    complete(ctx.channel());
+    ctx.fireChannelReadComplete();
+  }
+
+  private void complete(Channel channel) {
     CompletableFuture<HttpAnswer> answer = pending;
-    if (answer == null || response.decoderResult().isFailure()) {
-      fail(ResultCode.TRUNCATED_ANSWER, "the answer is not valid HTTP");
-      ctx.close();
+    HttpAnswer value = received;
+    if (answer == null || value == null) {
       return;
     }
-    boolean keepAlive = HttpUtil.isKeepAlive(response);
-    HttpAnswer received = HttpMessages.toAnswer(response);
+    boolean clean = keepAlive && !decoder.hasLeftover();
     pending = null;
-    if (!keepAlive) {
-      ctx.close();
+    received = null;
+    reused = true;
+    decoder.finish();
+    if (!clean) {
+      channel.close();
     }
-    answer.complete(received);
+    answer.complete(value);
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    fail(ResultCode.OUTCOME_UNKNOWN, "the connection was lost before the whole answer came");
+    complete(ctx.channel());
+    fail(ctx.channel(), lost(ctx.channel()));
     ctx.fireChannelInactive();
   }
 
+  private ResultCodeException lost(Channel channel) {
+    String peer = String.valueOf(channel.remoteAddress());
+    if (decoder.started()) {
+      return new ResultCodeException(
+          ResultCode.TRUNCATED_ANSWER, "the connection to " + peer + " ended within the answer");
+    }
+    String message = "the connection to " + peer + " was lost before an answer came";
+    return reused
+        ? new StaleConnectionException(message)
+        : new ResultCodeException(ResultCode.OUTCOME_UNKNOWN, message);
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (cause instanceof ResultCodeException) {
-      fail(((ResultCodeException) cause).code(), String.valueOf(cause.getMessage()));
+      fail(ctx.channel(), (ResultCodeException) cause);
     } else if (cause instanceof TooLongFrameException) {
-      fail(ResultCode.ANSWER_TOO_LARGE, "the answer is over the limit");
+      fail(ctx.channel(), ResultCode.ANSWER_TOO_LARGE, "the answer is over the limit");
     } else {
-      fail(ResultCode.OUTCOME_UNKNOWN, "the connection failed: " + cause);
+      fail(ctx.channel(), lost(ctx.channel()));
     }
-    ctx.close();
   }
 
-  private void fail(ResultCode code, String message) {
+  private void fail(Channel channel, ResultCode code, String message) {
+    fail(channel, new ResultCodeException(code, message));
+  }
+
+  private void fail(Channel channel, ResultCodeException failure) {
     CompletableFuture<HttpAnswer> answer = pending;
+    pending = null;
+    received = null;
+    decoder.finish();
+    channel.close();
     if (answer != null) {
-      pending = null;
-      answer.completeExceptionally(new ResultCodeException(code, message));
+      answer.completeExceptionally(failure);
     }
   }
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpMessages.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpMessages.java
@@ -46,12 +46,12 @@
     return new HttpAnswer(response.status().code(), response.headers(), body);
   }
 
-  static FullHttpResponse toResponse(HttpAnswer answer, boolean keepAlive) {
+  static FullHttpResponse toResponse(HttpAnswer answer, boolean keepAlive, boolean headOnly) {
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(answer.status()),
-            Unpooled.wrappedBuffer(answer.body()));
+            headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()));
     response.headers().set(answer.headers());
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
     if (!keepAlive) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
@@ -9,12 +9,12 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.flow.FlowControlHandler;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.timeout.WriteTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
@@ -76,16 +76,15 @@
 
   private void addHandlers(SocketChannel channel) {
     connections.add(channel);
-    HttpDecoderConfig config =
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(limits.maxHeaderBytes())
-            .setMaxHeaderSize(limits.maxHeaderBytes());
+    ReceiveTimeoutHandler timeouts = new ReceiveTimeoutHandler(limits);
     channel
         .pipeline()
-        .addLast(new HttpServerCodec(config))
+        .addLast(timeouts)
+        .addLast(new WriteTimeoutHandler(limits.writeMs(), TimeUnit.MILLISECONDS))
+        .addLast(new RequestDecoder(limits))
+        .addLast(new HttpResponseEncoder())
         .addLast(new RefusingAggregator(limits.maxBodyBytes(), handler))
-        .addLast(new FlowControlHandler())
-        .addLast(new HttpServerHandler(handler));
+        .addLast(new HttpServerHandler(handler, timeouts));
   }
 
   /** Stops listening; open connections stay. */
@@ -100,6 +99,11 @@
     return stopped;
   }
 
+  /** Returns the number of open connections. */
+  public int connections() {
+    return connections.size();
+  }
+
   @Override
   public void close() {
     stopListening().join();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServerHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServerHandler.java
@@ -1,61 +1,134 @@
 package org.foxtailford.net.http;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.result.ResultCode;
 import org.jspecify.annotations.Nullable;
 
-/** Passes whole requests of one connection to a handler and writes its answers. */
+/**
+ * Passes whole requests of one connection to a handler, one after the other, and writes its
+ * answers. Runs on the connection's event loop.
+ *
+ * <p>While a request is being answered the connection is still read, up to the next request, so
+ * that a caller that goes away is noticed; its request is cancelled.
+ */
 final class HttpServerHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
   private final HttpExchangeHandler handler;
+  private final ReceiveTimeoutHandler timeouts;
+  private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+  private @Nullable CompletableFuture<HttpAnswer> running;
+  private boolean busy;
 
-  HttpServerHandler(HttpExchangeHandler handler) {
+  HttpServerHandler(HttpExchangeHandler handler, ReceiveTimeoutHandler timeouts) {
     this.handler = handler;
+    this.timeouts = timeouts;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-    ctx.channel().config().setAutoRead(false);
-    DecoderResult decoded = request.decoderResult();
-    if (decoded.isFailure()) {
-      boolean tooLong = decoded.cause() instanceof TooLongFrameException;
+    if (busy) {
+      waiting.add(request.retain());
+      ctx.channel().config().setAutoRead(false);
+    } else {
+      serve(ctx, request);
+    }
+  }
+
+  private void serve(ChannelHandlerContext ctx, FullHttpRequest request) {
+    busy = true;
+    timeouts.onRequest();
+    boolean headOnly = request.method().equals(HttpMethod.HEAD);
+    Optional<String> fault = faultOf(request);
+    if (fault.isPresent()) {
+      boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
       ResultCode code = tooLong ? ResultCode.HEADERS_TOO_LARGE : ResultCode.MALFORMED_REQUEST;
-      write(ctx, handler.refuse(code, String.valueOf(decoded.cause().getMessage())), false);
+      write(ctx, handler.refuse(code, fault.get()), false, headOnly);
       return;
     }
     boolean keepAlive = HttpUtil.isKeepAlive(request);
-    handler
-        .handle(HttpMessages.toExchange(request))
-        .whenComplete((answer, failure) -> onAnswer(ctx, answer, failure, keepAlive));
+    CompletableFuture<HttpAnswer> answer = handler.handle(HttpMessages.toExchange(request));
+    running = answer;
+    answer.whenComplete((value, failure) -> onAnswer(ctx, value, failure, keepAlive, headOnly));
+  }
+
+  private static Optional<String> faultOf(FullHttpRequest request) {
+    DecoderResult decoded = request.decoderResult();
+    if (decoded.isFailure()) {
+      return Optional.of(String.valueOf(decoded.cause().getMessage()));
+    }
+    if (!request.uri().startsWith("/")) {
+      return Optional.of("the request target must be a path");
+    }
+    int hosts = request.headers().getAll(HttpHeaderNames.HOST).size();
+    if (hosts > 1 || hosts == 0 && request.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      return Optional.of("there must be one Host field");
+    }
+    return Optional.empty();
   }
 
   private void onAnswer(
       ChannelHandlerContext ctx,
       @Nullable HttpAnswer answer,
       @Nullable Throwable failure,
-      boolean keepAlive) {
+      boolean keepAlive,
+      boolean headOnly) {
     if (answer != null) {
-      write(ctx, answer, keepAlive);
+      write(ctx, answer, keepAlive, headOnly);
     } else {
-      write(ctx, handler.refuse(ResultCode.INTERNAL_ERROR, String.valueOf(failure)), false);
+      HttpAnswer refusal = handler.refuse(ResultCode.INTERNAL_ERROR, String.valueOf(failure));
+      write(ctx, refusal, false, headOnly);
     }
   }
 
-  private static void write(ChannelHandlerContext ctx, HttpAnswer answer, boolean keepAlive) {
-    ChannelFutureListener next =
-        keepAlive ? HttpServerHandler::readNext : ChannelFutureListener.CLOSE;
-    ctx.writeAndFlush(HttpMessages.toResponse(answer, keepAlive)).addListener(next);
+  private void write(
+      ChannelHandlerContext ctx, HttpAnswer answer, boolean keepAlive, boolean headOnly) {
+    ctx.writeAndFlush(HttpMessages.toResponse(answer, keepAlive, headOnly))
+        .addListener((ChannelFuture written) -> onWritten(ctx, written.isSuccess() && keepAlive));
   }
 
-  private static void readNext(ChannelFuture written) {
-    written.channel().config().setAutoRead(true);
+  private void onWritten(ChannelHandlerContext ctx, boolean keepAlive) {
+    running = null;
+    if (!keepAlive) {
+      ctx.close();
+      return;
+    }
+    FullHttpRequest next = waiting.poll();
+    if (next != null) {
+      try {
+        serve(ctx, next);
+      } finally {
+        next.release();
+      }
+      return;
+    }
+    busy = false;
+    timeouts.onAnswered(ctx);
+    ctx.channel().config().setAutoRead(true);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    CompletableFuture<HttpAnswer> answer = running;
+    waiting.forEach(FullHttpRequest::release);
+    waiting.clear();
+    busy = true;
+    if (answer != null) {
+      answer.cancel(true);
+    }
+    ctx.fireChannelInactive();
   }
 
   @Override
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/RefusingAggregator.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/RefusingAggregator.java
@@ -39,6 +39,6 @@
     HttpAnswer answer =
         handler.refuse(
             ResultCode.BODY_TOO_LARGE, "the body is over " + maxContentLength() + " bytes");
-    return HttpMessages.toResponse(answer, false);
+    return HttpMessages.toResponse(answer, false, false);
   }
 }
--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingCallerTests.java
@@ -0,0 +1,236 @@
+package org.foxtailford.net.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.schema.Endpoint;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The server against a caller that breaks the protocol, on real sockets. */
+public class MisbehavingCallerTests {
+
+  private static final int LONG_MS = 20_000;
+  private static final int SHORT_MS = 200;
+  private static final String HEAD = "POST /a/b HTTP/1.1\r\nHost: x\r\n";
+
+  private final List<HttpExchange> handled = new CopyOnWriteArrayList<>();
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private HttpServer server;
+  private int port;
+
+  @AfterMethod
+  public void stop() {
+    server.close();
+    handled.clear();
+  }
+
+  @DataProvider
+  public Object[][] malformed() {
+    ResultCode bad = ResultCode.MALFORMED_REQUEST;
+    String chunked = "Transfer-Encoding: chunked\r\n";
+    return new Object[][] {
+      {HEAD + "Content-Length: 3\r\n" + chunked + "\r\n0\r\n\r\n", bad},
+      {HEAD + chunked + "Content-Length: 3\r\n\r\n0\r\n\r\n", bad},
+      {HEAD + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", bad},
+      {HEAD + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", bad},
+      {HEAD + "Content-Length: -3\r\n\r\nabc", bad},
+      {HEAD + "Content-Length: +3\r\n\r\nabc", bad},
+      {HEAD + "Content-Length : 3\r\n\r\nabc", bad},
+      {HEAD + "Transfer-Encoding: gzip\r\n\r\n", bad},
+      {HEAD + chunked + "\r\nzz\r\n", bad},
+      {"GET\r\n\r\n", bad},
+      {"GET /a/b HTTP/1.1 x\r\nHost: x\r\n\r\n", bad},
+      {"GET /a/b HTTX/1.1\r\nHost: x\r\n\r\n", bad},
+      {"GET /a/b HTTP/1.1\nHost: x\n\n", bad},
+      {"G@T\u0001 /a/b HTTP/1.1\r\nHost: x\r\n\r\n", bad},
+      {"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", bad},
+      {"GET /a/b HTTP/1.1\r\n\r\n", bad},
+      {"GET /a/b HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", bad},
+      {HEAD + "X: " + "x".repeat(5000) + "\r\n\r\n", ResultCode.HEADERS_TOO_LARGE},
+      {"GET /" + "x".repeat(5000) + " HTTP/1.1\r\nHost: x\r\n\r\n", ResultCode.HEADERS_TOO_LARGE},
+    };
+  }
+
+  @Test(dataProvider = "malformed")
+  public void malformedRequestIsRefusedAndNeverHandled(String request, ResultCode expected)
+      throws IOException {
+    start(new HttpLimits(4096, 1000), exchange -> text("ran"));
+    try (Socket caller = connect()) {
+      write(caller, request);
+      String answer = readAll(caller);
+      assertThat(answer).startsWith("HTTP/1.1 " + expected.httpStatus()).endsWith(expected.name());
+      assertThat(handled).isEmpty();
+    }
+  }
+
+  @Test
+  public void foldedFieldReachesTheHandlerUnfolded() throws IOException {
+    start(new HttpLimits(4096, 1000), exchange -> text("ran"));
+    try (Socket caller = connect()) {
+      write(caller, HEAD + "Connection: close\r\nX: a\r\n b\r\nContent-Length: 0\r\n\r\n");
+      readAll(caller);
+      assertThat(handled.get(0).headers().get("X")).isEqualTo("a b");
+    }
+  }
+
+  @Test
+  public void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+    CompletableFuture<HttpAnswer> first = new CompletableFuture<>();
+    start(
+        new HttpLimits(4096, 1000),
+        exchange -> {
+          if (exchange.uri().equals("/a/1")) {
+            return first;
+          }
+          first.complete(HttpAnswer.text(200, "text/plain", "/a/1"));
+          return text(exchange.uri());
+        });
+    try (Socket caller = connect()) {
+      String rest = "GET /a/2 HTTP/1.1\r\nHost: x\r\n\r\nGET /a/3 HTTP/1.1\r\nHost: x\r\n";
+      write(caller, "GET /a/1 HTTP/1.1\r\nHost: x\r\n\r\n" + rest + "Connection: close\r\n\r\n");
+      first.complete(HttpAnswer.text(200, "text/plain", "/a/1"));
+      assertThat(readAll(caller)).containsSubsequence("/a/1", "/a/2", "/a/3");
+    }
+  }
+
+  @Test
+  public void callerThatGoesAwayCancelsItsRequest() throws Exception {
+    CountDownLatch received = new CountDownLatch(1);
+    CountDownLatch cancelled = new CountDownLatch(1);
+    CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+    answer.whenComplete((value, failure) -> cancelled.countDown());
+    start(
+        new HttpLimits(4096, 1000),
+        exchange -> {
+          received.countDown();
+          return answer;
+        });
+    try (Socket caller = connect()) {
+      write(caller, HEAD + "Content-Length: 0\r\n\r\n");
+      assertThat(received.await(LONG_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+    assertThat(cancelled.await(LONG_MS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(answer).isCancelled();
+  }
+
+  @Test
+  public void headThatTricklesInIsCutOff() throws IOException {
+    start(new HttpLimits(4096, 1000, LONG_MS, SHORT_MS, LONG_MS), exchange -> text("ran"));
+    try (Socket caller = connect()) {
+      write(caller, HEAD);
+      assertThat(readAll(caller)).isEmpty();
+    }
+  }
+
+  @Test
+  public void bodyThatStopsIsCutOff() throws IOException {
+    start(new HttpLimits(4096, 1000, LONG_MS, SHORT_MS, LONG_MS), exchange -> text("ran"));
+    try (Socket caller = connect()) {
+      write(caller, HEAD + "Content-Length: 3\r\n\r\nab");
+      assertThat(readAll(caller)).isEmpty();
+      assertThat(handled).isEmpty();
+    }
+  }
+
+  @Test
+  public void connectionWithoutRequestsIsCutOff() throws IOException {
+    start(new HttpLimits(4096, 1000, SHORT_MS, LONG_MS, LONG_MS), exchange -> text("ran"));
+    try (Socket caller = connect()) {
+      assertThat(readAll(caller)).isEmpty();
+    }
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void callerThatDoesNotReadIsCutOff() throws IOException {
+    byte[] large = new byte[32 << 20];
+    CompletableFuture<HttpAnswer> answer = text("");
+    HttpAnswer big = new HttpAnswer(200, answer.join().headers(), large);
+    start(
+        new HttpLimits(4096, 1000, LONG_MS, LONG_MS, SHORT_MS),
+        exchange -> CompletableFuture.completedFuture(big));
+    try (Socket caller = connect()) {
+      write(caller, HEAD + "Content-Length: 0\r\n\r\n");
+      while (server.connections() > 0 || handled.isEmpty()) {
+        Thread.onSpinWait();
+      }
+      int received = 0;
+      byte[] buffer = new byte[1 << 16];
+      for (int n = read(caller, buffer); n >= 0; n = read(caller, buffer)) {
+        received += n;
+      }
+      assertThat(received).isLessThan(large.length);
+    }
+  }
+
+  @Test
+  public void headIsAnsweredWithoutABody() throws IOException {
+    start(new HttpLimits(4096, 1000), exchange -> text("four"));
+    try (Socket caller = connect()) {
+      write(caller, "HEAD /a/b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+      assertThat(readAll(caller)).contains("content-length: 4").endsWith("\r\n\r\n");
+    }
+  }
+
+  private void start(
+      HttpLimits limits, Function<HttpExchange, CompletableFuture<HttpAnswer>> answers) {
+    server =
+        new HttpServer(
+            loops,
+            limits,
+            new HttpExchangeHandler() {
+              @Override
+              public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
+                handled.add(exchange);
+                return answers.apply(exchange);
+              }
+
+              @Override
+              public HttpAnswer refuse(ResultCode code, String message) {
+                return HttpAnswer.text(code.httpStatus(), "text/plain", code.name());
+              }
+            });
+    port = server.bind(Endpoint.newBuilder().setHost("127.0.0.1").build());
+  }
+
+  private Socket connect() throws IOException {
+    Socket caller = new Socket("127.0.0.1", port);
+    caller.setSoTimeout(LONG_MS);
+    return caller;
+  }
+
+  private static void write(Socket caller, String text) throws IOException {
+    caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    caller.getOutputStream().flush();
+  }
+
+  private static String readAll(Socket caller) throws IOException {
+    return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+  }
+
+  private static int read(Socket caller, byte[] buffer) {
+    try {
+      return caller.getInputStream().read(buffer);
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  private static CompletableFuture<HttpAnswer> text(String body) {
+    return CompletableFuture.completedFuture(HttpAnswer.text(200, "text/plain", body));
+  }
+}
