--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/retry/FailedAttempt.java
@@ -0,0 +1,15 @@
+package org.foxtailford.core.retry;
+
+import org.foxtailford.core.result.ResultCode;
+
+/**
+ * What the retry decision needs to know of an attempt that failed.
+ *
+ * @param code result of the attempt
+ * @param idempotent whether running the request twice has the effect of running it once
+ * @param keyed whether only the owner of the request's key may run it
+ * @param attempts attempts made so far, this one included
+ * @param remainingMs time left until the deadline, in milliseconds
+ */
+public record FailedAttempt(
+    ResultCode code, boolean idempotent, boolean keyed, int attempts, long remainingMs) {}
