Choice by what this VM sees: slot windows, straggler probation, drain hold

Cause: the choice counted requests in flight only, so an upstream that refuses at once looked cheapest, and a straggler kept its share until its backlog showed. Ruled out: load reports of upstreams as the basis (they lag), a cooldown after the first slow answer (ordinary tails would trip it). Change: ServiceLoad keeps a slot window, an EWMA and an overdue count per upstream and service, judged against the median and p95 of the pool; RequestRouter gives Wait when every candidate is full.

--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/AttemptOutcome.java
@@ -0,0 +1,13 @@
+package org.foxtailford.core.routing;
+
+/** How an attempt at an upstream ended, as far as its load is concerned. */
+public enum AttemptOutcome {
+  /** The upstream answered; its latency counts. */
+  ANSWERED,
+  /** The upstream refused for lack of room. */
+  REFUSED_FOR_ROOM,
+  /** The upstream refused because it is leaving. */
+  DRAINING,
+  /** The attempt failed, was refused for another reason, or was cancelled. */
+  NO_EVIDENCE
+}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/RequestRouter.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/RequestRouter.java
@@ -1,7 +1,11 @@
 package org.foxtailford.core.routing;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.ownership.KeyHashing;
@@ -17,9 +21,17 @@
   public static final int MAX_HOPS = 1;
 
   private final UpstreamChooser chooser;
+  private final ServiceLoads loads;
 
-  public RequestRouter(UpstreamChooser chooser) {
+  /**
+   * Creates a router.
+   *
+   * @param chooser chooses among the upstreams of a service without keys
+   * @param loads what this VM has seen of the upstreams
+   */
+  public RequestRouter(UpstreamChooser chooser, ServiceLoads loads) {
     this.chooser = Assert.notNull(chooser, "chooser");
+    this.loads = Assert.notNull(loads, "loads");
   }
 
   /**
@@ -27,9 +39,11 @@
    *
    * @param request the request
    * @param snapshot state to decide on
+   * @param excluded upstreams that failed it before
    * @param nowMs reading of this VM's clock
    */
-  public RouteDecision decide(RequestAttributes request, RoutingSnapshot snapshot, long nowMs) {
+  public RouteDecision decide(
+      RequestAttributes request, RoutingSnapshot snapshot, Set<String> excluded, long nowMs) {
     if (!snapshot.isReady()) {
       return refuse(ResultCode.NOT_READY, "no configuration yet");
     }
@@ -50,7 +64,7 @@
     if (service.get().definition().getKeyed()) {
       return decideKeyed(request, snapshot, service.get(), kind);
     }
-    return decideUnkeyed(request, snapshot, service.get(), kind);
+    return decideUnkeyed(snapshot.dataCentre(), service.get(), kind, excluded, nowMs);
   }
 
   private RouteDecision decideKeyed(
@@ -76,21 +90,27 @@
   }
 
   private RouteDecision decideUnkeyed(
-      RequestAttributes request, RoutingSnapshot snapshot, ServiceView service, RequestKind kind) {
-    Optional<Upstream> local = chooser.choose(service.availableIn(snapshot.dataCentre()));
-    if (local.isPresent()) {
-      return new RouteDecision.ToAny(service, kind, local.get());
-    }
-    List<Upstream> remote =
+      String dataCentre, ServiceView service, RequestKind kind, Set<String> excluded, long nowMs) {
+    ServiceLoad load = loads.of(service);
+    List<Upstream> candidates =
         service.upstreams().stream()
             .filter(Upstream::available)
-            .filter(upstream -> !upstream.dataCentre().equals(snapshot.dataCentre()))
+            .filter(upstream -> !excluded.contains(upstream.name()))
+            .filter(upstream -> !load.isHeld(upstream.name(), nowMs))
             .toList();
-    Optional<Upstream> chosen = chooser.choose(remote);
-    if (chosen.isPresent()) {
-      return new RouteDecision.ToAny(service, kind, chosen.get());
+    if (candidates.isEmpty()) {
+      return refuse(ResultCode.NO_UPSTREAM, "no upstream of the service may take the request");
     }
-    return refuse(ResultCode.NO_UPSTREAM, "no upstream of the service may take the request");
+    List<Upstream> free =
+        candidates.stream().filter(upstream -> load.mayTake(upstream.name(), nowMs)).toList();
+    Map<Boolean, List<Upstream>> byPlace =
+        free.stream().collect(Collectors.partitioningBy(u -> u.dataCentre().equals(dataCentre)));
+    ToDoubleFunction<Upstream> cost = upstream -> load.cost(upstream.name());
+    return chooser
+        .choose(byPlace.get(true), cost)
+        .or(() -> chooser.choose(byPlace.get(false), cost))
+        .<RouteDecision>map(upstream -> new RouteDecision.ToAny(service, kind, upstream))
+        .orElseGet(() -> new RouteDecision.Wait(service, kind));
   }
 
   private static RouteDecision relay(RequestAttributes request, String dataCentre) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/RouteDecision.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/RouteDecision.java
@@ -38,6 +38,14 @@
    */
   record ToDataCentre(String dataCentre) implements RouteDecision {}
 
+  /**
+   * Let it wait: every upstream that may take it is full or on probation.
+   *
+   * @param service service of the request
+   * @param kind kind of the request
+   */
+  record Wait(ServiceView service, RequestKind kind) implements RouteDecision {}
+
   /**
    * Refuse it.
    *
--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/TwoChoicesChooser.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/TwoChoicesChooser.java
@@ -10,22 +10,19 @@
 /** Takes the less loaded of two upstreams drawn at random. */
 public final class TwoChoicesChooser implements UpstreamChooser {
 
-  private final ToDoubleFunction<Upstream> cost;
   private final RandomGenerator random;
 
   /**
    * Creates the chooser.
    *
-   * @param cost expected cost of one more request at an upstream; lower is better
    * @param random source of the draws; must be thread-safe
    */
-  public TwoChoicesChooser(ToDoubleFunction<Upstream> cost, RandomGenerator random) {
-    this.cost = Assert.notNull(cost, "cost");
+  public TwoChoicesChooser(RandomGenerator random) {
     this.random = Assert.notNull(random, "random");
   }
 
   @Override
-  public Optional<Upstream> choose(List<Upstream> candidates) {
+  public Optional<Upstream> choose(List<Upstream> candidates, ToDoubleFunction<Upstream> cost) {
     int size = candidates.size();
     if (size < 2) {
       return candidates.stream().findFirst();
