Request path split: admission, attempts with retries, hedges and waits, relays

Ruled out: holding a refusal back until near the deadline; a timer for each waiting request (one recheck for each queue costs less). Change: RequestPath (admission by worth and body memory, answers, Retry-After), RequestAttempts (decide, wait, send, retry, hedge), RequestCall, SlotQueues, RelaySender; cancellation reaches the upstream call; a later refusal never hides that an earlier attempt may have run.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -3,7 +3,9 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.concurrent.TimeUnit;
+import org.foxtailford.core.admission.AdmissionRefusal;
 import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.retry.RetryVerdict;
 import org.foxtailford.core.util.Assert;
 
 /** Meters of the request path and of ownership. Thread-safe. */
@@ -43,6 +45,38 @@
     registry.counter("foxtailford.retries", "reason", reason.name()).increment();
   }
 
+  /** Counts a failed attempt that was not followed by another one, and why. */
+  public void retryDenied(ResultCode reason, RetryVerdict verdict) {
+    registry
+        .counter("foxtailford.retries.denied", "reason", reason.name(), "verdict", verdict.name())
+        .increment();
+  }
+
+  /** Counts a second attempt sent while the first one was still running. */
+  public void hedge(String service) {
+    registry.counter("foxtailford.hedges", "service", service).increment();
+  }
+
+  /** Counts a request whose hedge gave the answer. */
+  public void hedgeWon(String service) {
+    registry.counter("foxtailford.hedges.won", "service", service).increment();
+  }
+
+  /** Counts a request that waited for a slot. */
+  public void queued(String service) {
+    registry.counter("foxtailford.queued", "service", service).increment();
+  }
+
+  /** Counts a request that a limit of this VM refused. */
+  public void limited(AdmissionRefusal reason) {
+    registry.counter("foxtailford.limited", "reason", reason.name()).increment();
+  }
+
+  /** Counts a request that its caller gave up. */
+  public void abandoned(String service) {
+    registry.counter("foxtailford.abandoned", "service", service).increment();
+  }
+
   /** Counts a request that was passed to another data centre. */
   public void relay(String dataCentre) {
     registry.counter("foxtailford.relays", "data_centre", dataCentre).increment();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.foxtailford.core.admission.ByteBudget;
+import org.foxtailford.core.admission.WorthThreshold;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.LeaseElection;
@@ -19,8 +21,11 @@
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
-import org.foxtailford.core.routing.InFlightCounter;
+import org.foxtailford.core.retry.RetryAfter;
+import org.foxtailford.core.retry.RetryBudget;
+import org.foxtailford.core.retry.RetryPolicy;
 import org.foxtailford.core.routing.RequestRouter;
+import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
@@ -31,6 +36,8 @@
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
+import org.foxtailford.daemon.request.RelaySender;
+import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
 import org.foxtailford.daemon.request.RequestPath;
 import org.foxtailford.daemon.request.UpstreamSender;
@@ -49,6 +56,7 @@
 import org.foxtailford.schema.PlatformSettings;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
+import org.foxtailford.schema.RequestSettings;
 
 /** One entry VM: listeners, clients and control loops, assembled from settings. Thread-safe. */
 public final class EntryVm implements AutoCloseable {
@@ -59,6 +67,10 @@
   private static final int OPERATOR_BODY_BYTES = 4 << 20;
   private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
   private static final int STOP_POLL_MS = 20;
+  private static final double PERCENT = 100.0;
+  private static final double RETRIES_PER_SECOND = 1.0;
+  private static final double RETRY_BURST = 20.0;
+  private static final long MIN_ATTEMPT_MS = 2;
 
   private final DaemonSettings settings;
   private final MillisClock clock = new SystemMillisClock();
@@ -126,17 +138,41 @@
   }
 
   private RequestPath newRequestPath(RandomGenerator random) {
-    InFlightCounter inFlight = new InFlightCounter();
-    RequestRouter router =
-        new RequestRouter(new TwoChoicesChooser(u -> inFlight.inFlight(u.name()), random));
+    RequestSettings limits = settings.getRequests();
+    ServiceLoads loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
+    RetryBudget budget =
+        new RetryBudget(
+            limits.getRetryBudgetPercent() / PERCENT,
+            RETRIES_PER_SECOND,
+            RETRY_BURST,
+            clock.nowMs());
+    RequestAttempts attempts =
+        new RequestAttempts(
+            new RequestRouter(new TwoChoicesChooser(random), loads),
+            state::snapshot,
+            loads,
+            new UpstreamSender(upstreamClient),
+            new RelaySender(peers, metrics, clock),
+            new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
+            budget,
+            metrics,
+            clock,
+            this::schedule,
+            limits.getQueueCapacity(),
+            limits.getQueueTimeMs());
     return new RequestPath(
-        router,
+        attempts,
         state::snapshot,
-        new UpstreamSender(upstreamClient, inFlight),
-        peers,
+        new WorthThreshold(limits.getMaxInFlight()),
+        new ByteBudget(limits.getMaxBodyMemoryBytes()),
+        new RetryAfter(random),
         metrics,
-        clock,
-        settings.getRequests().getMaxInFlight());
+        clock);
+  }
+
+  private Runnable schedule(Runnable task, long delayMs) {
+    var scheduled = loops.next().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    return () -> scheduled.cancel(false);
   }
 
   private LeaseElection newElection(
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
@@ -85,6 +85,11 @@
     return Optional.of(open.get(ThreadLocalRandom.current().nextInt(open.size())));
   }
 
+  /** Returns the number of entry VMs of a data centre that are linked to this one. */
+  public int countIn(String dataCentre) {
+    return (int) links.values().stream().filter(link -> isIn(link, dataCentre)).count();
+  }
+
   private static boolean isIn(PeerLink link, String dataCentre) {
     return link.remote().filter(remote -> remote.dataCentre().equals(dataCentre)).isPresent();
   }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
@@ -1,62 +1,72 @@
 package org.foxtailford.daemon.request;
 
-import com.google.protobuf.ByteString;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import org.foxtailford.core.admission.AdmissionRefusal;
+import org.foxtailford.core.admission.ByteBudget;
+import org.foxtailford.core.admission.WorthThreshold;
 import org.foxtailford.core.metrics.RouterMetrics;
-import org.foxtailford.core.result.Effect;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.retry.RetryAfter;
 import org.foxtailford.core.routing.RequestAttributes;
-import org.foxtailford.core.routing.RequestRouter;
-import org.foxtailford.core.routing.RouteDecision;
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.daemon.peer.PeerNetwork;
+import org.foxtailford.net.http.FoxtailHeaders;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
-import org.foxtailford.net.peer.PeerLink;
-import org.foxtailford.schema.HeaderField;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
+import org.foxtailford.schema.RequestKind;
 
-/** The way of one request from its arrival to its answer. Thread-safe. */
+/**
+ * The way of one request from its arrival to its answer: admission, attempts, and the answer with
+ * its result code. A refusal is answered at once and says when to come back. Thread-safe.
+ */
 public final class RequestPath {
 
-  private static final int MAX_ATTEMPTS = 2;
+  private static final int MS_PER_SECOND = 1000;
 
-  private final RequestRouter router;
+  private final RequestAttempts attempts;
   private final Supplier<RoutingSnapshot> snapshots;
-  private final UpstreamSender sender;
-  private final PeerNetwork peers;
+  private final WorthThreshold threshold;
+  private final ByteBudget bodies;
+  private final RetryAfter retryAfter;
   private final RouterMetrics metrics;
   private final MillisClock clock;
-  private final int maxInFlight;
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile boolean stopping;
 
+  /**
+   * Creates the path.
+   *
+   * @param attempts runs admitted requests
+   * @param snapshots gives the state that requests are classified by
+   * @param threshold most requests in flight, by worth
+   * @param bodies memory for the bodies of requests in flight
+   * @param retryAfter tells refused callers when to come back
+   * @param metrics counts requests and refusals
+   * @param clock this VM's clock
+   */
   public RequestPath(
-      RequestRouter router,
+      RequestAttempts attempts,
       Supplier<RoutingSnapshot> snapshots,
-      UpstreamSender sender,
-      PeerNetwork peers,
+      WorthThreshold threshold,
+      ByteBudget bodies,
+      RetryAfter retryAfter,
       RouterMetrics metrics,
-      MillisClock clock,
-      int maxInFlight) {
-    this.router = Assert.notNull(router, "router");
+      MillisClock clock) {
+    this.attempts = Assert.notNull(attempts, "attempts");
     this.snapshots = Assert.notNull(snapshots, "snapshots");
-    this.sender = Assert.notNull(sender, "sender");
-    this.peers = Assert.notNull(peers, "peers");
+    this.threshold = Assert.notNull(threshold, "threshold");
+    this.bodies = Assert.notNull(bodies, "bodies");
+    this.retryAfter = Assert.notNull(retryAfter, "retryAfter");
     this.metrics = Assert.notNull(metrics, "metrics");
     this.clock = Assert.notNull(clock, "clock");
-    this.maxInFlight = maxInFlight;
   }
 
   /** Refuses new requests from now on. */
@@ -72,179 +82,109 @@
   /**
    * Serves a request.
    *
-   * @return the answer, which tells its own result; never fails
+   * @return the answer, which tells its own result; fails only if it is cancelled, which gives up
+   *     the request
    */
   public CompletableFuture<HttpAnswer> serve(HttpExchange exchange, RequestAttributes attributes) {
     long startedMs = clock.nowMs();
-    int before = inFlight.getAndIncrement();
-    CompletableFuture<HttpAnswer> answer;
-    if (stopping) {
-      answer = failed(ResultCode.STOPPING, "this VM is stopping");
-    } else if (before >= maxInFlight) {
-      answer = failed(ResultCode.OVERLOADED, "too many requests in flight");
-    } else {
-      answer = attempt(exchange, attributes, 1);
-    }
-    return answer
-        .handle((received, failure) -> finish(attributes, startedMs, received, failure))
-        .whenComplete((received, failure) -> inFlight.decrementAndGet());
-  }
-
-  private HttpAnswer finish(
-      RequestAttributes attributes, long startedMs, HttpAnswer received, Throwable failure) {
-    ResultCode code = failure == null ? ResultCode.OK : ResultCodeException.codeOf(failure);
-    count(attributes, code, clock.nowMs() - startedMs);
-    if (failure == null) {
-      return Answers.marked(received, ResultCode.OK);
-    }
-    metrics.refusal(code);
-    return Answers.of(code, messageOf(failure));
+    CompletableFuture<HttpAnswer> running = admit(exchange, attributes);
+    CompletableFuture<HttpAnswer> answer =
+        running.handle((received, failure) -> finish(attributes, startedMs, received, failure));
+    answer.whenComplete((received, failure) -> running.cancel(false));
+    return answer;
   }
 
-  private static String messageOf(Throwable failure) {
-    boolean wrapped = failure instanceof CompletionException && failure.getCause() != null;
-    return String.valueOf((wrapped ? failure.getCause() : failure).getMessage());
-  }
-
-  private void count(RequestAttributes attributes, ResultCode code, long elapsedMs) {
-    snapshots
-        .get()
-        .configuration()
-        .service(attributes.service())
-        .map(service -> service.kinds().get(attributes.kind()))
-        .ifPresent(
-            kind ->
-                metrics.request(
-                    attributes.service(), attributes.kind(), kind.getWorth(), code, elapsedMs));
+  /**
+   * Serves a request that another entry VM relayed.
+   *
+   * @return the answer; never fails; to cancel it gives up the request
+   */
+  public CompletableFuture<RelayAnswer> serveRelayed(
+      RelayRequest request, RequestClassifier classifier) {
+    CompletableFuture<HttpAnswer> running = runRelayed(request, classifier);
+    CompletableFuture<RelayAnswer> answer =
+        running.handle(
+            (received, failure) ->
+                failure == null ? RelaySender.toRelay(received) : RelaySender.toRelay(failure));
+    answer.whenComplete((received, failure) -> running.cancel(false));
+    return answer;
   }
 
-  private CompletableFuture<HttpAnswer> attempt(
-      HttpExchange exchange, RequestAttributes attributes, int number) {
-    RouteDecision decision = router.decide(attributes, snapshots.get(), clock.nowMs());
-    if (decision instanceof RouteDecision.ToDataCentre) {
-      return relay(exchange, attributes, ((RouteDecision.ToDataCentre) decision).dataCentre());
+  private CompletableFuture<HttpAnswer> runRelayed(
+      RelayRequest request, RequestClassifier classifier) {
+    HttpExchange exchange = RelaySender.toExchange(request);
+    long deadlineMs = clock.nowMs() + request.getRemainingMs();
+    try {
+      return admit(exchange, classifier.classify(exchange, deadlineMs, request.getHops()));
+    } catch (ResultCodeException e) {
+      return CompletableFuture.failedFuture(e);
     }
-    return send(decision, exchange, attributes)
-        .handle(
-            (answer, failure) -> {
-              if (failure != null && mayRetry(failure, number)) {
-                metrics.retry(ResultCodeException.codeOf(failure));
-                return attempt(exchange, attributes, number + 1);
-              }
-              return failure == null
-                  ? CompletableFuture.completedFuture(answer)
-                  : CompletableFuture.<HttpAnswer>failedFuture(failure);
-            })
-        .thenCompose(next -> next);
-  }
-
-  private static boolean mayRetry(Throwable failure, int number) {
-    ResultCode code = ResultCodeException.codeOf(failure);
-    boolean another =
-        code == ResultCode.UPSTREAM_UNREACHABLE
-            || code == ResultCode.UPSTREAM_SHED
-            || code == ResultCode.UPSTREAM_COLD;
-    return another && code.effect() == Effect.NOT_RUN && number < MAX_ATTEMPTS;
   }
 
-  private CompletableFuture<HttpAnswer> send(
-      RouteDecision decision, HttpExchange exchange, RequestAttributes attributes) {
-    long remainingMs = attributes.deadlineMs() - clock.nowMs();
-    if (decision instanceof RouteDecision.ToOwner) {
-      RouteDecision.ToOwner owner = (RouteDecision.ToOwner) decision;
-      UpstreamSender.Ownership ownership =
-          new UpstreamSender.Ownership(owner.keyHash(), owner.fence());
-      return sender.send(owner.upstream(), exchange, Optional.of(ownership), remainingMs);
+  private CompletableFuture<HttpAnswer> admit(HttpExchange exchange, RequestAttributes attributes) {
+    if (stopping) {
+      return failed(ResultCode.STOPPING, "this VM is stopping");
     }
-    if (decision instanceof RouteDecision.ToAny) {
-      RouteDecision.ToAny any = (RouteDecision.ToAny) decision;
-      return sender.send(any.upstream(), exchange, Optional.empty(), remainingMs);
+    int worth = kind(attributes).map(RequestKind::getWorth).orElse(0);
+    int before = inFlight.getAndIncrement();
+    if (!threshold.admits(before, worth)) {
+      inFlight.decrementAndGet();
+      return limited(AdmissionRefusal.IN_FLIGHT, "too many requests in flight");
     }
-    RouteDecision.Refuse refuse = (RouteDecision.Refuse) decision;
-    return failed(refuse.code(), refuse.message());
-  }
-
-  private CompletableFuture<HttpAnswer> relay(
-      HttpExchange exchange, RequestAttributes attributes, String dataCentre) {
-    Optional<PeerLink> link = peers.anyIn(dataCentre);
-    if (link.isEmpty()) {
-      return failed(ResultCode.HOME_UNREACHABLE, "no link to data centre " + dataCentre);
+    int bodyBytes = exchange.body().length;
+    if (!bodies.tryReserve(bodyBytes)) {
+      inFlight.decrementAndGet();
+      return limited(AdmissionRefusal.BODY_MEMORY, "too many bytes in flight");
     }
-    metrics.relay(dataCentre);
-    long remainingMs = attributes.deadlineMs() - clock.nowMs();
-    RelayRequest.Builder request =
-        RelayRequest.newBuilder()
-            .setMethod(exchange.method().name())
-            .setUri(exchange.uri())
-            .setBody(ByteString.copyFrom(exchange.body()))
-            .setRemainingMs((int) remainingMs)
-            .setHops(attributes.hops() + 1);
-    exchange.headers().forEach(h -> request.addHeaders(field(h.getKey(), h.getValue())));
-    return link.get().relay(request.build(), remainingMs).thenApply(RequestPath::fromRelay);
+    CompletableFuture<HttpAnswer> running = attempts.run(exchange, attributes);
+    running.whenComplete(
+        (received, failure) -> {
+          bodies.release(bodyBytes);
+          inFlight.decrementAndGet();
+        });
+    return running;
   }
 
-  private static HeaderField field(String name, String value) {
-    return HeaderField.newBuilder().setName(name).setValue(value).build();
+  private CompletableFuture<HttpAnswer> limited(AdmissionRefusal reason, String message) {
+    metrics.limited(reason);
+    return failed(ResultCode.OVERLOADED, message);
   }
 
-  private static HttpAnswer fromRelay(RelayAnswer relayed) {
-    ResultCode code =
-        ResultCode.ofNumber(relayed.getResultCode()).orElse(ResultCode.INTERNAL_ERROR);
-    if (code != ResultCode.OK) {
-      throw new ResultCodeException(code, relayed.getMessage());
-    }
-    HttpHeaders headers = new DefaultHttpHeaders();
-    relayed.getHeadersList().forEach(h -> headers.add(h.getName(), h.getValue()));
-    return new HttpAnswer(relayed.getStatus(), headers, relayed.getBody().toByteArray());
-  }
-
-  /** Serves a request that another entry VM relayed. */
-  public CompletableFuture<RelayAnswer> serveRelayed(
-      RelayRequest request, RequestClassifier classifier) {
-    HttpHeaders headers = new DefaultHttpHeaders();
-    request.getHeadersList().forEach(h -> headers.add(h.getName(), h.getValue()));
-    HttpExchange exchange =
-        new HttpExchange(
-            HttpMethod.valueOf(request.getMethod()),
-            request.getUri(),
-            headers,
-            request.getBody().toByteArray());
-    long deadlineMs = clock.nowMs() + request.getRemainingMs();
-    RequestAttributes attributes = classifier.classify(exchange, deadlineMs, request.getHops());
-    if (stopping) {
-      return CompletableFuture.completedFuture(
-          toRelay(failureOf(ResultCode.STOPPING, "this VM is stopping")));
+  private HttpAnswer finish(
+      RequestAttributes attributes, long startedMs, HttpAnswer received, Throwable failure) {
+    ResultCode code = failure == null ? ResultCode.OK : ResultCodeException.codeOf(failure);
+    long elapsedMs = clock.nowMs() - startedMs;
+    kind(attributes)
+        .ifPresent(
+            kind ->
+                metrics.request(
+                    attributes.service(), attributes.kind(), kind.getWorth(), code, elapsedMs));
+    if (failure == null) {
+      return Answers.marked(received, ResultCode.OK);
     }
-    inFlight.incrementAndGet();
-    return attempt(exchange, attributes, 1)
-        .handle((answer, failure) -> failure == null ? toRelay(answer) : toRelay(failure))
-        .whenComplete((answer, failure) -> inFlight.decrementAndGet());
-  }
-
-  private static RelayAnswer toRelay(HttpAnswer answer) {
-    RelayAnswer.Builder relayed =
-        RelayAnswer.newBuilder()
-            .setStatus(answer.status())
-            .setBody(ByteString.copyFrom(answer.body()))
-            .setResultCode(ResultCode.OK.number());
-    answer.headers().forEach(h -> relayed.addHeaders(field(h.getKey(), h.getValue())));
-    return relayed.build();
+    metrics.refusal(code);
+    HttpAnswer refusal = Answers.of(code, RelaySender.messageOf(failure));
+    retryAfter.suggest(code).ifPresent(waitMs -> setRetryAfter(refusal, waitMs));
+    return refusal;
   }
 
-  private static RelayAnswer toRelay(Throwable failure) {
-    ResultCode code = ResultCodeException.codeOf(failure);
-    return RelayAnswer.newBuilder()
-        .setStatus(code.httpStatus())
-        .setResultCode(code.number())
-        .setMessage(messageOf(failure))
-        .build();
+  private static void setRetryAfter(HttpAnswer refusal, long waitMs) {
+    long seconds = (waitMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
+    refusal
+        .headers()
+        .set(FoxtailHeaders.RETRY_AFTER_MS, waitMs)
+        .set(HttpHeaderNames.RETRY_AFTER, seconds);
   }
 
-  private static ResultCodeException failureOf(ResultCode code, String message) {
-    return new ResultCodeException(code, message);
+  private Optional<RequestKind> kind(RequestAttributes attributes) {
+    return snapshots
+        .get()
+        .configuration()
+        .service(attributes.service())
+        .map(service -> service.kinds().get(attributes.kind()));
   }
 
   private static CompletableFuture<HttpAnswer> failed(ResultCode code, String message) {
-    return CompletableFuture.failedFuture(failureOf(code, message));
+    return CompletableFuture.failedFuture(new ResultCodeException(code, message));
   }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
@@ -8,7 +8,6 @@
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
-import org.foxtailford.core.routing.InFlightCounter;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.FoxtailHeaders;
 import org.foxtailford.net.http.HttpAnswer;
@@ -20,12 +19,10 @@
 public final class UpstreamSender {
 
   private final HttpClient client;
-  private final InFlightCounter inFlight;
   private final AtomicLong attempts = new AtomicLong();
 
-  public UpstreamSender(HttpClient client, InFlightCounter inFlight) {
+  public UpstreamSender(HttpClient client) {
     this.client = Assert.notNull(client, "client");
-    this.inFlight = Assert.notNull(inFlight, "inFlight");
   }
 
   /** What an owner checks before it runs a keyed request. */
@@ -38,7 +35,8 @@
    * @param exchange the caller's request
    * @param ownership present for keyed services
    * @param timeoutMs time left, in milliseconds
-   * @return the upstream's whole answer; fails with a result code otherwise
+   * @return the upstream's whole answer; fails with a result code otherwise; to cancel it gives up
+   *     the attempt and its connection
    */
   public CompletableFuture<HttpAnswer> send(
       Upstream upstream, HttpExchange exchange, Optional<Ownership> ownership, long timeoutMs) {
@@ -51,11 +49,11 @@
         o -> headers.set(FoxtailHeaders.KEY_HASH, String.format("%016x", o.keyHash())));
     HttpExchange outgoing =
         new HttpExchange(exchange.method(), exchange.uri(), headers, exchange.body());
-    inFlight.started(upstream.name());
-    return client
-        .send(upstream.address(), outgoing, timeoutMs)
-        .whenComplete((answer, failure) -> inFlight.ended(upstream.name()))
-        .thenApply(answer -> check(answer, attempt, upstream));
+    CompletableFuture<HttpAnswer> sent = client.send(upstream.address(), outgoing, timeoutMs);
+    CompletableFuture<HttpAnswer> checked =
+        sent.thenApply(answer -> check(answer, attempt, upstream));
+    checked.whenComplete((answer, failure) -> sent.cancel(false));
+    return checked;
   }
 
   private static HttpAnswer check(HttpAnswer answer, String attempt, Upstream upstream) {
--- /dev/null
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -0,0 +1,284 @@
+package org.foxtailford.daemon.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailford.core.admission.ByteBudget;
+import org.foxtailford.core.admission.WorthThreshold;
+import org.foxtailford.core.configuration.ConfigurationView;
+import org.foxtailford.core.metrics.RouterMetrics;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.retry.RetryAfter;
+import org.foxtailford.core.retry.RetryBudget;
+import org.foxtailford.core.retry.RetryPolicy;
+import org.foxtailford.core.routing.RequestRouter;
+import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.routing.ServiceLoads;
+import org.foxtailford.core.routing.TwoChoicesChooser;
+import org.foxtailford.daemon.peer.PeerNetwork;
+import org.foxtailford.net.http.FoxtailHeaders;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.peer.PeerIdentity;
+import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.RequestKind;
+import org.foxtailford.schema.ServiceDefinition;
+import org.foxtailford.schema.VmEntry;
+import org.foxtailford.schema.VmList;
+import org.foxtailford.schema.VmRole;
+import org.foxtailford.schema.VmState;
+import org.foxtailford.testkit.time.FakeMillisClock;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class RequestPathTests {
+
+  private static final long INITIAL_OVERDUE_MS = 200;
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<Sent> sent = new ArrayList<>();
+  private FakeMillisClock clock;
+  private ManualTasks tasks;
+  private SimpleMeterRegistry registry;
+  private RequestPath path;
+  private RequestClassifier classifier;
+
+  private record Sent(int port, long timeoutMs, CompletableFuture<HttpAnswer> answer) {
+
+    void succeed() {
+      answer.complete(HttpAnswer.text(200, "text/plain", "from " + port));
+    }
+
+    void fail(ResultCode code) {
+      answer.completeExceptionally(new ResultCodeException(code, code.name()));
+    }
+  }
+
+  @BeforeMethod
+  public void setUp() {
+    sent.clear();
+    clock = new FakeMillisClock();
+    clock.advance(1000);
+    tasks = new ManualTasks(clock);
+    registry = new SimpleMeterRegistry();
+    classifier = new RequestClassifier(1000);
+    path = newPath(2, 100);
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopLoops() {
+    loops.shutdownGracefully();
+  }
+
+  private RequestPath newPath(int upstreams, long maxBodyBytes) {
+    RouterMetrics metrics = new RouterMetrics(registry);
+    ServiceLoads loads = new ServiceLoads(() -> 1);
+    RetryBudget budget = new RetryBudget(0.1, 0, 5, 0);
+    PeerIdentity self = new PeerIdentity("test", "entry", "a", 1);
+    RoutingSnapshot snapshot = RoutingSnapshot.initial("a").withConfiguration(view(upstreams));
+    RequestAttempts attempts =
+        new RequestAttempts(
+            new RequestRouter(new TwoChoicesChooser(new Random(1)), loads),
+            () -> snapshot,
+            loads,
+            new UpstreamSender(this::send),
+            new RelaySender(new PeerNetwork(loops, self, 1000), metrics, clock),
+            new RetryPolicy(3, 2, budget),
+            budget,
+            metrics,
+            clock,
+            tasks,
+            4,
+            100);
+    return new RequestPath(
+        attempts,
+        () -> snapshot,
+        new WorthThreshold(100),
+        new ByteBudget(maxBodyBytes),
+        new RetryAfter(new Random(1)),
+        metrics,
+        clock);
+  }
+
+  private static ConfigurationView view(int upstreams) {
+    ConfigurationDocument.Builder document = ConfigurationDocument.newBuilder();
+    document.addServices(
+        ServiceDefinition.newBuilder()
+            .setName("pantry")
+            .setSelector("data-centre=a")
+            .setSlotsPerUpstream(1)
+            .addKinds(RequestKind.newBuilder().setName("check").setIdempotent(true).setWorth(50))
+            .addKinds(RequestKind.newBuilder().setName("pledge").setWorth(90)));
+    VmList.Builder vms = VmList.newBuilder();
+    for (int i = 1; i <= upstreams; i++) {
+      vms.addVms(
+          VmEntry.newBuilder()
+              .setName("u" + i)
+              .setDataCentre("a")
+              .setRole(VmRole.VM_ROLE_UPSTREAM)
+              .setState(VmState.VM_STATE_LIVE)
+              .setAddress(Endpoint.newBuilder().setHost("127.0.0.1").setPort(i)));
+    }
+    return ConfigurationView.of(1, document.build(), vms.build());
+  }
+
+  private CompletableFuture<HttpAnswer> send(
+      Endpoint endpoint, HttpExchange exchange, long timeoutMs) {
+    Sent attempt = new Sent(endpoint.getPort(), timeoutMs, new CompletableFuture<>());
+    sent.add(attempt);
+    return attempt.answer();
+  }
+
+  private CompletableFuture<HttpAnswer> request(String kind, int bodyBytes) {
+    HttpExchange exchange =
+        new HttpExchange(
+            HttpMethod.POST,
+            "/pantry/" + kind,
+            new DefaultHttpHeaders().set(FoxtailHeaders.REQUEST_ID, "id-1"),
+            new byte[bodyBytes]);
+    return path.serve(exchange, classifier.classify(exchange, clock.nowMs()));
+  }
+
+  private static String code(CompletableFuture<HttpAnswer> answer) {
+    return answer.join().headers().get(FoxtailHeaders.CODE);
+  }
+
+  private static String number(ResultCode code) {
+    return Integer.toString(code.number());
+  }
+
+  @Test
+  public void shedRequestIsRetriedAtAnotherUpstream() {
+    CompletableFuture<HttpAnswer> answer = request("pledge", 0);
+    sent.get(0).fail(ResultCode.UPSTREAM_SHED);
+    assertThat(sent).hasSize(2);
+    assertThat(sent.get(1).port()).isNotEqualTo(sent.get(0).port());
+    sent.get(1).succeed();
+    assertThat(code(answer)).isEqualTo(number(ResultCode.OK));
+    assertThat(registry.counter("foxtailford.retries", "reason", "UPSTREAM_SHED").count())
+        .isEqualTo(1);
+  }
+
+  @Test
+  public void givenUpRequestIsAnsweredAtOnceAndSaysWhenToComeBack() {
+    CompletableFuture<HttpAnswer> answer = request("pledge", 0);
+    sent.get(0).fail(ResultCode.UPSTREAM_SHED);
+    sent.get(1).fail(ResultCode.UPSTREAM_SHED);
+    assertThat(answer).isDone();
+    assertThat(code(answer)).isEqualTo(number(ResultCode.UPSTREAM_SHED));
+    assertThat(answer.join().headers().getInt(FoxtailHeaders.RETRY_AFTER_MS)).isPositive();
+    assertThat(answer.join().headers().getInt("Retry-After")).isPositive();
+  }
+
+  @Test
+  public void workThatMayHaveRunIsNotSentAgain() {
+    CompletableFuture<HttpAnswer> answer = request("pledge", 0);
+    sent.get(0).fail(ResultCode.OUTCOME_UNKNOWN);
+    assertThat(sent).hasSize(1);
+    assertThat(code(answer)).isEqualTo(number(ResultCode.OUTCOME_UNKNOWN));
+    assertThat(answer.join().headers().contains("Retry-After")).isFalse();
+  }
+
+  @Test
+  public void laterRefusalNeverHidesThatAnEarlierAttemptMayHaveRun() {
+    CompletableFuture<HttpAnswer> answer = request("check", 0);
+    sent.get(0).fail(ResultCode.OUTCOME_UNKNOWN);
+    sent.get(1).fail(ResultCode.UPSTREAM_SHED);
+    assertThat(code(answer)).isEqualTo(number(ResultCode.OUTCOME_UNKNOWN));
+  }
+
+  @Test
+  public void overdueIdempotentRequestIsHedgedAndTheLoserCancelled() {
+    CompletableFuture<HttpAnswer> answer = request("check", 0);
+    tasks.advance(INITIAL_OVERDUE_MS);
+    assertThat(sent).hasSize(2);
+    assertThat(sent.get(1).timeoutMs()).isEqualTo(800);
+    sent.get(1).succeed();
+    assertThat(answer.join().bodyText()).isEqualTo("from " + sent.get(1).port());
+    assertThat(sent.get(0).answer()).isCancelled();
+  }
+
+  @Test
+  public void requestThatIsNotIdempotentIsNeverHedged() {
+    request("pledge", 0);
+    tasks.advance(INITIAL_OVERDUE_MS * 2);
+    assertThat(sent).hasSize(1);
+  }
+
+  @Test
+  public void requestWaitsForASlotAndLeavesWithReducedTime() {
+    request("check", 0);
+    request("check", 0);
+    CompletableFuture<HttpAnswer> waiting = request("check", 0);
+    assertThat(sent).hasSize(2);
+    tasks.advance(5);
+    sent.get(0).succeed();
+    assertThat(sent).hasSize(3);
+    assertThat(sent.get(2).timeoutMs()).isEqualTo(995);
+    sent.get(2).succeed();
+    assertThat(code(waiting)).isEqualTo(number(ResultCode.OK));
+  }
+
+  @Test
+  public void requestIsShedAfterTheLongestWait() {
+    request("pledge", 0);
+    request("pledge", 0);
+    CompletableFuture<HttpAnswer> waiting = request("check", 0);
+    tasks.advance(99);
+    assertThat(waiting).isNotDone();
+    tasks.advance(10);
+    assertThat(code(waiting)).isEqualTo(number(ResultCode.OVERLOADED));
+    assertThat(registry.counter("foxtailford.limited", "reason", "QUEUE_TIME").count())
+        .isEqualTo(1);
+  }
+
+  @Test
+  public void abandonedRequestGivesUpItsAttempt() {
+    CompletableFuture<HttpAnswer> answer = request("check", 0);
+    answer.cancel(false);
+    assertThat(sent.get(0).answer()).isCancelled();
+    assertThat(path.inFlight()).isZero();
+  }
+
+  @Test
+  public void abandonedRequestLeavesTheQueue() {
+    request("check", 0);
+    request("check", 0);
+    request("check", 0).cancel(false);
+    sent.get(0).succeed();
+    assertThat(sent).hasSize(2);
+  }
+
+  @Test
+  public void drainingUpstreamGetsNothingNew() {
+    path = newPath(1, 100);
+    request("check", 0);
+    sent.get(0).fail(ResultCode.NO_UPSTREAM);
+    CompletableFuture<HttpAnswer> next = request("check", 0);
+    assertThat(sent).hasSize(1);
+    assertThat(code(next)).isEqualTo(number(ResultCode.NO_UPSTREAM));
+  }
+
+  @Test
+  public void bodiesInFlightAreBoundedTogether() {
+    CompletableFuture<HttpAnswer> first = request("check", 60);
+    assertThat(code(request("check", 60))).isEqualTo(number(ResultCode.OVERLOADED));
+    sent.get(0).succeed();
+    assertThat(first).isDone();
+    request("check", 60);
+    assertThat(sent).hasSize(2);
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
@@ -33,5 +33,8 @@
   /** Reason for which an upstream did not run a request. */
   public static final String REFUSED = "Foxtail-Refused";
 
+  /** Time after which a refused request may be sent again, in milliseconds. */
+  public static final String RETRY_AFTER_MS = "Foxtail-Retry-After-Ms";
+
   private FoxtailHeaders() {}
 }
