Comparison of placement policies on generated workloads

Cause: nothing measures imbalance, churn and unavailable time side by side. Ruled out: a trace of real traffic (none exists); simulating each request (3.6 M/s at 1,500). Change: PlacementComparison runs static modulo, consistent hashing with bounded loads, the first version (even count) and the load-aware policy on the same workload: Zipf keys, the hottest 210 replaced every 180 s, an upstream lost or drained every 360 s, sampled reports 2 s late.

--- /dev/null
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementComparison.java
@@ -0,0 +1,82 @@
+package org.foxtailford.benchmarks.placement;
+
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.foxtailford.core.ownership.OwnershipTiming;
+import org.foxtailford.core.placement.EvenCountPolicy;
+import org.foxtailford.core.placement.LoadAwarePolicy;
+import org.foxtailford.core.placement.PlacementPolicy;
+import org.foxtailford.core.settings.SettingsDefaults;
+import org.foxtailford.schema.OwnershipSettings;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Compares placement policies side by side and prints one table. */
+public final class PlacementComparison {
+
+  private static final int EXIT_USAGE = 2;
+  private static final int LARGE_FLEET = 100;
+
+  @Option(name = "--upstreams", usage = "number of upstreams")
+  private int upstreams = 20;
+
+  @Option(name = "--seed", usage = "seed of the workload")
+  private long seed = 1;
+
+  @Option(name = "--minutes", usage = "minutes of workload after the warm-up")
+  private int minutes = 30;
+
+  /** Runs the comparison. */
+  public static void main(String[] args) {
+    PlacementComparison comparison = new PlacementComparison();
+    CmdLineParser parser = new CmdLineParser(comparison);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(EXIT_USAGE);
+    }
+    comparison.print(System.out);
+  }
+
+  private void print(PrintStream out) {
+    out.println(PlacementMeasures.header());
+    policies().forEach((name, policy) -> out.println(measure(policy).row(upstreams, name)));
+    out.printf(
+        "%nHottest key: %.2f of the mean load of an upstream. Seed %d, %d minutes.%n",
+        workload(new SplittableRandom(seed)).hottestRate()
+            * upstreams
+            / workload(new SplittableRandom(seed)).totalRate(),
+        seed,
+        minutes);
+  }
+
+  private static Map<String, PlacementPolicy> policies() {
+    Map<String, PlacementPolicy> policies = new LinkedHashMap<>();
+    policies.put("static modulo", new StaticModuloPolicy());
+    policies.put("consistent hashing, bounded loads", new BoundedLoadHashingPolicy());
+    policies.put("even count (first version)", new EvenCountPolicy(1));
+    policies.put("load aware", new LoadAwarePolicy());
+    return policies;
+  }
+
+  private PlacementMeasures measure(PlacementPolicy policy) {
+    SplittableRandom random = new SplittableRandom(seed);
+    OwnershipSettings settings = SettingsDefaults.applyAll(OwnershipSettings.newBuilder()).build();
+    PlacementMeasures measures = new PlacementMeasures(OwnershipTiming.of(settings));
+    KeyWorkload workload = workload(random.split());
+    new PlacementSimulation(policy, workload, upstreams, measures, random).run(minutes);
+    return measures;
+  }
+
+  /** Returns the customers' sizes for small fleets and the size to design for else. */
+  private KeyWorkload workload(SplittableRandom random) {
+    return upstreams < LARGE_FLEET
+        ? new KeyWorkload(random, 1e6, 0.9, upstreams * 400.0)
+        : new KeyWorkload(random, 3.6e9, 0.7, upstreams * 2400.0);
+  }
+}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/load/HotKeySketch.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/load/HotKeySketch.java
@@ -15,8 +15,11 @@
  */
 public final class HotKeySketch {
 
-  /** Counters of one window; keys with more than 3.5/4,096 of its requests are always found. */
-  static final int SKETCH_SLOTS = 4096;
+  /** Counters of one window; keys with more than 3.5/16,384 of its requests are always found. */
+  public static final int SKETCH_SLOTS = 16_384;
+
+  /** Largest error of a count, as a share of the requests of its window. */
+  public static final double MAX_ERROR_SHARE = 3.5 / SKETCH_SLOTS;
 
   private static final double MS_PER_S = 1000;
 
