--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/BoundedLoadHashingPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/BoundedLoadHashingPolicy.java
@@ -1,9 +1,12 @@
 package org.foxtailford.benchmarks.placement;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.foxtailford.core.ownership.KeyHashing;
@@ -23,6 +26,9 @@
   private static final int POINTS_PER_UPSTREAM = 64;
   private static final double LOAD_BOUND = 1.2;
 
+  /** Share of the bound from which an upstream takes no more slices. */
+  private static final double FULL = 0.97;
+
   @Override
   public List<SliceMove> plan(List<PlacedSlice> slices, List<String> upstreams) {
     double total = slices.stream().mapToDouble(PlacedSlice::load).sum();
@@ -67,16 +73,32 @@
   private static String firstWithRoom(
       TreeMap<Long, String> ring, PlacedSlice slice, Map<String, Double> loads, double bound) {
     long point = KeyHashing.hash(slice.range().toString());
-    for (String upstream : ring.tailMap(point).values()) {
-      if (loads.getOrDefault(upstream, 0.0) + slice.load() <= bound) {
-        return upstream;
+    return firstWithRoom(ring.tailMap(point).values(), slice, loads, bound)
+        .or(() -> firstWithRoom(ring.headMap(point).values(), slice, loads, bound))
+        .orElseGet(() -> ring.isEmpty() ? leastLoaded(loads) : ring.firstEntry().getValue());
+  }
+
+  /** Finds the first upstream with room, and drops the points of full ones on the way. */
+  private static Optional<String> firstWithRoom(
+      Collection<String> points, PlacedSlice slice, Map<String, Double> loads, double bound) {
+    Iterator<String> iterator = points.iterator();
+    while (iterator.hasNext()) {
+      String upstream = iterator.next();
+      double load = loads.getOrDefault(upstream, 0.0);
+      if (load + slice.load() <= bound) {
+        return Optional.of(upstream);
       }
-    }
-    for (String upstream : ring.headMap(point).values()) {
-      if (loads.getOrDefault(upstream, 0.0) + slice.load() <= bound) {
-        return upstream;
+      if (load >= FULL * bound) {
+        iterator.remove();
       }
     }
-    return ring.firstEntry().getValue();
+    return Optional.empty();
+  }
+
+  private static String leastLoaded(Map<String, Double> loads) {
+    return loads.entrySet().stream()
+        .min(Map.Entry.comparingByValue())
+        .map(Map.Entry::getKey)
+        .orElseThrow();
   }
 }
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementMeasures.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementMeasures.java
@@ -63,7 +63,7 @@
 
   /** Returns the header of {@link #row}. */
   static String header() {
-    return "| upstreams | policy | imbalance p50 | p99 | max | settled in s, median | worst | missed"
+    return "| upstreams | policy | imbalance p50 | p99 | max | settled s, median | worst | missed"
         + " | hash moved %/min | load moved %/min | least load %/min | churn / least"
         + " | unavailable key-s a million keys and minute | round ms, p50 | max |\n"
         + "|---:|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|";
