Slow start exact over all entry VMs: gate leases and evidence of warmth by connection

Cause: every entry VM sent to a cold upstream by its own count, so the sum went over what it bears. Ruled out: dividing the allowance (under one request for each entry VM), evidence of warmth by time or by upstream name (a restart without warning leaves it standing), leases counted from receipt (a delayed message outlives them). Change: GateKeeper (leader: rendezvous choice, lease no longer than the leadership, handover after the last request of the old holder, wait after a change of leader) and ColdGate (entry VM: boot id of the connection, allowance, bounded timeout, places kept while an end is uncertain).

--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/GateMember.java
@@ -0,0 +1,9 @@
+package org.foxtailford.core.coldstart;
+
+/**
+ * One start of an entry VM.
+ *
+ * @param vm name of the VM
+ * @param bootId number of this start
+ */
+public record GateMember(String vm, long bootId) {}
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/coldstart/ColdGateTests.java
@@ -0,0 +1,102 @@
+package org.foxtailford.core.coldstart;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ColdGateTests {
+
+  private static final GateTiming TIMING = new GateTiming(200, 100, 50, 0);
+  private static final GateMember FIRST = new GateMember("e1", 1);
+
+  private ColdGate gate;
+  private int published;
+
+  @BeforeMethod
+  public void setUp() {
+    published = 0;
+    gate = new ColdGate(2, 400, 100, (upstream, bootId) -> published++);
+  }
+
+  private void lease(long asOfMs) {
+    gate.onLease(new GateLease(FIRST, Set.of("u1"), asOfMs, 200));
+  }
+
+  @Test
+  public void nothingIsSentBeforeTheBootIdIsKnown() {
+    lease(0);
+    assertThat(gate.tryStart("u1", 0)).isEmpty();
+  }
+
+  @Test
+  public void onlyTheHolderSendsToAColdUpstreamAndNoMoreThanTheAllowance() {
+    gate.onConnected("u1", 9, 0);
+    assertThat(gate.tryStart("u1", 0)).isEmpty();
+    lease(0);
+    assertThat(gate.tryStart("u1", 0)).isPresent();
+    assertThat(gate.tryStart("u1", 0)).isPresent();
+    assertThat(gate.tryStart("u1", 0)).isEmpty();
+    assertThat(gate.tryStart("u1", 200)).isEmpty();
+  }
+
+  @Test
+  public void holderTellsTheOthersWhenTheUpstreamIsWarm() {
+    gate.onConnected("u1", 9, 0);
+    lease(399);
+    assertThat(gate.tryStart("u1", 399).orElseThrow().cold()).isTrue();
+    assertThat(gate.tryStart("u1", 400).orElseThrow().cold()).isFalse();
+    assertThat(published).isEqualTo(1);
+  }
+
+  @Test
+  public void evidenceOfWarmthEndsWithTheBootId() {
+    gate.onConnected("u1", 9, 0);
+    gate.onWarm("u1", 9);
+    assertThat(gate.isWarm("u1")).isTrue();
+    gate.onConnected("u1", 10, 1);
+    assertThat(gate.tryStart("u1", 1)).isEmpty();
+  }
+
+  @Test
+  public void refusalAsColdEndsTheEvidence() {
+    gate.onConnected("u1", 9, 0);
+    gate.onWarm("u1", 9);
+    gate.onColdRefusal("u1", 5);
+    assertThat(gate.tryStart("u1", 5)).isEmpty();
+  }
+
+  @Test
+  public void newHolderGetsTheGateAfterTheLastRequestOfTheOldOne() {
+    GateKeeper keeper = new GateKeeper(TIMING, 0);
+    GateMember second = new GateMember("e2", 2);
+    List<String> upstreams = List.of("u1");
+    long startMs = TIMING.handoverMs();
+    assertThat(keeper.renew(FIRST, 0, upstreams, Set.of("e1"), 9999, startMs - 1).upstreams())
+        .isEmpty();
+    assertThat(keeper.renew(FIRST, 0, upstreams, Set.of("e1"), 9999, startMs).upstreams())
+        .containsExactly("u1");
+    long freeMs = startMs + TIMING.handoverMs();
+    assertThat(keeper.renew(second, 0, upstreams, Set.of("e2"), 9999, freeMs - 1).upstreams())
+        .isEmpty();
+    assertThat(keeper.renew(second, 0, upstreams, Set.of("e2"), 9999, freeMs).upstreams())
+        .containsExactly("u1");
+  }
+
+  @Test
+  public void leaseNeverOutlastsTheLeadership() {
+    GateKeeper keeper = new GateKeeper(TIMING, 0);
+    GateLease lease = keeper.renew(FIRST, 0, List.of("u1"), Set.of("e1"), 1050, 1000);
+    assertThat(lease.ttlMs()).isEqualTo(50);
+  }
+
+  @Test
+  public void busySystemAlsoServes() {
+    ColdStartWorld world = new ColdStartWorld(4, 11);
+    world.run(20_000);
+    assertThat(world.admitted()).isPositive();
+    assertThat(world.warmAdmissions()).isPositive();
+  }
+}
