At most once: claims at record holders, hand-over, roster

Cause: a resent request id ran again, whichever entry VM took it.

Ruled out: one record holder by rendezvous hash (its loss forgets every record); a table row for each request (several hundred writes a second, and outages); trusting a new holder (see the mutant), or refusing new ids for the life of a record after each replacement.

Change: three holders in different data centres, more than half must grant before a byte leaves; a roster in the table that changes one version at a time, and hand-over that locks the version before. New codes 2014 and 3007.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/result/ResultCode.java
@@ -41,6 +41,7 @@
   UPSTREAM_UNREACHABLE(2010, 503, Effect.NOT_RUN, "No connection to the upstream."),
   TOO_MANY_HOPS(2011, 508, Effect.NOT_RUN, "The request was relayed too often."),
   UPSTREAM_COLD(2012, 503, Effect.NOT_RUN, "The upstream is in slow start and has no room."),
+  RECORDS_UNREACHABLE(2014, 503, Effect.NOT_RUN, "Too few holders of request ids can be reached."),
 
   OUTCOME_UNKNOWN(3001, 504, Effect.UNKNOWN, "The connection was lost after the request left."),
   TRUNCATED_ANSWER(3002, 502, Effect.UNKNOWN, "The upstream's answer was cut short or invalid."),
@@ -48,6 +49,8 @@
   ANSWER_TOO_LARGE(3004, 502, Effect.UNKNOWN, "The upstream's answer is over the limit."),
   INTERNAL_ERROR(3005, 500, Effect.UNKNOWN, "The router failed."),
   CROSSED_ANSWER(3006, 502, Effect.UNKNOWN, "The upstream answered another attempt."),
+  ANSWER_NOT_KEPT(
+      3007, 410, Effect.RAN, "The request ran before and its answer is no longer kept."),
 
   CONFIGURATION_CONFLICT(4001, 409, Effect.NOT_RUN, "Another version was accepted first."),
   INVALID_CONFIGURATION(4002, 422, Effect.NOT_RUN, "The configuration document has faults."),
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/idempotency/RecordHolderTests.java
@@ -0,0 +1,198 @@
+package org.foxtailford.core.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.foxtailford.schema.ClaimEnd;
+import org.foxtailford.schema.ClaimId;
+import org.foxtailford.schema.ClaimRequest;
+import org.foxtailford.schema.ClaimResult;
+import org.foxtailford.schema.ClaimState;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
+import org.foxtailford.schema.KeptAnswer;
+import org.foxtailford.schema.RecordMember;
+import org.foxtailford.schema.RecordRoster;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class RecordHolderTests {
+
+  private static final RecordMember A = member("a", 1);
+  private static final RecordMember B = member("b", 1);
+  private static final RecordMember NEW_A = member("a", 2);
+  private static final RecordRoster FIRST = roster(1, List.of(A, B), List.of());
+  private static final RecordRoster SECOND = roster(2, List.of(NEW_A, B), List.of(A, B));
+  private static final RecordLimits LIMITS = new RecordLimits(1000, 2, 100, 1000);
+
+  private long nowMs;
+  private RecordHolder holder;
+
+  @BeforeMethod
+  public void create() {
+    nowMs = 0;
+    holder = new RecordHolder(A, LIMITS, () -> nowMs);
+    holder.adopt(FIRST);
+  }
+
+  @Test
+  public void secondClaimIsInProgressUntilTheFirstRunsTimeIsOver() {
+    assertThat(claim(1, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+    assertThat(claim(2, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_IN_PROGRESS);
+    nowMs += 200;
+    assertThat(claim(2, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_UNKNOWN);
+  }
+
+  @Test
+  public void repeatedMessageOfTheSameClaimIsGrantedAgain() {
+    claim(1, "id");
+    assertThat(claim(1, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+  }
+
+  @Test
+  public void releasedClaimFreesTheIdAndIsNeverGrantedAgain() {
+    claim(1, "id");
+    end(1, ClaimState.CLAIM_STATE_RELEASED);
+    assertThat(claim(1, "id")).isNotEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+    assertThat(claim(2, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+  }
+
+  @Test
+  public void releaseThatOvertakesItsClaimStillCounts() {
+    end(1, ClaimState.CLAIM_STATE_RELEASED);
+    assertThat(claim(1, "id")).isNotEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+  }
+
+  @Test
+  public void keptAnswerIsGivenAgain() {
+    claim(1, "id");
+    holder.end(
+        ended(1, ClaimState.CLAIM_STATE_ANSWERED)
+            .setAnswer(KeptAnswer.newBuilder().setStatus(201))
+            .build());
+    var answer = holder.claim(request(2, "id", 7, 1));
+    assertThat(answer.getResult()).isEqualTo(ClaimResult.CLAIM_RESULT_ANSWERED);
+    assertThat(answer.getAnswer().getStatus()).isEqualTo(201);
+  }
+
+  @Test
+  public void lateEndDoesNotUndoAnAnswer() {
+    end(1, ClaimState.CLAIM_STATE_ANSWERED);
+    end(1, ClaimState.CLAIM_STATE_UNKNOWN);
+    assertThat(claim(2, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_ANSWERED);
+  }
+
+  @Test
+  public void otherContentUnderTheSameIdIsRefused() {
+    claim(1, "id");
+    assertThat(holder.claim(request(2, "id", 8, 1)).getResult())
+        .isEqualTo(ClaimResult.CLAIM_RESULT_ID_REUSED);
+  }
+
+  @Test
+  public void fullHolderRefusesNewIdsAndForgetsNone() {
+    claim(1, "id1");
+    claim(1, "id2");
+    assertThat(claim(1, "id3")).isEqualTo(ClaimResult.CLAIM_RESULT_FULL);
+    assertThat(claim(2, "id1")).isEqualTo(ClaimResult.CLAIM_RESULT_IN_PROGRESS);
+  }
+
+  @Test
+  public void recordsExpire() {
+    claim(1, "id");
+    nowMs += LIMITS.ttlMs();
+    assertThat(holder.size()).isZero();
+  }
+
+  @Test
+  public void claimUnderAnotherRosterIsRefused() {
+    assertThat(holder.claim(request(1, "id", 7, 2)).getResult())
+        .isEqualTo(ClaimResult.CLAIM_RESULT_OTHER_ROSTER);
+  }
+
+  @Test
+  public void handOverLocksTheEarlierRoster() {
+    HandOverPage page = holder.handOver(handOver(SECOND, NEW_A));
+    assertThat(page.getComplete()).isTrue();
+    assertThat(claim(1, "id")).isEqualTo(ClaimResult.CLAIM_RESULT_OTHER_ROSTER);
+  }
+
+  @Test
+  public void replacedMemberRefusesUntilTheRecordsAreHandedOver() {
+    RecordHolder b = new RecordHolder(B, LIMITS, () -> nowMs);
+    b.adopt(FIRST);
+    b.claim(request(1, "id", 7, 1));
+    RecordHolder young = new RecordHolder(NEW_A, LIMITS, () -> nowMs);
+    young.adopt(SECOND);
+    assertThat(young.claim(request(2, "id", 7, 2)).getResult())
+        .isEqualTo(ClaimResult.CLAIM_RESULT_INCOMPLETE);
+    young.receive(B, 2, b.handOver(handOver(SECOND, NEW_A)));
+    assertThat(young.isSettled()).isTrue();
+    assertThat(young.claim(request(2, "id", 7, 2)).getResult())
+        .isEqualTo(ClaimResult.CLAIM_RESULT_IN_PROGRESS);
+  }
+
+  @Test
+  public void firstSendIsServedByAnIncompleteMember() {
+    RecordHolder young = new RecordHolder(NEW_A, LIMITS, () -> nowMs);
+    young.adopt(SECOND);
+    ClaimRequest first = request(1, "id", 7, 2).toBuilder().setFirstSend(true).build();
+    assertThat(young.claim(first).getResult()).isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+  }
+
+  @Test
+  public void lossOfTooManyHoldersIsOverAfterTheLifeOfARecord() {
+    RecordMember newB = member("b", 2);
+    RecordHolder young = new RecordHolder(NEW_A, LIMITS, () -> nowMs);
+    young.adopt(roster(2, List.of(NEW_A, newB), List.of(A, B)));
+    nowMs += LIMITS.ttlMs();
+    assertThat(young.isSettled()).isFalse();
+    nowMs += 1;
+    assertThat(young.isSettled()).isTrue();
+  }
+
+  private ClaimResult claim(long number, String id) {
+    return holder.claim(request(number, id, 7, 1)).getResult();
+  }
+
+  private void end(long number, ClaimState state) {
+    holder.end(ended(number, state).build());
+  }
+
+  private static ClaimRequest request(long number, String id, long fingerprint, long version) {
+    return ClaimRequest.newBuilder()
+        .setRosterVersion(version)
+        .setService("s")
+        .setRequestId(id)
+        .setFingerprint(fingerprint)
+        .setClaim(ClaimId.newBuilder().setNumber(number))
+        .setRunMs(200)
+        .build();
+  }
+
+  private static ClaimEnd.Builder ended(long number, ClaimState state) {
+    return ClaimEnd.newBuilder()
+        .setService("s")
+        .setRequestId("id")
+        .setFingerprint(7)
+        .setClaim(ClaimId.newBuilder().setNumber(number))
+        .setState(state);
+  }
+
+  private static HandOverRequest handOver(RecordRoster roster, RecordMember receiver) {
+    return HandOverRequest.newBuilder().setRoster(roster).setReceiver(receiver).build();
+  }
+
+  private static RecordMember member(String vm, long bootId) {
+    return RecordMember.newBuilder().setVm(vm).setBootId(bootId).setDataCentre(vm).build();
+  }
+
+  private static RecordRoster roster(
+      long version, List<RecordMember> members, List<RecordMember> previous) {
+    return RecordRoster.newBuilder()
+        .setVersion(version)
+        .addAllMembers(members)
+        .addAllPrevious(previous)
+        .build();
+  }
+}
