--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/RoutingBenchmark.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/RoutingBenchmark.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.ownership.KeyHashing;
@@ -11,6 +13,8 @@
 import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.routing.RouteDecision;
 import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.routing.ServiceLoads;
+import org.foxtailford.core.routing.TwoChoicesChooser;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
@@ -39,7 +43,7 @@
   private int upstreams;
 
   private final RequestRouter router =
-      new RequestRouter(candidates -> candidates.stream().findFirst());
+      new RequestRouter(new TwoChoicesChooser(new Random(1)), new ServiceLoads(() -> 1));
   private final RequestAttributes[] requests = new RequestAttributes[KEYS];
   private final long[] hashes = new long[KEYS];
   private RoutingSnapshot snapshot = RoutingSnapshot.initial(Fleets.DATA_CENTRE);
@@ -65,7 +69,7 @@
   /** Decides where a keyed request goes. */
   @Benchmark
   public RouteDecision decide() {
-    return router.decide(requests[next++ & (KEYS - 1)], snapshot, 0);
+    return router.decide(requests[next++ & (KEYS - 1)], snapshot, Set.of(), 0);
   }
 
   /** Looks an owner up. */
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
@@ -6,6 +6,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.IntToDoubleFunction;
 import java.util.function.Supplier;
@@ -26,6 +28,8 @@
 import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.routing.RouteDecision;
 import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.routing.ServiceLoads;
+import org.foxtailford.core.routing.TwoChoicesChooser;
 import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.OwnershipCheckpoint;
 
@@ -204,7 +208,8 @@
                         HomeDirectory.initial(
                             Fleets.SERVICE, slices, List.of(Fleets.DATA_CENTRE)))))
             .withOwners(OwnershipMap.of(Fleets.checkpoint(upstreams, slices)));
-    RequestRouter router = new RequestRouter(candidates -> candidates.stream().findFirst());
+    RequestRouter router =
+        new RequestRouter(new TwoChoicesChooser(new Random(1)), new ServiceLoads(() -> 1));
     List<RequestAttributes> requests =
         IntStream.range(0, KEYS)
             .mapToObj(i -> Fleets.request("key-" + KeyHashing.hash("" + i)))
@@ -214,7 +219,8 @@
         medianNs(
             () -> {
               for (int i = 0; i < DECISIONS; i++) {
-                RouteDecision decision = router.decide(requests.get(i % KEYS), snapshot, 0);
+                RouteDecision decision =
+                    router.decide(requests.get(i % KEYS), snapshot, Set.of(), 0);
                 owned[0] += decision instanceof RouteDecision.ToOwner ? 1 : 0;
               }
             });
