Schedule explorer for ownership, and the fences of a revived epoch

Ruled out: a fault of the election (the epoch is rightly still ours) and of the grant holder (it refuses the repeated fences). Change: the term of an epoch outlasts a lapse.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -52,7 +52,10 @@
 
   private @Nullable Term term;
 
-  /** State of one epoch. */
+  /**
+   * State of one epoch. It outlasts a lapse of the lease: if the same epoch is renewed later, no
+   * other leader came in between, and the fences that it issued must not be issued again.
+   */
   private static final class Term {
     private final long epoch;
     private final long acquiredMs;
@@ -105,7 +108,6 @@
   public void tick() {
     Optional<HeldLease> lease = election.lease();
     if (lease.isEmpty()) {
-      term = null;
       return;
     }
     Term current = term;
--- /dev/null
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -0,0 +1,97 @@
+package org.foxtailford.testkit.simulation;
+
+import java.util.concurrent.Executor;
+import org.foxtailford.core.ownership.DataCentreLeader;
+import org.foxtailford.core.ownership.LeaseElection;
+import org.foxtailford.core.ownership.OwnershipTiming;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+
+/** An entry VM that may lead its data centre. */
+final class SimulatedCandidate extends SimulatedNode {
+
+  private final OwnershipSystem system;
+  private final MillisClock clock;
+  private LeaseElection election;
+  private DataCentreLeader leader;
+
+  SimulatedCandidate(String name, OwnershipSystem system, MillisClock clock) {
+    super(name);
+    this.system = Assert.notNull(system, "system");
+    this.clock = Assert.notNull(clock, "clock");
+    election = newElection();
+    leader = newLeader();
+  }
+
+  boolean leads() {
+    return running() && leader.leads();
+  }
+
+  /** Starts the rounds of this candidate. */
+  void begin(long delayMs) {
+    int start = starts();
+    system.queue().schedule(delayMs, () -> round(start));
+  }
+
+  private void round(int start) {
+    if (start != starts() || !running()) {
+      return;
+    }
+    execute(
+        () -> {
+          election.tick();
+          leader.tick();
+        });
+    system.queue().schedule(system.variant().timing().renewIntervalMs(), () -> round(start));
+  }
+
+  private Executor control() {
+    int start = starts();
+    return step -> system.queue().schedule(0, () -> runIfCurrent(start, step));
+  }
+
+  private void runIfCurrent(int start, Runnable step) {
+    if (start == starts()) {
+      execute(step);
+    }
+  }
+
+  private LeaseElection newElection() {
+    OwnershipTiming timing = system.variant().timing();
+    return new LeaseElection(
+        "leader-" + OwnershipSystem.DATA_CENTRE,
+        name(),
+        starts(),
+        timing,
+        system.table().from(name()),
+        clock,
+        system::nextWriteId,
+        control());
+  }
+
+  private DataCentreLeader newLeader() {
+    return new DataCentreLeader(
+        OwnershipSystem.DATA_CENTRE,
+        election,
+        system.variant().timing(),
+        system.variant().grants(new SimulatedGrants(name(), system)),
+        system.policy(),
+        checkpoint -> {},
+        system::configuration,
+        system::homes,
+        clock,
+        control());
+  }
+
+  @Override
+  void onLost() {
+    // The process keeps nothing.
+  }
+
+  @Override
+  void onStarted() {
+    election = newElection();
+    leader = newLeader();
+    begin(0);
+  }
+}
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/GrantHolder.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/GrantHolder.java
@@ -54,11 +54,13 @@
     if (clock.nowMs() >= expiresMs) {
       return Optional.empty();
     }
-    return slices.stream()
-        .filter(slice -> slice.getService().equals(service))
-        .filter(slice -> SliceRange.of(slice.getRange()).contains(keyHash))
-        .map(slice -> Fence.of(slice.getFence()))
-        .findFirst();
+    for (GrantedSlice slice : slices) {
+      boolean sameService = slice.getService().equals(service);
+      if (sameService && SliceRange.of(slice.getRange()).contains(keyHash)) {
+        return Optional.of(Fence.of(slice.getFence()));
+      }
+    }
+    return Optional.empty();
   }
 
   private GrantReply reply(boolean accepted) {
