--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,8 @@
 import org.foxtailford.core.ownership.SliceRange;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.routing.RequestRouter;
+import org.foxtailford.core.routing.ServiceLoads;
+import org.foxtailford.core.routing.TwoChoicesChooser;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
@@ -92,7 +95,7 @@
             state::snapshot,
             inForce,
             store,
-            new RequestRouter(candidates -> candidates.stream().findFirst()),
+            new RequestRouter(new TwoChoicesChooser(new Random(1)), new ServiceLoads(() -> 1)),
             () -> true,
             () -> true,
             () -> peerVersions,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -7,35 +7,48 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.security.SecureRandom;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.foxtailford.core.admission.ByteBudget;
+import org.foxtailford.core.admission.WorthThreshold;
 import org.foxtailford.core.configuration.ConfigurationInForce;
 import org.foxtailford.core.configuration.ConfigurationStore;
+import org.foxtailford.core.dissemination.OwnershipFeed;
+import org.foxtailford.core.membership.DisseminationTree;
+import org.foxtailford.core.membership.MembershipTracker;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
+import org.foxtailford.core.ownership.Fence;
+import org.foxtailford.core.ownership.HeldLease;
 import org.foxtailford.core.ownership.LeaseElection;
-import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
-import org.foxtailford.core.routing.InFlightCounter;
+import org.foxtailford.core.retry.RetryAfter;
+import org.foxtailford.core.retry.RetryBudget;
+import org.foxtailford.core.retry.RetryPolicy;
 import org.foxtailford.core.routing.RequestRouter;
+import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
 import org.foxtailford.core.settings.DaemonSettingsReader;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.daemon.control.ConfigurationPoller;
+import org.foxtailford.daemon.control.ConfigurationSightings;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
+import org.foxtailford.daemon.peer.HeartbeatExchange;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
+import org.foxtailford.daemon.request.RelaySender;
+import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
 import org.foxtailford.daemon.request.RequestPath;
 import org.foxtailford.daemon.request.UpstreamSender;
@@ -43,6 +56,7 @@
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.net.http.PooledHttpClient;
 import org.foxtailford.net.peer.PeerIdentity;
+import org.foxtailford.net.peer.PeerLink;
 import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.net.peer.PeerServer;
 import org.foxtailford.net.tls.ChannelSecurity;
@@ -54,9 +68,12 @@
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.PeerFrame;
+import org.foxtailford.schema.PeerHeartbeat;
 import org.foxtailford.schema.PlatformSettings;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
+import org.foxtailford.schema.RequestSettings;
+import org.jspecify.annotations.Nullable;
 
 /** One entry VM: listeners, clients and control loops, assembled from settings. Thread-safe. */
 public final class EntryVm implements AutoCloseable {
@@ -67,6 +84,13 @@
   private static final int OPERATOR_BODY_BYTES = 4 << 20;
   private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
   private static final int STOP_POLL_MS = 20;
+  private static final int HEARTBEAT_INTERVAL_MS = 300;
+  private static final int PEER_LOST_AFTER_MS = 1200;
+  private static final int OWNERSHIP_HISTORY = 64;
+  private static final double PERCENT = 100.0;
+  private static final double RETRIES_PER_SECOND = 1.0;
+  private static final double RETRY_BURST = 20.0;
+  private static final long MIN_ATTEMPT_MS = 2;
 
   private final DaemonSettings settings;
   private final MillisClock clock = new SystemMillisClock();
@@ -77,6 +101,8 @@
   private final Optional<TlsContexts> tls;
   private final RoutingState state;
   private final ConfigurationInForce inForce;
+  private final ConfigurationSightings sightings;
+  private final ServiceLoads loads;
   private final RequestRouter router;
   private final RequestPath path;
   private final PeerNetwork peers;
@@ -89,6 +115,9 @@
   private final DataCentreLeader leader;
   private final ConfigurationPoller poller;
   private final RouterMetrics metrics;
+  private final MembershipTracker tracker;
+  private final OwnershipFeed feed;
+  private final HeartbeatExchange heartbeats;
   private volatile boolean accepting = true;
 
   /**
@@ -109,18 +138,28 @@
             : Optional.empty();
     state = new RoutingState(settings.getDataCentre());
     inForce = new ConfigurationInForce(state::acceptConfiguration);
+    sightings = new ConfigurationSightings(clock);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
     int maxFrameBytes = maxAnswerBytes + FRAME_OVERHEAD_BYTES;
     PeerIdentity self =
         new PeerIdentity(
             settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
     ChannelSecurity linkSecurity = tls.map(TlsContexts::peerLink).orElse(ChannelSecurity.NONE);
-    peers = new PeerNetwork(loops, self, maxFrameBytes, linkSecurity);
+    peers =
+        new PeerNetwork(
+            self,
+            endpoint -> new PeerLink(loops, self, endpoint, maxFrameBytes, linkSecurity),
+            random);
+    tracker =
+        new MembershipTracker(
+            settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
+    feed = new OwnershipFeed(settings.getDataCentre(), OWNERSHIP_HISTORY);
+    heartbeats = new HeartbeatExchange(self, tracker, peers, new SharedState());
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
-    InFlightCounter inFlight = new InFlightCounter();
-    router = new RequestRouter(new TwoChoicesChooser(u -> inFlight.inFlight(u.name()), random));
-    path = newRequestPath(inFlight);
+    loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
+    router = new RequestRouter(new TwoChoicesChooser(random), loads);
+    path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
     HttpLimits callerLimits =
@@ -144,7 +183,7 @@
             new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
             inForce,
             state,
-            peers::update,
+            vms -> control.execute(() -> tracker.onVmList(vms)),
             metrics);
     OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
     election = newElection(table, timing, random, self.bootId());
@@ -152,15 +191,41 @@
     operators = newOperatorServer(table);
   }
 
-  private RequestPath newRequestPath(InFlightCounter inFlight) {
+  private RequestPath newRequestPath(RandomGenerator random) {
+    RequestSettings limits = settings.getRequests();
+    RetryBudget budget =
+        new RetryBudget(
+            limits.getRetryBudgetPercent() / PERCENT,
+            RETRIES_PER_SECOND,
+            RETRY_BURST,
+            clock.nowMs());
+    RequestAttempts attempts =
+        new RequestAttempts(
+            router,
+            state::snapshot,
+            loads,
+            new UpstreamSender(upstreamClient),
+            new RelaySender(peers, metrics, clock),
+            new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
+            budget,
+            metrics,
+            clock,
+            this::schedule,
+            limits.getQueueCapacity(),
+            limits.getQueueTimeMs());
     return new RequestPath(
-        router,
+        attempts,
         state::snapshot,
-        new UpstreamSender(upstreamClient, inFlight),
-        peers,
+        new WorthThreshold(limits.getMaxInFlight()),
+        new ByteBudget(limits.getMaxBodyMemoryBytes()),
+        new RetryAfter(random),
         metrics,
-        clock,
-        settings.getRequests().getMaxInFlight());
+        clock);
+  }
+
+  private Runnable schedule(Runnable task, long delayMs) {
+    var scheduled = loops.next().schedule(task, delayMs, TimeUnit.MILLISECONDS);
+    return () -> scheduled.cancel(false);
   }
 
   private LeaseElection newElection(
@@ -200,7 +265,7 @@
             router,
             () -> accepting,
             leader::leads,
-            Map::of,
+            sightings::versions,
             new SecureRandom()::nextLong,
             tls.isPresent(),
             () -> control.execute(guarded(this::poll)));
@@ -222,6 +287,8 @@
     int pollMs = settings.getPlatform().getPollIntervalMs();
     int renewMs = settings.getOwnership().getRenewIntervalMs();
     control.scheduleWithFixedDelay(guarded(this::poll), 0, pollMs, TimeUnit.MILLISECONDS);
+    control.scheduleAtFixedRate(
+        guarded(heartbeats::tick), 0, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     control.scheduleAtFixedRate(guarded(this::tick), 0, renewMs, TimeUnit.MILLISECONDS);
     int reloadMs = settings.getTls().getReloadIntervalMs();
     tls.ifPresent(
@@ -258,21 +325,23 @@
   }
 
   private void poll() {
-    poller
-        .poll()
-        .exceptionally(
-            failure -> {
-              logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
-                  "the platform does not answer: %s", failure.getMessage());
-              return null;
-            });
+    poller.poll().exceptionally(EntryVm::reportFailedPoll);
+  }
+
+  private void pollConfiguration() {
+    poller.pollConfiguration().exceptionally(EntryVm::reportFailedPoll);
+  }
+
+  private static @Nullable Void reportFailedPoll(Throwable failure) {
+    logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+        "the platform does not answer: %s", failure.getMessage());
+    return null;
   }
 
   private void tick() {
     boolean led = leader.leads();
     election.tick();
     leader.tick();
-    peers.connectAll();
     if (!led && leader.leads()) {
       metrics.leadershipGained();
       logger.atInfo().log("leads data centre %s", settings.getDataCentre());
@@ -280,14 +349,25 @@
   }
 
   private void publish(OwnershipCheckpoint checkpoint) {
-    acceptOwners(checkpoint);
-    peers.broadcastLocally(PeerFrame.newBuilder().setOwnership(checkpoint).build());
+    Fence before = feed.current().version();
+    onOwners(feed.accept(checkpoint), before);
   }
 
-  private void acceptOwners(OwnershipCheckpoint checkpoint) {
-    if (state.acceptOwners(OwnershipMap.of(checkpoint))) {
-      metrics.ownershipUpdate();
+  private void onOwners(boolean accepted, Fence before) {
+    if (!accepted) {
+      return;
     }
+    metrics.ownershipUpdate();
+    state.acceptOwners(feed.current());
+    DisseminationTree tree =
+        DisseminationTree.of(
+            settings.getDataCentre(),
+            tracker.leader(),
+            tracker.usableIn(settings.getDataCentre()),
+            DisseminationTree.FAN_OUT);
+    feed.messageFor(before)
+        .ifPresent(
+            frame -> tree.children(settings.getVm()).forEach(child -> peers.send(child, frame)));
   }
 
   /**
@@ -336,8 +416,19 @@
 
     @Override
     public void onMessage(PeerIdentity sender, PeerFrame frame) {
-      if (frame.hasOwnership()) {
-        acceptOwners(frame.getOwnership());
+      control.execute(guarded(() -> dispatch(sender, frame)));
+    }
+
+    private void dispatch(PeerIdentity sender, PeerFrame frame) {
+      Fence before = feed.current().version();
+      if (frame.hasHeartbeat()) {
+        heartbeats.onHeartbeat(sender, frame.getHeartbeat());
+      } else if (frame.hasMembership()) {
+        heartbeats.onMembership(frame.getMembership());
+      } else if (frame.hasOwnership()) {
+        onOwners(feed.accept(frame.getOwnership()), before);
+      } else if (frame.hasOwnershipDelta()) {
+        onOwners(feed.accept(frame.getOwnershipDelta()), before);
       }
     }
 
@@ -346,4 +437,33 @@
       return path.serveRelayed(request, classifier);
     }
   }
+
+  /** What this VM has and what its neighbours lack. */
+  private final class SharedState implements HeartbeatExchange.VersionedState {
+
+    @Override
+    public void addVersions(PeerHeartbeat.Builder heartbeat) {
+      heartbeat
+          .setConfigurationVersion(state.snapshot().configuration().version())
+          .setOwnershipVersion(feed.current().version().toValue());
+    }
+
+    @Override
+    public List<PeerFrame> missing(PeerIdentity sender, PeerHeartbeat received) {
+      sightings.add(sender.vm(), received.getConfigurationVersion());
+      if (received.getConfigurationVersion() > inForce.version()) {
+        pollConfiguration();
+      }
+      if (!sender.dataCentre().equals(settings.getDataCentre())) {
+        return List.of();
+      }
+      Fence known = Fence.of(received.getOwnershipVersion());
+      return feed.messageFor(known).stream().toList();
+    }
+
+    @Override
+    public Optional<Long> leadingEpoch() {
+      return election.lease().map(HeldLease::epoch);
+    }
+  }
 }
--- /dev/null
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationSightings.java
@@ -0,0 +1,36 @@
+package org.foxtailford.daemon.control;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+
+/** Configuration versions that other entry VMs reported lately. Thread-safe. */
+public final class ConfigurationSightings {
+
+  private static final long FORGET_AFTER_MS = 10_000;
+
+  private final MillisClock clock;
+  private final Map<String, Sighting> byVm = new ConcurrentHashMap<>();
+
+  public ConfigurationSightings(MillisClock clock) {
+    this.clock = Assert.notNull(clock, "clock");
+  }
+
+  private record Sighting(long version, long atMs) {}
+
+  /** Notes what a VM reported. */
+  public void add(String vm, long version) {
+    byVm.put(vm, new Sighting(version, clock.nowMs()));
+  }
+
+  /** Returns the versions by VM, without VMs that have been silent for long. */
+  public Map<String, Long> versions() {
+    long oldestMs = clock.nowMs() - FORGET_AFTER_MS;
+    byVm.values().removeIf(sighting -> sighting.atMs() < oldestMs);
+    Map<String, Long> versions = new TreeMap<>();
+    byVm.forEach((vm, sighting) -> versions.put(vm, sighting.version()));
+    return versions;
+  }
+}
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.ownership.KeyHashing;
@@ -92,7 +93,7 @@
     RoutingSnapshot snapshot = context.snapshots().get();
     RequestAttributes attributes =
         new RequestAttributes(service, kind, key, requestId, DEADLINE_MS, 0);
-    RouteDecision decision = context.router().decide(attributes, snapshot, 0);
+    RouteDecision decision = context.router().decide(attributes, snapshot, Set.of(), 0);
     ObjectNode node = JsonAnswers.object().put("vm", context.vm());
     node.put("configurationVersion", snapshot.configuration().version());
     describe(node, decision);
@@ -123,6 +124,8 @@
     } else if (decision instanceof RouteDecision.ToDataCentre relay) {
       node.put("decision", "relay to the home data centre of the key");
       node.put("dataCentre", relay.dataCentre());
+    } else if (decision instanceof RouteDecision.Wait) {
+      node.put("decision", "wait until an upstream has room");
     } else if (decision instanceof RouteDecision.Refuse refuse) {
       node.put("decision", "refuse");
       node.put("code", refuse.code().number());
