--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -167,13 +167,7 @@
             settings.getRequests().getMaxHeaderBytes(), settings.getRequests().getMaxBodyBytes());
     callers =
         new HttpServer(loops, callerLimits, new CallerHandler(path, classifier, metrics, clock));
-    peerServer =
-        new PeerServer(
-            loops,
-            self,
-            maxFrameBytes,
-            new Messages(classifier),
-            tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
+    peerServer = newPeerServer(self, maxFrameBytes, classifier);
     PlatformSettings platform = settings.getPlatform();
     TableService table =
         new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
@@ -191,6 +185,16 @@
     operators = newOperatorServer(table);
   }
 
+  private PeerServer newPeerServer(
+      PeerIdentity self, int maxFrameBytes, RequestClassifier classifier) {
+    return new PeerServer(
+        loops,
+        self,
+        maxFrameBytes,
+        new Messages(classifier),
+        tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
+  }
+
   private RequestPath newRequestPath(RandomGenerator random) {
     RequestSettings limits = settings.getRequests();
     RetryBudget budget =
