--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -390,9 +390,7 @@
 
     @Override
     public void addVersions(PeerHeartbeat.Builder heartbeat) {
-      heartbeat
-          .setConfigurationVersion(state.snapshot().configuration().version())
-          .setOwnershipVersion(feed.current().version().toValue());
+      heartbeat.setOwnershipVersion(feed.current().version().toValue());
     }
 
     @Override
