The leader goes on without the table under a majority of arbiters

Cause: with the table down a leader stopped at its lease's end, and every key of its data centre became unavailable. Slices that were no longer planned in a data centre were granted for ever, and new ranges over them could get a second owner. Ruled out: holding until told (slices of unreachable upstreams stay unavailable for the whole cut), stopping (unavailable for the whole outage). Change: the lease row names arbiters with boot ids; authority, exclusion and adoption go by their majority. Slices that are not planned here any more are released, and new ranges wait for what overlaps them.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
@@ -15,11 +15,13 @@
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
+import org.foxtailford.core.ownership.LeaderTerm.SliceState;
 import org.foxtailford.core.placement.PlacedSlice;
 import org.foxtailford.core.placement.PlacementPolicy;
 import org.foxtailford.core.placement.SliceMove;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.Arbiter;
 import org.foxtailford.schema.GrantReply;
 import org.foxtailford.schema.GrantRequest;
 import org.foxtailford.schema.GrantedSlice;
@@ -35,10 +37,17 @@
  * and adopts what it holds; a slice that no reachable upstream holds stays free until every grant
  * of an earlier leader has lapsed.
  *
+ * <p>A leader whose lease lapsed because the table is down goes on while a majority of the arbiters
+ * that its row names accepts its fences. Its grants end with the proof of that majority. A new
+ * leader extends nothing before it excluded the earlier one at a majority of those arbiters, and
+ * adopts only what it reads after that.
+ *
  * <p>Not thread-safe: all calls and callbacks run on one executor.
  */
 public final class DataCentreLeader {
 
+  private static final int MAX_ARBITERS = 5;
+
   private final String dataCentre;
   private final LeaseElection election;
   private final OwnershipTiming timing;
@@ -50,36 +59,7 @@
   private final MillisClock clock;
   private final Executor control;
 
-  private @Nullable Term term;
-
-  /**
-   * State of one epoch. It outlasts a lapse of the lease: if the same epoch is renewed later, no
-   * other leader came in between, and the fences that it issued must not be issued again.
-   */
-  private static final class Term {
-    private final long epoch;
-    private final long acquiredMs;
-    private long sequence;
-    private boolean changed = true;
-    private final Map<String, UpstreamSession> sessions = new TreeMap<>();
-    private final Map<SliceKey, SliceState> slices = new HashMap<>();
-
-    Term(long epoch, long acquiredMs) {
-      this.epoch = epoch;
-      this.acquiredMs = acquiredMs;
-    }
-
-    Fence nextFence() {
-      return new Fence(epoch, ++sequence);
-    }
-  }
-
-  /** Owner of a slice, or the reading of the clock from which it may be granted. */
-  private static final class SliceState {
-    private Optional<SliceAssignment> assignment = Optional.empty();
-    private Optional<String> nextOwner = Optional.empty();
-    private long freeFromMs;
-  }
+  private @Nullable LeaderTerm term;
 
   public DataCentreLeader(
       String dataCentre,
@@ -106,30 +86,62 @@
 
   /** Runs one round. Called at every renewal interval. */
   public void tick() {
-    Optional<HeldLease> lease = election.lease();
-    if (lease.isEmpty()) {
+    Optional<HeldLease> lease = election.unsuperseded();
+    if (lease.isEmpty() || !mayContinue(lease.get())) {
       return;
     }
-    Term current = term;
-    if (current == null || current.epoch != lease.get().epoch()) {
-      current = new Term(lease.get().epoch(), lease.get().acquiredMs());
+    LeaderTerm current = term;
+    if (current == null || current.epoch() != lease.get().epoch()) {
+      current = new LeaderTerm(lease.get().epoch(), lease.get().acquiredMs());
       term = current;
     }
     refreshSessions(current);
     freeLapsedSlices(current);
+    closeIfExcluded(current);
+    if (current.closedMs().isPresent() && authorityMs(current).isPresent()) {
+      placeAll(current);
+    }
+    current.sessions().values().forEach(this::exchange);
+    publishIfChanged(current);
+  }
+
+  private void placeAll(LeaderTerm current) {
     configuration.get().services().values().stream()
         .filter(service -> service.definition().getKeyed())
-        .forEach(service -> place(term, service));
-    current.sessions.values().forEach(this::exchange);
-    publishIfChanged(current);
+        .forEach(service -> place(current, service));
+    proposeArbiters(current);
   }
 
   /** Tells whether this VM leads its data centre at this moment. */
   public boolean leads() {
-    return term != null && election.lease().isPresent();
+    LeaderTerm current = term;
+    return current != null
+        && election.unsuperseded().filter(lease -> lease.epoch() == current.epoch()).isPresent()
+        && authorityMs(current).isPresent();
+  }
+
+  private boolean mayContinue(HeldLease lease) {
+    long lapsedMs = clock.nowMs() - lease.validUntilMs();
+    return lapsedMs < 0 || lapsedMs < timing.holdWithoutTableMs();
   }
 
-  private void refreshSessions(Term current) {
+  /** Returns a time at which no later leader had taken over; grants count from it. */
+  private OptionalLong authorityMs(LeaderTerm current) {
+    long nowMs = clock.nowMs();
+    if (election.lease().isPresent()) {
+      return OptionalLong.of(nowMs);
+    }
+    Optional<HeldLease> lease = election.unsuperseded();
+    if (lease.isEmpty() || !mayContinue(lease.get())) {
+      return OptionalLong.empty();
+    }
+    OptionalLong since =
+        ArbiterQuorum.acceptedSince(election.possibleArbiters(), current.sessions());
+    boolean recent = since.isPresent() && nowMs - since.getAsLong() < timing.grantTtlMs();
+    return recent ? since : OptionalLong.empty();
+  }
+
+  private void refreshSessions(LeaderTerm current) {
     configuration.get().services().values().stream()
         .filter(service -> service.definition().getKeyed())
         .flatMap(service -> service.upstreams().stream())
@@ -137,14 +149,14 @@
         .forEach(
             upstream ->
                 current
-                    .sessions
+                    .sessions()
                     .computeIfAbsent(upstream.name(), name -> new UpstreamSession(upstream))
                     .refresh(upstream));
   }
 
-  private void freeLapsedSlices(Term current) {
+  private void freeLapsedSlices(LeaderTerm current) {
     long answeredAfterMs = clock.nowMs() - timing.lapsedGrantMs();
-    for (UpstreamSession session : current.sessions.values()) {
+    for (UpstreamSession session : current.sessions().values()) {
       if (!session.answeredSince(answeredAfterMs)) {
         session.noteLapsed();
         freeAll(current, session.upstream().name());
@@ -152,30 +164,72 @@
     }
   }
 
-  private void freeAll(Term current, String upstream) {
-    for (SliceState state : current.slices.values()) {
-      if (state.assignment.filter(a -> a.upstream().equals(upstream)).isPresent()) {
+  private void closeIfExcluded(LeaderTerm current) {
+    boolean holdOver = clock.nowMs() - current.acquiredMs() >= timing.lapsedHoldMs();
+    boolean excluded =
+        timing.holdWithoutTableMs() == 0
+            || holdOver
+            || ArbiterQuorum.closed(election.inheritedArbiters(), current.sessions());
+    if (current.closedMs().isEmpty() && excluded) {
+      current.close(clock.nowMs());
+    }
+  }
+
+  private void proposeArbiters(LeaderTerm current) {
+    List<Arbiter> proposed = election.proposedArbiters();
+    List<UpstreamSession> fenced =
+        current.sessions().values().stream().filter(UpstreamSession::fenced).toList();
+    boolean whole = proposed.size() >= Math.min(MAX_ARBITERS, fenced.size());
+    if (!whole || !proposed.stream().allMatch(arbiter -> isFenced(current, arbiter))) {
+      election.proposeArbiters(
+          fenced.stream().limit(MAX_ARBITERS).map(DataCentreLeader::arbiter).toList());
+    }
+  }
+
+  private static boolean isFenced(LeaderTerm current, Arbiter arbiter) {
+    UpstreamSession session = current.sessions().get(arbiter.getUpstream());
+    return session != null && session.fenced() && session.bootId() == arbiter.getBootId();
+  }
+
+  private static Arbiter arbiter(UpstreamSession session) {
+    return Arbiter.newBuilder()
+        .setUpstream(session.upstream().name())
+        .setBootId(session.bootId())
+        .build();
+  }
+
+  private void freeAll(LeaderTerm current, String upstream) {
+    for (SliceState state : current.slices().values()) {
+      if (state.ownedBy(upstream)) {
         release(current, state);
       }
     }
   }
 
-  private void release(Term current, SliceState state) {
-    state.assignment = Optional.empty();
-    state.nextOwner = Optional.empty();
-    current.changed = true;
+  private void release(LeaderTerm current, SliceState state) {
+    state.free(clock.nowMs());
+    current.markChanged();
   }
 
-  private void place(Term current, ServiceView service) {
+  private void place(LeaderTerm current, ServiceView service) {
     String name = service.definition().getName();
-    List<SliceKey> keys = localSlices(service);
-    long defaultFreeFromMs = current.acquiredMs + timing.lapsedGrantMs();
+    boolean mayTakeUnfound =
+        clock.nowMs() >= current.closedMs().orElseThrow() + timing.lapsedGrantMs();
     List<PlacedSlice> placed = new ArrayList<>();
-    for (SliceKey key : keys) {
-      SliceState state = current.slices.computeIfAbsent(key, k -> newSlice(defaultFreeFromMs));
-      boolean free = state.assignment.isEmpty();
-      if (!free || clock.nowMs() >= state.freeFromMs) {
-        placed.add(new PlacedSlice(key.range(), effectiveOwner(state), 0));
+    List<SliceKey> local = localSlices(service);
+    retireOthers(current, name, local);
+    for (SliceKey key : local) {
+      SliceState state = current.slices().get(key);
+      if (state == null && overlapsHeld(current, key)) {
+        continue;
+      }
+      if (state == null) {
+        state = new SliceState();
+        state.free(clock.nowMs());
+        current.slices().put(key, state);
+      }
+      if (state.found() || mayTakeUnfound) {
+        placed.add(new PlacedSlice(key.range(), state.effectiveOwner(), 0));
       }
     }
     List<String> usable =
@@ -188,18 +242,38 @@
     }
   }
 
-  private static Optional<String> effectiveOwner(SliceState state) {
-    return state.nextOwner.or(() -> state.assignment.map(SliceAssignment::upstream));
+  /** Takes slices that are no longer planned here away from their owners. */
+  private static void retireOthers(LeaderTerm current, String service, List<SliceKey> local) {
+    Set<SliceKey> planned = new HashSet<>(local);
+    current
+        .slices()
+        .entrySet()
+        .removeIf(
+            entry ->
+                isOther(entry.getKey(), service, planned)
+                    && entry.getValue().assignment().isEmpty());
+    current
+        .slices()
+        .forEach(
+            (key, state) -> {
+              if (isOther(key, service, planned)) {
+                state.retire();
+              }
+            });
+  }
+
+  private static boolean isOther(SliceKey key, String service, Set<SliceKey> planned) {
+    return key.service().equals(service) && !planned.contains(key);
   }
 
-  private static SliceState newSlice(long freeFromMs) {
-    SliceState state = new SliceState();
-    state.freeFromMs = freeFromMs;
-    return state;
+  private static boolean overlapsHeld(LeaderTerm current, SliceKey key) {
+    return current.slices().keySet().stream()
+        .filter(other -> other.service().equals(key.service()))
+        .anyMatch(other -> other.range().overlaps(key.range()));
   }
 
-  private static boolean isUsable(Term current, String upstream) {
-    UpstreamSession session = current.sessions.get(upstream);
+  private static boolean isUsable(LeaderTerm current, String upstream) {
+    UpstreamSession session = current.sessions().get(upstream);
     return session != null && session.fenced();
   }
 
@@ -211,27 +285,26 @@
         .toList();
   }
 
-  private void apply(Term current, SliceKey key, String target) {
-    SliceState state = current.slices.get(key);
+  private void apply(LeaderTerm current, SliceKey key, String target) {
+    SliceState state = current.slices().get(key);
     if (state == null) {
       return;
     }
-    if (state.assignment.isPresent()) {
-      state.nextOwner = Optional.of(target);
+    if (state.assignment().isPresent()) {
+      state.setNextOwner(target);
       return;
     }
     assign(current, key, state, target);
   }
 
-  private void assign(Term current, SliceKey key, SliceState state, String target) {
-    state.assignment = Optional.of(new SliceAssignment(key.range(), target, current.nextFence()));
-    state.nextOwner = Optional.empty();
-    current.changed = true;
+  private void assign(LeaderTerm current, SliceKey key, SliceState state, String target) {
+    state.assign(new SliceAssignment(key.range(), target, current.nextFence()));
+    current.markChanged();
   }
 
   private void exchange(UpstreamSession session) {
-    Term current = term;
-    if (session.inFlight() || current == null || election.lease().isEmpty()) {
+    LeaderTerm current = term;
+    if (session.inFlight() || current == null || election.unsuperseded().isEmpty()) {
       return;
     }
     session.setInFlight(true);
@@ -241,32 +314,52 @@
           .whenCompleteAsync((reply, failure) -> onStatus(current, session, reply), control);
       return;
     }
-    boolean fenceOnly = !session.fenced();
-    List<GrantedSlice> wanted = fenceOnly ? List.of() : wantedSlices(current, session);
-    GrantRequest request =
+    GrantRequest request = request(current, session);
+    long sentMs = clock.nowMs();
+    grants
+        .grant(session.upstream(), request)
+        .whenCompleteAsync(
+            (reply, failure) -> onGrantReply(current, session, request, sentMs, reply), control);
+  }
+
+  private GrantRequest request(LeaderTerm current, UpstreamSession session) {
+    long ttlMs = grantTtlMs(current, session);
+    boolean fenceOnly = !session.fenced() || ttlMs <= 0;
+    GrantRequest.Builder request =
         GrantRequest.newBuilder()
             .setBootId(session.bootId())
             .setFence(current.nextFence().toValue())
             .setAsOfMs(session.asOfMs())
-            .setTtlMs(timing.grantTtlMs())
-            .setFenceOnly(fenceOnly)
-            .addAllSlices(wanted)
-            .build();
-    grants
-        .grant(session.upstream(), request)
-        .whenCompleteAsync(
-            (reply, failure) -> onGrantReply(current, session, request, reply), control);
+            .setFenceOnly(fenceOnly);
+    if (!fenceOnly) {
+      request.setTtlMs((int) ttlMs).addAllSlices(wantedSlices(current, session));
+    }
+    return request.build();
   }
 
-  private List<GrantedSlice> wantedSlices(Term current, UpstreamSession session) {
+  /** Returns the time to live that ends a grant with the authority behind it, or less than one. */
+  private long grantTtlMs(LeaderTerm current, UpstreamSession session) {
+    OptionalLong authorityMs = authorityMs(current);
+    if (authorityMs.isEmpty()) {
+      return 0;
+    }
+    long sinceAuthorityMs = Math.max(0, session.lastReplyMs() - authorityMs.getAsLong());
+    return timing.grantTtlMs() - sinceAuthorityMs;
+  }
+
+  private List<GrantedSlice> wantedSlices(LeaderTerm current, UpstreamSession session) {
+    long authorityMs = authorityMs(current).orElseThrow();
     List<GrantedSlice> wanted = new ArrayList<>();
-    current.slices.forEach(
-        (key, state) ->
-            state
-                .assignment
-                .filter(a -> a.upstream().equals(session.upstream().name()))
-                .filter(a -> state.nextOwner.isEmpty())
-                .ifPresent(a -> wanted.add(granted(key, a))));
+    current
+        .slices()
+        .forEach(
+            (key, state) ->
+                state
+                    .assignment()
+                    .filter(a -> a.upstream().equals(session.upstream().name()))
+                    .filter(a -> !state.leaving())
+                    .filter(a -> state.freedMs() <= authorityMs)
+                    .ifPresent(a -> wanted.add(granted(key, a))));
     return wanted;
   }
 
@@ -278,15 +371,20 @@
         .build();
   }
 
-  private void onStatus(Term current, UpstreamSession session, @Nullable GrantReply reply) {
+  private void onStatus(LeaderTerm current, UpstreamSession session, @Nullable GrantReply reply) {
     session.setInFlight(false);
     if (reply != null && current == term) {
       session.noteBoot(reply, clock.nowMs());
+      exchange(session);
     }
   }
 
   private void onGrantReply(
-      Term current, UpstreamSession session, GrantRequest request, @Nullable GrantReply reply) {
+      LeaderTerm current,
+      UpstreamSession session,
+      GrantRequest request,
+      long sentMs,
+      @Nullable GrantReply reply) {
     session.setInFlight(false);
     if (reply == null || current != term) {
       return;
@@ -299,9 +397,15 @@
     if (!reply.getAccepted()) {
       return;
     }
-    Set<SliceKey> held =
-        reply.getSlicesList().stream().map(SliceKey::of).collect(Collectors.toSet());
-    session.noteAccepted(held);
+    session.noteOrderAccepted(sentMs);
+    boolean readAfterClosing =
+        current.closedMs().isPresent() && sentMs >= current.closedMs().getAsLong();
+    if (!readAfterClosing) {
+      continueClosing(current);
+      return;
+    }
+    session.noteAccepted(
+        reply.getSlicesList().stream().map(SliceKey::of).collect(Collectors.toSet()));
     if (request.getFenceOnly()) {
       adopt(current, session, reply);
     } else {
@@ -309,48 +413,46 @@
     }
   }
 
-  private void adopt(Term current, UpstreamSession session, GrantReply reply) {
+  /** Sends the next orders at once, since the grants of an earlier leader run out meanwhile. */
+  private void continueClosing(LeaderTerm current) {
+    closeIfExcluded(current);
+    if (current.closedMs().isPresent()) {
+      current.sessions().values().stream().filter(s -> !s.fenced()).forEach(this::exchange);
+    }
+  }
+
+  private void adopt(LeaderTerm current, UpstreamSession session, GrantReply reply) {
     if (reply.getRemainingMs() == 0) {
       return;
     }
     for (GrantedSlice slice : reply.getSlicesList()) {
-      SliceState state = current.slices.get(SliceKey.of(slice));
-      if (state != null && state.assignment.isEmpty()) {
-        SliceRange range = SliceRange.of(slice.getRange());
+      SliceKey key = SliceKey.of(slice);
+      SliceState state = current.slices().computeIfAbsent(key, k -> new SliceState());
+      if (state.assignment().isEmpty() && !state.found()) {
         Fence fence = Fence.of(slice.getFence());
-        state.assignment =
-            Optional.of(new SliceAssignment(range, session.upstream().name(), fence));
-        current.changed = true;
+        state.assign(new SliceAssignment(key.range(), session.upstream().name(), fence));
+        current.markChanged();
       }
     }
+    exchange(session);
   }
 
-  private void finishReleases(Term current, UpstreamSession session) {
+  private void finishReleases(LeaderTerm current, UpstreamSession session) {
     String name = session.upstream().name();
-    Map<SliceKey, String> released = new HashMap<>();
-    current.slices.forEach(
-        (key, state) -> {
-          boolean ours = state.assignment.filter(a -> a.upstream().equals(name)).isPresent();
-          if (ours && state.nextOwner.isPresent() && !session.holds(key)) {
-            released.put(key, state.nextOwner.get());
-          }
-        });
-    released.forEach((key, target) -> moveReleased(current, key, target));
-  }
-
-  private void moveReleased(Term current, SliceKey key, String target) {
-    SliceState state = current.slices.get(key);
-    release(current, state);
-    if (isUsable(current, target)) {
-      assign(current, key, state, target);
+    for (Map.Entry<SliceKey, SliceState> entry : current.slices().entrySet()) {
+      SliceState state = entry.getValue();
+      if (state.ownedBy(name) && state.leaving() && !session.holds(entry.getKey())) {
+        Optional<String> target = state.nextOwner().filter(t -> isUsable(current, t));
+        release(current, state);
+        target.ifPresent(t -> assign(current, entry.getKey(), state, t));
+      }
     }
   }
 
-  private void publishIfChanged(Term current) {
-    if (!current.changed) {
+  private void publishIfChanged(LeaderTerm current) {
+    if (!current.takeChanged()) {
       return;
     }
-    current.changed = false;
     Fence version = current.nextFence();
     OwnershipCheckpoint.Builder checkpoint =
         OwnershipCheckpoint.newBuilder()
@@ -361,16 +463,16 @@
     publisher.publish(checkpoint.build());
   }
 
-  private static Map<String, ServiceAssignment> assignmentsByService(Term current) {
+  private static Map<String, ServiceAssignment> assignmentsByService(LeaderTerm current) {
     Map<String, ServiceAssignment> byService = new TreeMap<>();
     Set<String> names = new HashSet<>();
-    current.slices.keySet().forEach(key -> names.add(key.service()));
+    current.slices().keySet().forEach(key -> names.add(key.service()));
     for (String name : names) {
       ServiceAssignment.Builder builder = ServiceAssignment.newBuilder().setService(name);
-      current.slices.entrySet().stream()
+      current.slices().entrySet().stream()
           .filter(entry -> entry.getKey().service().equals(name))
           .sorted(Comparator.comparing(entry -> entry.getKey().range()))
-          .flatMap(entry -> entry.getValue().assignment.stream())
+          .flatMap(entry -> entry.getValue().assignment().stream())
           .forEach(assignment -> builder.addSlices(assignment.toValue()));
       byService.put(name, builder.build());
     }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
@@ -1,7 +1,10 @@
 package org.foxtailford.core.ownership;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
@@ -10,6 +13,7 @@
 import org.foxtailford.core.platform.WriteResult;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.Arbiter;
 import org.foxtailford.schema.LeaseRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -19,7 +23,11 @@
  * <p>A watcher takes the lease over once it has seen the row unchanged for the whole time to live,
  * counted from the answer of the read that first showed it. A holder counts its own validity from
  * before the send of the write, so the two never overlap. An unanswered write is resolved by
- * reading the row back and comparing write ids.
+ * reading the row back and comparing write ids. A watcher that could not read the row for longer
+ * than the time to live starts to count again, so that a holder renews first after an outage.
+ *
+ * <p>The row also names the arbiters of its holder. A new holder writes those that it found until
+ * it proposes others.
  *
  * <p>Not thread-safe: all calls and callbacks run on one executor.
  */
@@ -39,7 +47,11 @@
   private @Nullable PendingWrite unresolved;
   private long seenVersion = -1;
   private long seenSinceMs;
+  private long lastReadMs = Long.MIN_VALUE;
   private LeaseRecord seenRecord = LeaseRecord.getDefaultInstance();
+  private List<Arbiter> proposed = List.of();
+  private List<Arbiter> inherited = List.of();
+  private final Set<List<Arbiter>> possiblyWritten = new HashSet<>();
 
   private record PendingWrite(LeaseRecord record, long sentMs) {}
 
@@ -79,6 +91,33 @@
     return Optional.ofNullable(held).filter(lease -> clock.nowMs() < lease.validUntilMs());
   }
 
+  /**
+   * Returns the lease that this VM holds or held last, if nobody is known to have taken it over.
+   */
+  public Optional<HeldLease> unsuperseded() {
+    return Optional.ofNullable(held);
+  }
+
+  /** Returns the arbiters that the row named when this VM took the lease over. */
+  public List<Arbiter> inheritedArbiters() {
+    return inherited;
+  }
+
+  /** Returns each set of arbiters that the row may name now. */
+  public Set<List<Arbiter>> possibleArbiters() {
+    return Set.copyOf(possiblyWritten);
+  }
+
+  /** Returns the arbiters that the next renewal writes. */
+  public List<Arbiter> proposedArbiters() {
+    return proposed;
+  }
+
+  /** Sets the arbiters that the next renewal writes. */
+  public void proposeArbiters(List<Arbiter> arbiters) {
+    proposed = List.copyOf(arbiters);
+  }
+
   /** Returns the name of the holder that the table showed last; empty text if none. */
   public String lastKnownHolder() {
     return seenRecord.getHolder();
@@ -113,12 +152,19 @@
       onApplied(version, pending);
       return CompletableFuture.completedFuture(null);
     }
-    if (version != seenVersion) {
+    boolean gap = clock.nowMs() - lastReadMs > timing.leaseTtlMs();
+    lastReadMs = clock.nowMs();
+    HeldLease own = held;
+    if (own != null && version == own.rowVersion()) {
+      return write(version, record(own.epoch()));
+    }
+    if (version != seenVersion || gap) {
       held = null;
       noteSeen(version, record);
     }
     boolean lapsed = clock.nowMs() - seenSinceMs >= timing.lapsedLeaseMs();
     if (version == TableService.ABSENT || lapsed) {
+      proposed = List.copyOf(record.getArbitersList());
       return write(version, record(record.getEpoch() + 1));
     }
     return CompletableFuture.completedFuture(null);
@@ -126,6 +172,7 @@
 
   private CompletableFuture<Void> write(long expectedVersion, LeaseRecord record) {
     PendingWrite pending = new PendingWrite(record, clock.nowMs());
+    possiblyWritten.add(record.getArbitersList());
     return table
         .write(rowKey, expectedVersion, record.toByteString())
         .handleAsync((result, failure) -> onWritten(pending, result, failure), control);
@@ -150,7 +197,11 @@
       held = lease.renewed(version, validUntilMs);
     } else {
       held = new HeldLease(pending.record().getEpoch(), version, clock.nowMs(), validUntilMs);
+      inherited = pending.record().getArbitersList();
     }
+    possiblyWritten.clear();
+    possiblyWritten.add(pending.record().getArbitersList());
+    lastReadMs = clock.nowMs();
     noteSeen(version, pending.record());
   }
 
@@ -167,6 +218,7 @@
         .setEpoch(epoch)
         .setTtlMs(timing.leaseTtlMs())
         .setWriteId(writeIds.getAsLong())
+        .addAllArbiters(proposed)
         .build();
   }
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/OwnershipTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/OwnershipTiming.java
@@ -10,9 +10,14 @@
  * @param renewIntervalMs time between renewals
  * @param grantTtlMs time to live of an upstream's grant
  * @param clockRateMarginPpm largest difference of clock rates, in parts per million
+ * @param holdWithoutTableMs longest time for which a leader goes on after its lease lapsed
  */
 public record OwnershipTiming(
-    int leaseTtlMs, int renewIntervalMs, int grantTtlMs, int clockRateMarginPpm) {
+    int leaseTtlMs,
+    int renewIntervalMs,
+    int grantTtlMs,
+    int clockRateMarginPpm,
+    int holdWithoutTableMs) {
 
   public OwnershipTiming {
     Assert.isTrue(
@@ -27,7 +32,8 @@
         settings.getLeaseTtlMs(),
         settings.getRenewIntervalMs(),
         settings.getGrantTtlMs(),
-        settings.getClockRateMarginPpm());
+        settings.getClockRateMarginPpm(),
+        settings.getHoldWithoutTableMs());
   }
 
   /** Returns the time for which a holder may trust its own lease. */
@@ -45,6 +51,11 @@
     return grantTtlMs + margin(grantTtlMs);
   }
 
+  /** Returns the time after which a leader without its lease has stopped on every clock. */
+  public long lapsedHoldMs() {
+    return holdWithoutTableMs + margin(holdWithoutTableMs);
+  }
+
   private long margin(long ms) {
     return (ms * clockRateMarginPpm + 999_999) / 1_000_000 + 1;
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
@@ -1,6 +1,7 @@
 package org.foxtailford.core.ownership;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.schema.GrantReply;
@@ -20,6 +21,7 @@
   private long bootId;
   private long asOfMs;
   private long lastReplyMs = Long.MIN_VALUE;
+  private long acceptedSentMs = Long.MIN_VALUE;
   private final Set<SliceKey> confirmed = new HashSet<>();
 
   UpstreamSession(Upstream upstream) {
@@ -42,7 +44,7 @@
     inFlight = value;
   }
 
-  /** Tells whether the upstream accepted a fence of this epoch since its last start. */
+  /** Tells whether what the upstream holds was read after it accepted a fence of this epoch. */
   boolean fenced() {
     return fenced;
   }
@@ -70,12 +72,29 @@
     if (reply.getBootId() != bootId) {
       bootId = reply.getBootId();
       fenced = false;
+      acceptedSentMs = Long.MIN_VALUE;
       confirmed.clear();
     }
     asOfMs = reply.getNowMs();
     lastReplyMs = nowMs;
   }
 
+  /** Returns when the latest order that this process accepted was sent. */
+  OptionalLong acceptedSentMs() {
+    return acceptedSentMs == Long.MIN_VALUE
+        ? OptionalLong.empty()
+        : OptionalLong.of(acceptedSentMs);
+  }
+
+  long lastReplyMs() {
+    return lastReplyMs;
+  }
+
+  /** Notes that this process accepted an order, and so refuses those of earlier epochs. */
+  void noteOrderAccepted(long sentMs) {
+    acceptedSentMs = Math.max(acceptedSentMs, sentMs);
+  }
+
   void noteAccepted(Set<SliceKey> slices) {
     fenced = true;
     confirmed.clear();
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/FaultInjector.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/FaultInjector.java
@@ -3,11 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import java.util.regex.Pattern;
 import org.foxtailford.core.util.Assert;
 
 /** Enters faults and their ends into the event queue of a system. */
 final class FaultInjector {
 
+  private static final Pattern ONLY_TABLE = Pattern.compile("^table |\\[table]");
   private static final long RECOVERY_MS = 3500;
   private static final int MAX_LOSS_PERCENT = 40;
   private static final int MAX_DUPLICATE_PERCENT = 50;
@@ -141,7 +143,9 @@
 
   private void enter(long atMs, long lengthMs, String text, Runnable begin, Runnable end) {
     EventQueue queue = system.queue();
-    system.checker().noteDisturbedBetween(atMs, atMs + lengthMs + RECOVERY_MS);
+    if (!ONLY_TABLE.matcher(text).find()) {
+      system.checker().noteDisturbedBetween(atMs, atMs + lengthMs + RECOVERY_MS);
+    }
     queue.schedule(
         atMs - queue.nowMs(),
         () -> {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipExplorer.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipExplorer.java
@@ -1,8 +1,6 @@
 package org.foxtailford.testkit.simulation;
 
-import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.stream.LongStream;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -66,13 +64,4 @@
       system.checker().checkHoldings();
     }
   }
-
-  /** Runs schedules with consecutive seeds until one fails. */
-  public Optional<ScheduleResult> findFailure(long firstSeed, long schedules) {
-    return LongStream.range(firstSeed, firstSeed + schedules)
-        .mapToObj(seed -> run(seed, false))
-        .filter(result -> !result.passed())
-        .findFirst()
-        .map(result -> run(result.seed(), true));
-  }
 }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -57,7 +57,7 @@
   }
 
   private LeaseElection newElection() {
-    OwnershipTiming timing = system.variant().timing();
+    OwnershipTiming timing = system.variant().timing(name());
     return new LeaseElection(
         "leader-" + OwnershipSystem.DATA_CENTRE,
         name(),
@@ -73,7 +73,7 @@
     return new DataCentreLeader(
         OwnershipSystem.DATA_CENTRE,
         election,
-        system.variant().timing(),
+        system.variant().timing(name()),
         system.variant().grants(new SimulatedGrants(name(), system)),
         system.policy(),
         checkpoint -> {},
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
@@ -2,6 +2,7 @@
 
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.UpstreamGrants;
+import org.foxtailford.core.settings.SettingsDefaults;
 import org.foxtailford.schema.GrantRequest;
 import org.foxtailford.schema.OwnershipSettings;
 
@@ -15,13 +16,12 @@
 
   /** Returns the timing of leases and grants. */
   default OwnershipTiming timing() {
-    return OwnershipTiming.of(
-        OwnershipSettings.newBuilder()
-            .setLeaseTtlMs(800)
-            .setRenewIntervalMs(200)
-            .setGrantTtlMs(700)
-            .setClockRateMarginPpm(10_000)
-            .build());
+    return OwnershipTiming.of(SettingsDefaults.applyAll(OwnershipSettings.newBuilder()).build());
+  }
+
+  /** Returns the timing that one candidate uses. */
+  default OwnershipTiming timing(String candidate) {
+    return timing();
   }
 
   /** Returns a grant as an upstream applies it. */
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/BrokenRuleTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/BrokenRuleTests.java
@@ -2,8 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.LongStream;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.UpstreamGrants;
@@ -28,15 +29,23 @@
       {"time to live counts from receipt", new TimeToLiveFromReceipt()},
       {"no margin for clock rates", new NoMargin()},
       {"granted before released", new GrantedBeforeReleased()},
+      {"a new leader does not exclude the one that holds", new NoExclusion()},
     };
   }
 
   @Test(dataProvider = "brokenRules")
   public void findsTheBrokenRule(String rule, SimulationVariant variant) {
-    Optional<ScheduleResult> failure = new OwnershipExplorer(variant).findFailure(1, MAX_SCHEDULES);
-    assertThat(failure).as(rule).isPresent();
-    Reporter.log(rule + ": found by schedule " + failure.get().seed(), true);
-    assertThat(failure.get().violations().toString()).as(rule).contains("own");
+    OwnershipExplorer explorer = new OwnershipExplorer(variant);
+    OptionalLong found =
+        LongStream.rangeClosed(1, MAX_SCHEDULES)
+            .filter(seed -> hasTwoOwners(explorer.run(seed, false)))
+            .findFirst();
+    assertThat(found).as(rule).isPresent();
+    Reporter.log(rule + ": found by schedule " + found.getAsLong(), true);
+  }
+
+  private static boolean hasTwoOwners(ScheduleResult result) {
+    return result.violations().stream().anyMatch(text -> text.contains("has the owners"));
   }
 
   @Test
@@ -48,7 +57,12 @@
             return fastTiming(MARGIN_PPM);
           }
         };
-    assertThat(new OwnershipExplorer(variant).findFailure(1, CONTROL_SCHEDULES)).isEmpty();
+    OwnershipExplorer explorer = new OwnershipExplorer(variant);
+    assertThat(
+            LongStream.rangeClosed(1, CONTROL_SCHEDULES)
+                .mapToObj(seed -> explorer.run(seed, false))
+                .filter(result -> !result.passed()))
+        .isEmpty();
   }
 
   private static final class EveryFenceAccepted implements SimulationVariant {
@@ -73,7 +87,12 @@
 
   private static OwnershipTiming fastTiming(int marginPpm) {
     OwnershipTiming timing = SimulationVariant.unchanged().timing();
-    return new OwnershipTiming(timing.leaseTtlMs(), FAST_RENEW_MS, timing.grantTtlMs(), marginPpm);
+    return new OwnershipTiming(
+        timing.leaseTtlMs(),
+        FAST_RENEW_MS,
+        timing.grantTtlMs(),
+        marginPpm,
+        timing.holdWithoutTableMs());
   }
 
   private static final class NoMargin implements SimulationVariant {
@@ -84,6 +103,21 @@
     }
   }
 
+  private static final class NoExclusion implements SimulationVariant {
+
+    @Override
+    public OwnershipTiming timing(String candidate) {
+      OwnershipTiming timing = timing();
+      boolean holds = candidate.endsWith("0");
+      return new OwnershipTiming(
+          timing.leaseTtlMs(),
+          timing.renewIntervalMs(),
+          timing.grantTtlMs(),
+          timing.clockRateMarginPpm(),
+          holds ? timing.holdWithoutTableMs() : 0);
+    }
+  }
+
   /** Takes each grant for accepted when it is sent. */
   private static final class GrantedBeforeReleased implements SimulationVariant {
 
