--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementComparison.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementComparison.java
@@ -29,6 +29,9 @@
   @Option(name = "--minutes", usage = "minutes of workload after the warm-up")
   private int minutes = 30;
 
+  @Option(name = "--only", usage = "compare only policies whose name contains this text")
+  private String only = "";
+
   /** Runs the comparison. */
   public static void main(String[] args) {
     PlacementComparison comparison = new PlacementComparison();
@@ -45,12 +48,14 @@
 
   private void print(PrintStream out) {
     out.println(PlacementMeasures.header());
-    policies().forEach((name, policy) -> out.println(measure(policy).row(upstreams, name)));
+    policies().entrySet().stream()
+        .filter(entry -> entry.getKey().contains(only))
+        .forEach(entry -> out.println(measure(entry.getValue()).row(upstreams, entry.getKey())));
     out.printf(
         "%nHottest key: %.2f of the mean load of an upstream. Seed %d, %d minutes.%n",
-        workload(new SplittableRandom(seed)).hottestRate()
+        workload(new SplittableRandom(seed), upstreams).hottestRate()
             * upstreams
-            / workload(new SplittableRandom(seed)).totalRate(),
+            / workload(new SplittableRandom(seed), upstreams).totalRate(),
         seed,
         minutes);
   }
@@ -65,16 +70,20 @@
   }
 
   private PlacementMeasures measure(PlacementPolicy policy) {
+    return measure(policy, upstreams, seed, minutes);
+  }
+
+  static PlacementMeasures measure(PlacementPolicy policy, int upstreams, long seed, int minutes) {
     SplittableRandom random = new SplittableRandom(seed);
     OwnershipSettings settings = SettingsDefaults.applyAll(OwnershipSettings.newBuilder()).build();
     PlacementMeasures measures = new PlacementMeasures(OwnershipTiming.of(settings));
-    KeyWorkload workload = workload(random.split());
+    KeyWorkload workload = workload(random.split(), upstreams);
     new PlacementSimulation(policy, workload, upstreams, measures, random).run(minutes);
     return measures;
   }
 
   /** Returns the customers' sizes for small fleets and the size to design for else. */
-  private KeyWorkload workload(SplittableRandom random) {
+  private static KeyWorkload workload(SplittableRandom random, int upstreams) {
     return upstreams < LARGE_FLEET
         ? new KeyWorkload(random, 1e6, 0.9, upstreams * 400.0)
         : new KeyWorkload(random, 3.6e9, 0.7, upstreams * 2400.0);
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementMeasures.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementMeasures.java
@@ -88,12 +88,27 @@
         100 * hashMoved / minutes,
         100 * loadMoved / minutes,
         100 * leastLoadMoved / minutes,
-        loadMoved / leastLoadMoved,
+        churnOverLeast(),
         unavailableKeySeconds / minutes,
         roundMicros.getValueAtPercentile(50) / MS_PER_S,
         roundMicros.getMaxValue() / MS_PER_S);
   }
 
+  /** Returns the longest time in which an event settled, in seconds. */
+  int worstSettleSeconds() {
+    return settleSeconds.stream().mapToInt(s -> s).max().orElse(0);
+  }
+
+  /** Returns the number of events that did not settle before the next one. */
+  int missed() {
+    return unsettled;
+  }
+
+  /** Returns the load moved over the least that reaches the target. */
+  double churnOverLeast() {
+    return loadMoved / leastLoadMoved;
+  }
+
   /** Ends the run; an event that has not settled counts as missed. */
   void end() {
     if (secondsSinceEvent >= 0) {
