--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/CapacityReport.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/CapacityReport.java
@@ -4,14 +4,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
+import org.foxtailford.benchmarks.command.CommandLines;
 import org.kohsuke.args4j.Option;
 
 /** Measures slopes on this machine and rewrites the tables of the capacity page. */
 public final class CapacityReport {
 
-  private static final int EXIT_USAGE = 2;
   private static final List<Fleet> FLEETS =
       List.of(new Fleet("entry", 4100, 16_500), new Fleet("mixed", 820, 3280));
 
@@ -21,14 +19,7 @@
   /** Runs the measurements. */
   public static void main(String[] args) throws IOException {
     CapacityReport report = new CapacityReport();
-    CmdLineParser parser = new CmdLineParser(report);
-    try {
-      parser.parseArgument(args);
-    } catch (CmdLineException e) {
-      System.err.println(e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(EXIT_USAGE);
-    }
+    CommandLines.parse(report, args);
     report.rewrite();
   }
 
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
@@ -132,12 +132,13 @@
     return new PlacementRound(slices, capacities, List.of());
   }
 
+  private static OwnershipCheckpoint checkpoint(int slices) {
+    return Fleets.checkpoint(slices / SLICES_PER_UPSTREAM, slices);
+  }
+
   static Measurement checkpointBytes() {
     return measure(
-        "ownership map, bytes",
-        "slices",
-        SLICES,
-        slices -> Fleets.checkpoint(slices / SLICES_PER_UPSTREAM, slices).getSerializedSize());
+        "ownership map, bytes", "slices", SLICES, slices -> checkpoint(slices).getSerializedSize());
   }
 
   static Measurement mapApplyUs() {
@@ -146,7 +147,7 @@
         "slices",
         SLICES,
         slices -> {
-          ByteString bytes = Fleets.checkpoint(slices / SLICES_PER_UPSTREAM, slices).toByteString();
+          ByteString bytes = checkpoint(slices).toByteString();
           return medianNs(() -> OwnershipMap.of(parseCheckpoint(bytes))) / NS_PER_US;
         });
   }
@@ -157,7 +158,7 @@
         "slices",
         SLICES,
         slices -> {
-          ByteString bytes = Fleets.checkpoint(slices / SLICES_PER_UPSTREAM, slices).toByteString();
+          ByteString bytes = checkpoint(slices).toByteString();
           return heapBytes(() -> OwnershipMap.of(parseCheckpoint(bytes)));
         });
   }
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementComparison.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementComparison.java
@@ -4,20 +4,18 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.foxtailford.benchmarks.command.CommandLines;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.placement.LoadAwarePolicy;
 import org.foxtailford.core.placement.PlacementPolicy;
 import org.foxtailford.core.settings.SettingsDefaults;
 import org.foxtailford.schema.OwnershipSettings;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /** Compares placement policies side by side and prints one table. */
 public final class PlacementComparison {
 
-  private static final int EXIT_USAGE = 2;
   private static final int LARGE_FLEET = 100;
 
   @Option(name = "--upstreams", usage = "number of upstreams")
@@ -35,14 +33,7 @@
   /** Runs the comparison. */
   public static void main(String[] args) {
     PlacementComparison comparison = new PlacementComparison();
-    CmdLineParser parser = new CmdLineParser(comparison);
-    try {
-      parser.parseArgument(args);
-    } catch (CmdLineException e) {
-      System.err.println(e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(EXIT_USAGE);
-    }
+    CommandLines.parse(comparison, args);
     comparison.print(System.out);
   }
 
