RequestPolicyComparison: the request path on modelled upstreams, side by side with simpler choices

Cause: tail under stragglers and behaviour in a retry storm were not measured. Ruled out: a threaded load generator (figures would depend on the machine); a model of the policy apart from its code. Change: a seeded event-driven model runs the daemon's own RequestPath on a virtual clock; probes of a slow upstream back off from 50 to 800 ms, so that work that cannot be hedged seldom meets it.

--- /dev/null
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
@@ -0,0 +1,101 @@
+package org.foxtailford.benchmarks.requests;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailford.core.admission.ByteBudget;
+import org.foxtailford.core.admission.WorthThreshold;
+import org.foxtailford.core.metrics.RouterMetrics;
+import org.foxtailford.core.retry.RetryAfter;
+import org.foxtailford.core.retry.RetryBudget;
+import org.foxtailford.core.retry.RetryPolicy;
+import org.foxtailford.core.routing.RequestRouter;
+import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.routing.ServiceLoads;
+import org.foxtailford.core.routing.TwoChoicesChooser;
+import org.foxtailford.daemon.peer.PeerNetwork;
+import org.foxtailford.daemon.request.RelaySender;
+import org.foxtailford.daemon.request.RequestAttempts;
+import org.foxtailford.daemon.request.RequestClassifier;
+import org.foxtailford.daemon.request.RequestPath;
+import org.foxtailford.daemon.request.UpstreamSender;
+import org.foxtailford.net.http.FoxtailHeaders;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.peer.PeerIdentity;
+
+/** The daemon's own request path on modelled upstreams. */
+final class RequestPathPolicy implements RequestPolicy {
+
+  private static final long TIMEOUT_MS = 1000;
+  private static final int MAX_IN_FLIGHT = 4096;
+  private static final long MAX_BODY_BYTES = 1 << 20;
+  private static final int FRAME_BYTES = 1 << 20;
+  private static final int QUEUE_CAPACITY = 256;
+  private static final long QUEUE_TIME_MS = 200;
+  private static final int MAX_ATTEMPTS = 3;
+  private static final long MIN_REMAINING_MS = 2;
+  private static final double BUDGET_SHARE = 0.04;
+  private static final double BUDGET_PER_SECOND = 1;
+  private static final double BUDGET_BURST = 20;
+
+  private final RequestPath path;
+  private final RequestClassifier classifier = new RequestClassifier(TIMEOUT_MS);
+  private final EventQueue events;
+  private long requestIds;
+
+  RequestPathPolicy(
+      CustomerSize size,
+      ModelFleet fleet,
+      int entryVm,
+      EventQueue events,
+      Random random,
+      EventLoopGroup loops) {
+    this.events = events;
+    String dataCentre = size.dataCentreOf(entryVm);
+    RouterMetrics metrics = new RouterMetrics(new SimpleMeterRegistry());
+    ServiceLoads loads = new ServiceLoads(() -> size.entryVms() / size.dataCentres());
+    RetryBudget budget = new RetryBudget(BUDGET_SHARE, BUDGET_PER_SECOND, BUDGET_BURST, 0);
+    RoutingSnapshot snapshot =
+        RoutingSnapshot.initial(dataCentre).withConfiguration(fleet.configuration());
+    PeerIdentity self = new PeerIdentity("model", "entry-" + entryVm, dataCentre, entryVm);
+    RequestAttempts attempts =
+        new RequestAttempts(
+            new RequestRouter(new TwoChoicesChooser(random), loads),
+            () -> snapshot,
+            loads,
+            new UpstreamSender(
+                (endpoint, exchange, timeoutMs) -> fleet.send(endpoint.getPort() - 1, entryVm)),
+            new RelaySender(new PeerNetwork(loops, self, FRAME_BYTES), metrics, events),
+            new RetryPolicy(MAX_ATTEMPTS, MIN_REMAINING_MS, budget),
+            budget,
+            metrics,
+            events,
+            events,
+            QUEUE_CAPACITY,
+            QUEUE_TIME_MS);
+    this.path =
+        new RequestPath(
+            attempts,
+            () -> snapshot,
+            new WorthThreshold(MAX_IN_FLIGHT),
+            new ByteBudget(MAX_BODY_BYTES),
+            new RetryAfter(random),
+            metrics,
+            events);
+  }
+
+  @Override
+  public CompletableFuture<Boolean> serve(CustomerSize.Pool pool) {
+    HttpExchange exchange =
+        new HttpExchange(
+            HttpMethod.POST,
+            "/" + pool.name() + "/" + ModelFleet.KIND,
+            new DefaultHttpHeaders().set(FoxtailHeaders.REQUEST_ID, ++requestIds),
+            new byte[0]);
+    return path.serve(exchange, classifier.classify(exchange, events.nowMs()))
+        .thenApply(answer -> answer.status() == 200);
+  }
+}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/UpstreamLoad.java
@@ -8,7 +8,8 @@
   private static final double EWMA_WEIGHT = 0.2;
   private static final int OVERDUE_LIMIT = 2;
   private static final int GOOD_PROBES = 3;
-  private static final long PROBE_INTERVAL_MS = 50;
+  private static final long FIRST_PROBE_INTERVAL_MS = 50;
+  private static final long MAX_PROBE_INTERVAL_MS = 800;
   private static final long DRAIN_HOLD_MS = 5000;
 
   private final SlotWindow window;
@@ -17,6 +18,7 @@
   private int goodProbes;
   private boolean onProbation;
   private long nextProbeMs;
+  private long probeIntervalMs = FIRST_PROBE_INTERVAL_MS;
   private long heldUntilMs = Long.MIN_VALUE;
 
   UpstreamLoad(SlotWindow window) {
@@ -41,7 +43,7 @@
   }
 
   synchronized void probeStarted(long nowMs) {
-    nextProbeMs = nowMs + PROBE_INTERVAL_MS;
+    nextProbeMs = nowMs + probeIntervalMs;
   }
 
   synchronized void hold(long nowMs) {
@@ -61,8 +63,10 @@
     ewmaMs = ewmaMs == 0 ? elapsedMs : ewmaMs + EWMA_WEIGHT * (elapsedMs - ewmaMs);
     if (slow) {
       goodProbes = 0;
+      probeIntervalMs = Math.min(MAX_PROBE_INTERVAL_MS, 2 * probeIntervalMs);
       return ewmaMs;
     }
+    probeIntervalMs = FIRST_PROBE_INTERVAL_MS;
     overdueInRow = 0;
     goodProbes++;
     if (onProbation && goodProbes >= GOOD_PROBES) {
@@ -80,6 +84,7 @@
   synchronized boolean overdue() {
     overdueInRow++;
     goodProbes = 0;
+    probeIntervalMs = Math.min(MAX_PROBE_INTERVAL_MS, 2 * probeIntervalMs);
     return overdueInRow >= OVERDUE_LIMIT;
   }
 
@@ -87,7 +92,8 @@
     if (!onProbation) {
       onProbation = true;
       goodProbes = 0;
-      nextProbeMs = nowMs + PROBE_INTERVAL_MS;
+      probeIntervalMs = FIRST_PROBE_INTERVAL_MS;
+      nextProbeMs = nowMs + probeIntervalMs;
     }
   }
 }
