--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/LoadRun.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/LoadRun.java
@@ -1,6 +1,5 @@
 package org.foxtailford.benchmarks.requests;
 
-import io.netty.channel.EventLoopGroup;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -38,8 +37,7 @@
   private long served;
   private long refused;
 
-  LoadRun(
-      CustomerSize size, PolicyKind kind, Fault fault, LoadProfile profile, EventLoopGroup loops) {
+  LoadRun(CustomerSize size, PolicyKind kind, Fault fault, LoadProfile profile) {
     this.size = size;
     this.fault = fault;
     this.profile = profile;
@@ -49,7 +47,7 @@
     for (int i = 0; i < size.entryVms(); i++) {
       policies.add(
           kind == PolicyKind.REQUEST_PATH
-              ? new RequestPathPolicy(size, fleet, i, events, random, loops)
+              ? new RequestPathPolicy(size, fleet, i, events, random)
               : new BaselinePolicy(kind, fleet, i, random));
     }
   }
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
@@ -1,9 +1,9 @@
 package org.foxtailford.benchmarks.requests;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.admission.ByteBudget;
@@ -16,7 +16,6 @@
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
-import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.RelaySender;
 import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
@@ -24,7 +23,6 @@
 import org.foxtailford.daemon.request.UpstreamSender;
 import org.foxtailford.net.http.FoxtailHeaders;
 import org.foxtailford.net.http.HttpExchange;
-import org.foxtailford.net.peer.PeerIdentity;
 
 /** The daemon's own request path on modelled upstreams. */
 final class RequestPathPolicy implements RequestPolicy {
@@ -32,7 +30,6 @@
   private static final long TIMEOUT_MS = 1000;
   private static final int MAX_IN_FLIGHT = 4096;
   private static final long MAX_BODY_BYTES = 1 << 20;
-  private static final int FRAME_BYTES = 1 << 20;
   private static final int QUEUE_CAPACITY = 256;
   private static final long QUEUE_TIME_MS = 200;
   private static final int MAX_ATTEMPTS = 3;
@@ -47,12 +44,7 @@
   private long requestIds;
 
   RequestPathPolicy(
-      CustomerSize size,
-      ModelFleet fleet,
-      int entryVm,
-      EventQueue events,
-      Random random,
-      EventLoopGroup loops) {
+      CustomerSize size, ModelFleet fleet, int entryVm, EventQueue events, Random random) {
     this.events = events;
     String dataCentre = size.dataCentreOf(entryVm);
     RouterMetrics metrics = new RouterMetrics(new SimpleMeterRegistry());
@@ -60,7 +52,6 @@
     RetryBudget budget = new RetryBudget(BUDGET_SHARE, BUDGET_PER_SECOND, BUDGET_BURST, 0);
     RoutingSnapshot snapshot =
         RoutingSnapshot.initial(dataCentre).withConfiguration(fleet.configuration());
-    PeerIdentity self = new PeerIdentity("model", "entry-" + entryVm, dataCentre, entryVm);
     RequestAttempts attempts =
         new RequestAttempts(
             new RequestRouter(new TwoChoicesChooser(random), loads),
@@ -68,7 +59,7 @@
             loads,
             new UpstreamSender(
                 (endpoint, exchange, timeoutMs) -> fleet.send(endpoint.getPort() - 1, entryVm)),
-            new RelaySender(new PeerNetwork(loops, self, FRAME_BYTES), metrics, events),
+            new RelaySender(home -> Optional.empty(), metrics, events),
             new RetryPolicy(MAX_ATTEMPTS, MIN_REMAINING_MS, budget),
             budget,
             metrics,
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPolicyComparison.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPolicyComparison.java
@@ -1,8 +1,5 @@
 package org.foxtailford.benchmarks.requests;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.util.Locale;
 import org.kohsuke.args4j.CmdLineException;
@@ -51,7 +48,6 @@
   }
 
   private void print(PrintStream out) {
-    EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     out.printf("seed %d, %d s, upstream queue %d%n", seed, seconds, upstreamQueue);
     out.printf(
         "%-11s %-16s | %8s %8s %6s %7s %8s | %9s %10s %8s%n",
@@ -67,16 +63,15 @@
         "p99 ms");
     for (CustomerSize size : CustomerSize.values()) {
       for (PolicyKind kind : PolicyKind.values()) {
-        printRow(out, size, kind, loops);
+        printRow(out, size, kind);
       }
     }
-    loops.shutdownGracefully();
   }
 
-  private void printRow(PrintStream out, CustomerSize size, PolicyKind kind, EventLoopGroup loops) {
-    RunResult calm = run(size, kind, LoadRun.Fault.NONE, STRAGGLER_LOAD, loops);
-    RunResult slow = run(size, kind, LoadRun.Fault.STRAGGLERS, STRAGGLER_LOAD, loops);
-    RunResult shed = run(size, kind, LoadRun.Fault.HALF_SHED, SHED_LOAD, loops);
+  private void printRow(PrintStream out, CustomerSize size, PolicyKind kind) {
+    RunResult calm = run(size, kind, LoadRun.Fault.NONE, STRAGGLER_LOAD);
+    RunResult slow = run(size, kind, LoadRun.Fault.STRAGGLERS, STRAGGLER_LOAD);
+    RunResult shed = run(size, kind, LoadRun.Fault.HALF_SHED, SHED_LOAD);
     out.printf(
         Locale.ROOT,
         "%-11s %-16s | %8.1f %8.1f %6.2f %6.1f%% %7.2f%% | %8.1f%% %9.1f%% %8.1f%n",
@@ -92,9 +87,8 @@
         shed.p99Micros() / MICROS_PER_MS);
   }
 
-  private RunResult run(
-      CustomerSize size, PolicyKind kind, LoadRun.Fault fault, double load, EventLoopGroup loops) {
+  private RunResult run(CustomerSize size, PolicyKind kind, LoadRun.Fault fault, double load) {
     LoadProfile profile = new LoadProfile(load, seconds, upstreamQueue, seed);
-    return new LoadRun(size, kind, fault, profile, loops).run();
+    return new LoadRun(size, kind, fault, profile).run();
   }
 }
--- a/foxtailford-benchmarks/src/test/java/org/foxtailford/benchmarks/requests/RequestPolicyTargetsTests.java
+++ b/foxtailford-benchmarks/src/test/java/org/foxtailford/benchmarks/requests/RequestPolicyTargetsTests.java
@@ -2,10 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -15,14 +11,6 @@
   private static final long SEED = 5;
   private static final double BUDGET_SHARE = 0.04;
 
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-
-  @AfterClass(alwaysRun = true)
-  public void stopLoops() {
-    loops.shutdownGracefully();
-  }
-
   @DataProvider
   public Object[][] fleets() {
     return new Object[][] {
@@ -35,7 +23,7 @@
 
   private RunResult run(CustomerSize size, LoadRun.Fault fault, double load, int upstreamQueue) {
     LoadProfile profile = new LoadProfile(load, SECONDS, upstreamQueue, SEED);
-    return new LoadRun(size, PolicyKind.REQUEST_PATH, fault, profile, loops).run();
+    return new LoadRun(size, PolicyKind.REQUEST_PATH, fault, profile).run();
   }
 
   @Test(dataProvider = "fleets")
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -179,7 +179,7 @@
             state::snapshot,
             loads,
             new UpstreamSender(upstreamClient),
-            new RelaySender(peers, metrics, clock),
+            new RelaySender(peers::anyIn, metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
             metrics,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RelaySender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RelaySender.java
@@ -7,13 +7,13 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Function;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.routing.RequestAttributes;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.net.peer.PeerLink;
@@ -24,12 +24,20 @@
 /** Passes requests to entry VMs of other data centres, and reads those passed here. Thread-safe. */
 public final class RelaySender {
 
-  private final PeerNetwork peers;
+  private final Function<String, Optional<PeerLink>> links;
   private final RouterMetrics metrics;
   private final MillisClock clock;
 
-  public RelaySender(PeerNetwork peers, RouterMetrics metrics, MillisClock clock) {
-    this.peers = Assert.notNull(peers, "peers");
+  /**
+   * Creates a sender.
+   *
+   * @param links gives an open link to some entry VM of a data centre
+   * @param metrics counters
+   * @param clock clock of this VM
+   */
+  public RelaySender(
+      Function<String, Optional<PeerLink>> links, RouterMetrics metrics, MillisClock clock) {
+    this.links = Assert.notNull(links, "links");
     this.metrics = Assert.notNull(metrics, "metrics");
     this.clock = Assert.notNull(clock, "clock");
   }
@@ -44,7 +52,7 @@
    */
   CompletableFuture<HttpAnswer> relay(
       HttpExchange exchange, RequestAttributes attributes, String dataCentre) {
-    Optional<PeerLink> link = peers.anyIn(dataCentre);
+    Optional<PeerLink> link = links.apply(dataCentre);
     if (link.isEmpty()) {
       return CompletableFuture.failedFuture(
           new ResultCodeException(
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -3,13 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.admission.ByteBudget;
@@ -25,12 +23,9 @@
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
-import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.net.http.FoxtailHeaders;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
-import org.foxtailford.net.peer.PeerIdentity;
-import org.foxtailford.net.peer.PeerLink;
 import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.RequestKind;
@@ -40,7 +35,6 @@
 import org.foxtailford.schema.VmRole;
 import org.foxtailford.schema.VmState;
 import org.foxtailford.testkit.time.FakeMillisClock;
-import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -48,8 +42,6 @@
 
   private static final long INITIAL_OVERDUE_MS = 200;
 
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<Sent> sent = new ArrayList<>();
   private FakeMillisClock clock;
   private ManualTasks tasks;
@@ -79,16 +71,10 @@
     path = newPath(2, 100);
   }
 
-  @AfterClass(alwaysRun = true)
-  public void stopLoops() {
-    loops.shutdownGracefully();
-  }
-
   private RequestPath newPath(int upstreams, long maxBodyBytes) {
     RouterMetrics metrics = new RouterMetrics(registry);
     ServiceLoads loads = new ServiceLoads(() -> 1);
     RetryBudget budget = new RetryBudget(0.1, 0, 5, 0);
-    PeerIdentity self = new PeerIdentity("test", "entry", "a", 1);
     RoutingSnapshot snapshot = RoutingSnapshot.initial("a").withConfiguration(view(upstreams));
     RequestAttempts attempts =
         new RequestAttempts(
@@ -96,10 +82,7 @@
             () -> snapshot,
             loads,
             new UpstreamSender(this::send),
-            new RelaySender(
-                new PeerNetwork(self, a -> new PeerLink(loops, self, a, 1000), new Random(1)),
-                metrics,
-                clock),
+            new RelaySender(home -> Optional.empty(), metrics, clock),
             new RetryPolicy(3, 2, budget),
             budget,
             metrics,
