--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/CapacityPage.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/CapacityPage.java
@@ -32,6 +32,7 @@
   private final Measurement mapApply = Slopes.mapApplyUs();
   private final Measurement mapHeap = Slopes.mapHeapBytes();
   private final Measurement reportBytes = Slopes.loadReportBytes();
+  private final Measurement hotKeyHeap = Slopes.hotKeyHeapBytes();
   private final Measurement decideBySlices = Slopes.decideNsBySlices();
   private final Measurement decideByUpstreams = Slopes.decideNsByUpstreams();
   private final Measurement documentBytes = Slopes.documentBytes();
@@ -61,6 +62,7 @@
             mapApply,
             mapHeap,
             reportBytes,
+            hotKeyHeap,
             decideBySlices,
             decideByUpstreams,
             documentBytes,
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 import org.foxtailford.benchmarks.capacity.LinearFit.Point;
 import org.foxtailford.core.configuration.ConfigurationView;
+import org.foxtailford.core.load.HotKeySketch;
 import org.foxtailford.core.load.SliceLoadRecorder;
 import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.ownership.KeyHashing;
@@ -37,6 +38,7 @@
   private static final int[] FLEET = {20, 200, 750, 1500};
   private static final int[] SLICES = {1_000, 8_000, 24_000, 48_000};
   private static final int[] VMS = {500, 1_000, 2_000, 4_100};
+  private static final int[] KEYS_SEEN = {100_000, 1_000_000, 4_000_000};
   private static final int REPEATS = 15;
   private static final int KEYS = 4096;
   private static final int DECISIONS = 50_000;
@@ -179,6 +181,23 @@
         });
   }
 
+  static Measurement hotKeyHeapBytes() {
+    return measure(
+        "hot-key sketch, heap bytes",
+        "keys seen",
+        KEYS_SEEN,
+        keys ->
+            heapBytes(
+                () -> {
+                  HotKeySketch sketch = new HotKeySketch(1, 0);
+                  SplittableRandom random = new SplittableRandom(1);
+                  for (int i = 0; i < keys; i++) {
+                    sketch.record(random.nextLong(), 1, 0);
+                  }
+                  return sketch;
+                }));
+  }
+
   static Measurement decideNsBySlices() {
     return measure(
         "routing decision of a keyed request, ns",
