--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/EvenCountPolicy.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/EvenCountPolicy.java
@@ -52,16 +52,17 @@
   private void addBalancingMoves(
       List<PlacedSlice> slices, Map<String, Integer> counts, List<SliceMove> moves) {
     int left = maxMovesPerRound;
+    String target = least(counts);
     for (PlacedSlice slice : slices) {
       Optional<String> owner = slice.owner().filter(counts::containsKey);
       if (left == 0 || owner.isEmpty()) {
         continue;
       }
-      String target = least(counts);
       if (counts.get(owner.get()) - counts.get(target) > 1) {
         counts.merge(owner.get(), -1, Integer::sum);
         counts.merge(target, 1, Integer::sum);
         moves.add(new SliceMove(slice.range(), target));
+        target = least(counts);
         left--;
       }
     }
