--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementSimulation.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/PlacementSimulation.java
@@ -201,12 +201,12 @@
     long startNs = System.nanoTime();
     PlacementPlan plan =
         policy.planRound(new PlacementRound(slices, List.copyOf(upstreams.values()), hotKeys));
-    measuresRound(System.nanoTime() - startNs);
+    recordRound(System.nanoTime() - startNs);
     changeLayout(plan);
     plan.moves().forEach(this::apply);
   }
 
-  private void measuresRound(long nanos) {
+  private void recordRound(long nanos) {
     if (nowS >= WARM_UP_S) {
       measures.round(nanos);
     }
