Peer links probe themselves; claims and poison checks around each attempt

Cause: a peer link that something between its ends had lost track of stayed open until a write failed; a relayed request that was refused by an exception cut its link; nothing in the daemon used the claims and the poison tracker.

Change: both ends probe after 500 ms and close after 1,500 ms of silence; water marks, at most 4,096 relays pending on a link at each end; a given-up relay is cancelled at the peer. RequestGuard stands before each attempt; RequestRecords keeps the roster row, hands records over and answers claims.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/idempotency/RecordHolder.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/idempotency/RecordHolder.java
@@ -48,7 +48,7 @@
   private final Queue<Expiry> expiries = new PriorityQueue<>();
   private final Cache<String, KeptAnswer> answers;
   private final Set<Long> completeVersions = new HashSet<>();
-  private @Nullable RosterView roster;
+  private RosterView roster = new RosterView(RecordRoster.getDefaultInstance());
   private @Nullable HandOverProgress progress;
 
   private record Expiry(long dueMs, String key) implements Comparable<Expiry> {
@@ -79,13 +79,12 @@
 
   /** Takes a roster unless it knows a newer one. */
   public synchronized void adopt(RecordRoster newer) {
-    RosterView known = roster;
-    if (known != null && newer.getVersion() <= known.version()) {
+    if (newer.getVersion() <= roster.version()) {
       return;
     }
     long nowMs = clock.nowMs();
-    if (known != null && isSettled()) {
-      completeVersions.add(known.version());
+    if (isSettled()) {
+      completeVersions.add(roster.version());
     }
     RosterView adopted = new RosterView(newer);
     boolean complete = completeVersions.contains(adopted.version() - 1);
@@ -93,10 +92,19 @@
     progress = new HandOverProgress(adopted, self, complete, limits.ttlMs(), nowMs);
   }
 
+  /** Returns the newest roster that it knows, wherever it came from. */
+  public synchronized RosterView roster() {
+    return roster;
+  }
+
   /** Returns the version of the roster in force, or 0. */
   public synchronized long rosterVersion() {
-    RosterView known = roster;
-    return known == null ? 0 : known.version();
+    return roster.version();
+  }
+
+  /** Tells whether the roster in force names this process. */
+  public synchronized boolean isMember() {
+    return roster.members().contains(self);
   }
 
   /** Tells whether it has every record that it might need. */
@@ -116,12 +124,10 @@
     long nowMs = clock.nowMs();
     purge(nowMs);
     String key = RosterView.key(request.getService(), request.getRequestId());
-    RosterView known = roster;
     HandOverProgress handOver = progress;
-    if (known == null
-        || handOver == null
-        || known.version() != request.getRosterVersion()
-        || !known.holders(key).contains(self)) {
+    if (handOver == null
+        || roster.version() != request.getRosterVersion()
+        || !roster.holders(key).contains(self)) {
       return answer(ClaimResult.CLAIM_RESULT_OTHER_ROSTER);
     }
     RequestRecord record = records.get(key);
@@ -199,6 +205,7 @@
     adopt(request.getRoster());
     RosterView receivers = new RosterView(request.getRoster());
     HandOverPage.Builder page = HandOverPage.newBuilder().setLast(true);
+    page.setSettledVersion(isSettled() ? rosterVersion() : 0);
     page.setComplete(completeVersions.contains(receivers.version() - 1));
     Map<String, RequestRecord> rest = records.tailMap(request.getAfterKey(), false);
     for (Map.Entry<String, RequestRecord> entry : rest.entrySet()) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -48,6 +48,21 @@
     registry.counter("foxtailford.relays", "data_centre", dataCentre).increment();
   }
 
+  /** Counts a claim on a request id by its outcome. */
+  public void claim(String outcome) {
+    registry.counter("foxtailford.claims", "outcome", outcome).increment();
+  }
+
+  /** Counts a request that was suspected or refused because upstreams were lost under it. */
+  public void poison(String verdict) {
+    registry.counter("foxtailford.poison.requests", "verdict", verdict).increment();
+  }
+
+  /** Counts the loss of an upstream with requests of this VM in flight. */
+  public void poisonReport() {
+    registry.counter("foxtailford.poison.reports").increment();
+  }
+
   /** Counts a received version of the owners. */
   public void ownershipUpdate() {
     registry.counter("foxtailford.ownership.updates").increment();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.foxtailford.core.idempotency.RecordLimits;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.LeaseElection;
@@ -19,6 +20,8 @@
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
+import org.foxtailford.core.poison.PoisonLimits;
+import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.routing.InFlightCounter;
 import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.routing.TwoChoicesChooser;
@@ -28,6 +31,8 @@
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationStore;
 import org.foxtailford.daemon.control.RoutingState;
+import org.foxtailford.daemon.idempotency.RequestGuard;
+import org.foxtailford.daemon.idempotency.RequestRecords;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
@@ -43,12 +48,17 @@
 import org.foxtailford.platform.HttpTableService;
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.DaemonSettings;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.PlatformSettings;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
+import org.foxtailford.schema.VmList;
 
 /** One entry VM: listeners, clients and control loops, assembled from settings. Thread-safe. */
 public final class EntryVm implements AutoCloseable {
@@ -67,6 +77,8 @@
   private final EventLoopGroup loops;
   private final ScheduledExecutorService control;
   private final RoutingState state;
+  private final RequestRecords records;
+  private final PoisonTracker poison;
   private final RequestPath path;
   private final PeerNetwork peers;
   private final HttpServer callers;
@@ -93,6 +105,7 @@
     loops = new MultiThreadIoEventLoopGroup(eventLoopThreads, NioIoHandler.newFactory());
     control = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
     state = new RoutingState(settings.getDataCentre());
+    poison = new PoisonTracker(PoisonLimits.DEFAULT, clock);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
     int maxFrameBytes = maxAnswerBytes + FRAME_OVERHEAD_BYTES;
     PeerIdentity self =
@@ -101,6 +114,10 @@
     peers = new PeerNetwork(loops, self, maxFrameBytes);
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
+    PlatformSettings platform = settings.getPlatform();
+    TableService table =
+        new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
+    records = new RequestRecords(self, peers, table, this::leads, RecordLimits.DEFAULT, clock);
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
@@ -110,15 +127,12 @@
     callers =
         new HttpServer(loops, callerLimits, new CallerHandler(path, classifier, metrics, clock));
     peerServer = new PeerServer(loops, self, maxFrameBytes, new Messages(classifier));
-    PlatformSettings platform = settings.getPlatform();
-    TableService table =
-        new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
     poller =
         new ConfigurationPoller(
             table,
             new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
             state,
-            peers::update);
+            this::acceptVms);
     OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
     election = newElection(table, timing, random, self.bootId());
     leader = newLeader(timing);
@@ -133,12 +147,38 @@
         router,
         state::snapshot,
         new UpstreamSender(upstreamClient, inFlight),
+        newRequestGuard(),
         peers,
         metrics,
         clock,
         settings.getRequests().getMaxInFlight());
   }
 
+  private RequestGuard newRequestGuard() {
+    return new RequestGuard(
+        records.coordinator(),
+        poison,
+        report -> peers.broadcast(PeerFrame.newBuilder().setPoisonReport(report).build()),
+        metrics,
+        clock);
+  }
+
+  private boolean leads() {
+    return leader.leads();
+  }
+
+  private void acceptVms(VmList vms) {
+    peers.update(vms);
+    records
+        .poll(vms)
+        .exceptionally(
+            failure -> {
+              logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                  "the roster of request records can't be read: %s", failure.getMessage());
+              return null;
+            });
+  }
+
   private LeaseElection newElection(
       TableService table, OwnershipTiming timing, RandomGenerator random, long bootId) {
     return new LeaseElection(
@@ -223,6 +263,7 @@
     election.tick();
     leader.tick();
     peers.connectAll();
+    records.tick();
     if (!led && leader.leads()) {
       metrics.leadershipGained();
       logger.atInfo().log("leads data centre %s", settings.getDataCentre());
@@ -288,9 +329,23 @@
     public void onMessage(PeerIdentity sender, PeerFrame frame) {
       if (frame.hasOwnership()) {
         acceptOwners(frame.getOwnership());
+      } else if (frame.hasClaimEnd()) {
+        records.holder().end(frame.getClaimEnd());
+      } else if (frame.hasPoisonReport()) {
+        poison.receive(frame.getPoisonReport());
       }
     }
 
+    @Override
+    public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
+      return records.holder().claim(request);
+    }
+
+    @Override
+    public HandOverPage onHandOver(PeerIdentity sender, HandOverRequest request) {
+      return records.holder().handOver(request);
+    }
+
     @Override
     public CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request) {
       return path.serveRelayed(request, classifier);
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
@@ -76,6 +76,16 @@
         .forEach(link -> link.send(frame));
   }
 
+  /** Sends a message to every entry VM. */
+  public void broadcast(PeerFrame frame) {
+    links.values().forEach(link -> link.send(frame));
+  }
+
+  /** Returns the open link to an entry VM. */
+  public Optional<PeerLink> linkTo(String vm) {
+    return Optional.ofNullable(links.get(vm)).filter(link -> link.remote().isPresent());
+  }
+
   /** Returns an open link to some entry VM of a data centre. */
   public Optional<PeerLink> anyIn(String dataCentre) {
     List<PeerLink> open = links.values().stream().filter(link -> isIn(link, dataCentre)).toList();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
@@ -19,6 +19,7 @@
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.daemon.idempotency.RequestGuard;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
@@ -35,6 +36,7 @@
   private final RequestRouter router;
   private final Supplier<RoutingSnapshot> snapshots;
   private final UpstreamSender sender;
+  private final RequestGuard guard;
   private final PeerNetwork peers;
   private final RouterMetrics metrics;
   private final MillisClock clock;
@@ -46,6 +48,7 @@
       RequestRouter router,
       Supplier<RoutingSnapshot> snapshots,
       UpstreamSender sender,
+      RequestGuard guard,
       PeerNetwork peers,
       RouterMetrics metrics,
       MillisClock clock,
@@ -53,6 +56,7 @@
     this.router = Assert.notNull(router, "router");
     this.snapshots = Assert.notNull(snapshots, "snapshots");
     this.sender = Assert.notNull(sender, "sender");
+    this.guard = Assert.notNull(guard, "guard");
     this.peers = Assert.notNull(peers, "peers");
     this.metrics = Assert.notNull(metrics, "metrics");
     this.clock = Assert.notNull(clock, "clock");
@@ -149,21 +153,36 @@
 
   private CompletableFuture<HttpAnswer> send(
       RouteDecision decision, HttpExchange exchange, RequestAttributes attributes) {
-    long remainingMs = attributes.deadlineMs() - clock.nowMs();
     if (decision instanceof RouteDecision.ToOwner) {
       RouteDecision.ToOwner owner = (RouteDecision.ToOwner) decision;
       UpstreamSender.Ownership ownership =
           new UpstreamSender.Ownership(owner.keyHash(), owner.fence());
-      return sender.send(owner.upstream(), exchange, Optional.of(ownership), remainingMs);
+      return guard.run(
+          exchange,
+          attributes,
+          owner.kind().getIdempotent(),
+          owner.upstream().name(),
+          () ->
+              sender.send(
+                  owner.upstream(), exchange, Optional.of(ownership), remainingMs(attributes)));
     }
     if (decision instanceof RouteDecision.ToAny) {
       RouteDecision.ToAny any = (RouteDecision.ToAny) decision;
-      return sender.send(any.upstream(), exchange, Optional.empty(), remainingMs);
+      return guard.run(
+          exchange,
+          attributes,
+          any.kind().getIdempotent(),
+          any.upstream().name(),
+          () -> sender.send(any.upstream(), exchange, Optional.empty(), remainingMs(attributes)));
     }
     RouteDecision.Refuse refuse = (RouteDecision.Refuse) decision;
     return failed(refuse.code(), refuse.message());
   }
 
+  private long remainingMs(RequestAttributes attributes) {
+    return attributes.deadlineMs() - clock.nowMs();
+  }
+
   private CompletableFuture<HttpAnswer> relay(
       HttpExchange exchange, RequestAttributes attributes, String dataCentre) {
     Optional<PeerLink> link = peers.anyIn(dataCentre);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
@@ -9,6 +9,12 @@
   /** Id of a request, chosen by its caller; the same on each resend. */
   public static final String REQUEST_ID = "Foxtail-Request-Id";
 
+  /** Present with value {@code true} if its caller never sent the request id before. */
+  public static final String FIRST_SEND = "Foxtail-First-Send";
+
+  /** Present with value {@code true} if an answer was kept from an earlier send. */
+  public static final String REPLAYED = "Foxtail-Replayed";
+
   /** Time left for the answer, in milliseconds. */
   public static final String TIMEOUT_MS = "Foxtail-Timeout-Ms";
 
--- /dev/null
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/LinkProbeHandler.java
@@ -0,0 +1,43 @@
+package org.foxtailford.net.peer;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.foxtailford.schema.LinkProbe;
+import org.foxtailford.schema.PeerFrame;
+
+/**
+ * Keeps a link from being silent and closes one whose other end is, so that a connection that
+ * something between the ends has lost track of is found from both of them.
+ */
+final class LinkProbeHandler extends ChannelDuplexHandler {
+
+  private static final PeerFrame PROBE =
+      PeerFrame.newBuilder().setLinkProbe(LinkProbe.getDefaultInstance()).build();
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (!(event instanceof IdleStateEvent)) {
+      ctx.fireUserEventTriggered(event);
+    } else if (((IdleStateEvent) event).state() == IdleState.READER_IDLE) {
+      ctx.close();
+    } else {
+      ctx.writeAndFlush(PROBE);
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    boolean probe = message instanceof PeerFrame && ((PeerFrame) message).hasLinkProbe();
+    if (!probe) {
+      ctx.fireChannelRead(message);
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+    ctx.fireChannelWritabilityChanged();
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerLink.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerLink.java
@@ -11,16 +11,17 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.RelayAnswer;
+import org.foxtailford.schema.RelayCancel;
 import org.foxtailford.schema.RelayRequest;
 import org.jspecify.annotations.Nullable;
 
@@ -37,15 +38,32 @@
   private final PeerIdentity self;
   private final Endpoint endpoint;
   private final Bootstrap bootstrap;
-  private final AtomicLong correlationIds = new AtomicLong();
-  private final ConcurrentMap<Long, CompletableFuture<RelayAnswer>> pending =
-      new ConcurrentHashMap<>();
+  private final PendingAnswers pending = new PendingAnswers();
   private volatile @Nullable Channel channel;
   private volatile @Nullable PeerIdentity remote;
   private volatile boolean connecting;
+  private volatile boolean closed;
   private volatile @Nullable ResultCode rejection;
 
   public PeerLink(EventLoopGroup loops, PeerIdentity self, Endpoint endpoint, int maxFrameBytes) {
+    this(loops, self, endpoint, maxFrameBytes, LinkTimes.DEFAULT);
+  }
+
+  /**
+   * Creates a closed link.
+   *
+   * @param loops event loops of the connection
+   * @param self this process
+   * @param endpoint the peer's address
+   * @param maxFrameBytes largest message, in bytes
+   * @param times when the link counts as lost
+   */
+  public PeerLink(
+      EventLoopGroup loops,
+      PeerIdentity self,
+      Endpoint endpoint,
+      int maxFrameBytes,
+      LinkTimes times) {
     this.self = Assert.notNull(self, "self");
     this.endpoint = Assert.notNull(endpoint, "endpoint");
     this.bootstrap =
@@ -54,11 +72,13 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerPipelines.WATER_MARK)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel created) {
-                    PeerPipelines.addHandlers(created.pipeline(), maxFrameBytes, new Handler());
+                    PeerPipelines.addHandlers(
+                        created.pipeline(), maxFrameBytes, times, new Handler());
                   }
                 });
   }
@@ -79,7 +99,7 @@
 
   /** Connects if the link is closed. */
   public synchronized void connect() {
-    if (connecting || channel != null) {
+    if (closed || connecting || channel != null) {
       return;
     }
     connecting = true;
@@ -88,10 +108,10 @@
         .addListener(done -> connecting = false);
   }
 
-  /** Sends a message, or drops it if the link is closed. */
+  /** Sends a message, or drops it if the link is closed or full. */
   public void send(PeerFrame frame) {
     Channel open = channel;
-    if (open != null && remote != null) {
+    if (open != null && remote != null && open.isWritable()) {
       open.writeAndFlush(frame);
     }
   }
@@ -108,39 +128,55 @@
       return CompletableFuture.failedFuture(
           new ResultCodeException(ResultCode.HOME_UNREACHABLE, "the link is closed or full"));
     }
-    long id = correlationIds.incrementAndGet();
-    CompletableFuture<RelayAnswer> answer = new CompletableFuture<>();
-    pending.put(id, answer);
-    var timer =
-        open.eventLoop()
-            .schedule(
-                () -> fail(id, ResultCode.ANSWER_TIMEOUT, "no answer in " + timeoutMs + " ms"),
-                timeoutMs,
-                TimeUnit.MILLISECONDS);
-    answer.whenComplete((received, failure) -> timer.cancel(false));
-    RelayRequest numbered = request.toBuilder().setCorrelationId(id).build();
-    open.writeAndFlush(PeerFrame.newBuilder().setRelayRequest(numbered).build())
-        .addListener(
-            written -> {
-              if (!written.isSuccess()) {
-                fail(id, ResultCode.OUTCOME_UNKNOWN, "the request was not sent whole");
-              }
-            });
-    if (channel != open) {
-      fail(id, ResultCode.OUTCOME_UNKNOWN, "the link was lost");
+    if (pending.size() >= PeerPipelines.MAX_PENDING) {
+      return CompletableFuture.failedFuture(
+          new ResultCodeException(ResultCode.OVERLOADED, "too many relayed requests in flight"));
     }
+    long id = pending.nextId();
+    RelayRequest numbered = request.toBuilder().setCorrelationId(id).build();
+    PeerFrame question = PeerFrame.newBuilder().setRelayRequest(numbered).build();
+    CompletableFuture<PeerFrame> asked = pending.ask(open, id, question, timeoutMs);
+    CompletableFuture<RelayAnswer> answer = asked.thenApply(PeerFrame::getRelayAnswer);
+    answer.whenComplete((received, failure) -> cancelIfGivenUp(open, id, asked));
     return answer;
   }
 
-  private void fail(long id, ResultCode code, String message) {
-    CompletableFuture<RelayAnswer> answer = pending.remove(id);
-    if (answer != null) {
-      answer.completeExceptionally(new ResultCodeException(code, message));
+  private static void cancelIfGivenUp(Channel open, long id, CompletableFuture<PeerFrame> asked) {
+    boolean givenUp = asked.cancel(true) || asked.isCompletedExceptionally();
+    if (givenUp && open.isWritable()) {
+      RelayCancel cancel = RelayCancel.newBuilder().setCorrelationId(id).build();
+      open.writeAndFlush(PeerFrame.newBuilder().setRelayCancel(cancel).build());
     }
   }
 
+  /** Asks for a claim on a request id; the correlation id is set here. */
+  public CompletableFuture<ClaimAnswer> claim(ClaimRequest request, long timeoutMs) {
+    long id = pending.nextId();
+    ClaimRequest numbered = request.toBuilder().setCorrelationId(id).build();
+    PeerFrame question = PeerFrame.newBuilder().setClaimRequest(numbered).build();
+    return ask(id, question, timeoutMs).thenApply(PeerFrame::getClaimAnswer);
+  }
+
+  /** Asks for records of request ids; the correlation id is set here. */
+  public CompletableFuture<HandOverPage> handOver(HandOverRequest request, long timeoutMs) {
+    long id = pending.nextId();
+    HandOverRequest numbered = request.toBuilder().setCorrelationId(id).build();
+    PeerFrame question = PeerFrame.newBuilder().setHandOverRequest(numbered).build();
+    return ask(id, question, timeoutMs).thenApply(PeerFrame::getHandOverPage);
+  }
+
+  private CompletableFuture<PeerFrame> ask(long id, PeerFrame question, long timeoutMs) {
+    Channel open = channel;
+    if (open == null || remote == null || !open.isWritable()) {
+      return CompletableFuture.failedFuture(
+          new ResultCodeException(ResultCode.HOME_UNREACHABLE, "the link is closed or full"));
+    }
+    return pending.ask(open, id, question, timeoutMs);
+  }
+
   @Override
   public void close() {
+    closed = true;
     Channel open = channel;
     if (open != null) {
       open.close();
@@ -153,6 +189,10 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       channel = ctx.channel();
+      if (closed) {
+        ctx.close();
+        return;
+      }
       ctx.writeAndFlush(PeerFrame.newBuilder().setHello(self.toHello()).build());
     }
 
@@ -161,11 +201,11 @@
       if (frame.hasHello()) {
         onHello(ctx, PeerIdentity.of(frame.getHello()));
       } else if (frame.hasRelayAnswer()) {
-        RelayAnswer received = frame.getRelayAnswer();
-        CompletableFuture<RelayAnswer> answer = pending.remove(received.getCorrelationId());
-        if (answer != null) {
-          answer.complete(received);
-        }
+        pending.complete(frame.getRelayAnswer().getCorrelationId(), frame);
+      } else if (frame.hasClaimAnswer()) {
+        pending.complete(frame.getClaimAnswer().getCorrelationId(), frame);
+      } else if (frame.hasHandOverPage()) {
+        pending.complete(frame.getHandOverPage().getCorrelationId(), frame);
       } else if (frame.hasRejection()) {
         int number = frame.getRejection().getResultCode();
         rejection = ResultCode.ofNumber(number).orElse(ResultCode.INVALID_PEER_MESSAGE);
@@ -187,7 +227,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
       remote = null;
       channel = null;
-      pending.keySet().forEach(id -> fail(id, ResultCode.OUTCOME_UNKNOWN, "the link was lost"));
+      pending.failAll();
     }
 
     @Override
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerMessageHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerMessageHandler.java
@@ -1,6 +1,10 @@
 package org.foxtailford.net.peer;
 
 import java.util.concurrent.CompletableFuture;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
@@ -11,6 +15,12 @@
   /** Receives a message that needs no answer. */
   void onMessage(PeerIdentity sender, PeerFrame frame);
 
-  /** Answers a relayed request. */
+  /** Answers a relayed request; the future is cancelled if the sender gives it up. */
   CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request);
+
+  /** Answers a claim on a request id. */
+  ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request);
+
+  /** Answers a request for records of request ids. */
+  HandOverPage onHandOver(PeerIdentity sender, HandOverRequest request);
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerPipelines.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerPipelines.java
@@ -2,27 +2,39 @@
 
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
 import org.foxtailford.schema.PeerFrame;
 
 /** Handlers that both ends of a peer link share. */
 final class PeerPipelines {
 
+  /** Requests that one link may have in flight in one direction. */
+  static final int MAX_PENDING = 4096;
+
+  /** Bytes that wait to be written to a link before it counts as full. */
+  static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1 << 20, 4 << 20);
+
   private static final int LENGTH_FIELD_BYTES = 4;
 
   private PeerPipelines() {}
 
-  static void addHandlers(ChannelPipeline pipeline, int maxFrameBytes, ChannelHandler last) {
+  static void addHandlers(
+      ChannelPipeline pipeline, int maxFrameBytes, LinkTimes times, ChannelHandler last) {
     pipeline
+        .addLast(new IdleStateHandler(times.silentMs(), times.probeMs(), 0, TimeUnit.MILLISECONDS))
         .addLast(
             new LengthFieldBasedFrameDecoder(
                 maxFrameBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
         .addLast(new ProtobufDecoder(PeerFrame.getDefaultInstance()))
         .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
         .addLast(new ProtobufEncoder())
+        .addLast(new LinkProbeHandler())
         .addLast(last);
   }
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
@@ -23,12 +23,32 @@
   private final EventLoopGroup loops;
   private final PeerIdentity self;
   private final int maxFrameBytes;
+  private final LinkTimes times;
   private final PeerMessageHandler handler;
   private final ChannelGroup links = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private volatile @Nullable Channel listener;
 
   public PeerServer(
       EventLoopGroup loops, PeerIdentity self, int maxFrameBytes, PeerMessageHandler handler) {
+    this(loops, self, maxFrameBytes, LinkTimes.DEFAULT, handler);
+  }
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param loops event loops of the connections
+   * @param self this process
+   * @param maxFrameBytes largest message, in bytes
+   * @param times when a link counts as lost
+   * @param handler receives the messages
+   */
+  public PeerServer(
+      EventLoopGroup loops,
+      PeerIdentity self,
+      int maxFrameBytes,
+      LinkTimes times,
+      PeerMessageHandler handler) {
+    this.times = Assert.notNull(times, "times");
     this.loops = Assert.notNull(loops, "loops");
     this.self = Assert.notNull(self, "self");
     this.maxFrameBytes = maxFrameBytes;
@@ -48,13 +68,17 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerPipelines.WATER_MARK)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     links.add(channel);
                     PeerPipelines.addHandlers(
-                        channel.pipeline(), maxFrameBytes, new PeerServerHandler(self, handler));
+                        channel.pipeline(),
+                        maxFrameBytes,
+                        times,
+                        new PeerServerHandler(self, handler));
                   }
                 });
     var bound = bootstrap.bind(endpoint.getHost(), endpoint.getPort()).awaitUninterruptibly();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServerHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServerHandler.java
@@ -3,10 +3,20 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.PeerRejection;
 import org.foxtailford.schema.RelayAnswer;
+import org.foxtailford.schema.RelayCancel;
 import org.foxtailford.schema.RelayRequest;
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +25,7 @@
 
   private final PeerIdentity self;
   private final PeerMessageHandler handler;
+  private final Map<Long, CompletableFuture<RelayAnswer>> relays = new HashMap<>();
   private @Nullable PeerIdentity remote;
 
   PeerServerHandler(PeerIdentity self, PeerMessageHandler handler) {
@@ -31,6 +42,12 @@
       reject(ctx, ResultCode.INVALID_PEER_MESSAGE, "the first message must be a hello");
     } else if (frame.hasRelayRequest()) {
       onRelay(ctx, sender, frame.getRelayRequest());
+    } else if (frame.hasRelayCancel()) {
+      onCancel(frame.getRelayCancel());
+    } else if (frame.hasClaimRequest()) {
+      onClaim(ctx, sender, frame.getClaimRequest());
+    } else if (frame.hasHandOverRequest()) {
+      onHandOver(ctx, sender, frame.getHandOverRequest());
     } else {
       handler.onMessage(sender, frame);
     }
@@ -46,17 +63,68 @@
   }
 
   private void onRelay(ChannelHandlerContext ctx, PeerIdentity sender, RelayRequest request) {
-    handler
-        .onRelay(sender, request)
+    if (relays.size() >= PeerPipelines.MAX_PENDING) {
+      answer(ctx, request, refused(ResultCode.OVERLOADED, "too many relayed requests"));
+      return;
+    }
+    CompletableFuture<RelayAnswer> running = start(sender, request);
+    relays.put(request.getCorrelationId(), running);
+    running
         .exceptionally(PeerServerHandler::failed)
-        .thenAccept(answer -> answer(ctx, request, answer));
+        .thenAccept(answer -> ctx.executor().execute(() -> onAnswer(ctx, request, answer)));
+  }
+
+  private CompletableFuture<RelayAnswer> start(PeerIdentity sender, RelayRequest request) {
+    try {
+      return handler.onRelay(sender, request);
+    } catch (ResultCodeException e) {
+      return CompletableFuture.completedFuture(refused(e.code(), String.valueOf(e.getMessage())));
+    }
+  }
+
+  private void onAnswer(ChannelHandlerContext ctx, RelayRequest request, RelayAnswer answer) {
+    relays.remove(request.getCorrelationId());
+    answer(ctx, request, answer);
+  }
+
+  private void onCancel(RelayCancel cancel) {
+    CompletableFuture<RelayAnswer> running = relays.get(cancel.getCorrelationId());
+    if (running != null) {
+      running.cancel(true);
+    }
+  }
+
+  private void onClaim(ChannelHandlerContext ctx, PeerIdentity sender, ClaimRequest request) {
+    ClaimAnswer answer =
+        handler.onClaim(sender, request).toBuilder()
+            .setCorrelationId(request.getCorrelationId())
+            .build();
+    ctx.writeAndFlush(PeerFrame.newBuilder().setClaimAnswer(answer).build());
+  }
+
+  private void onHandOver(ChannelHandlerContext ctx, PeerIdentity sender, HandOverRequest request) {
+    HandOverPage page =
+        handler.onHandOver(sender, request).toBuilder()
+            .setCorrelationId(request.getCorrelationId())
+            .build();
+    ctx.writeAndFlush(PeerFrame.newBuilder().setHandOverPage(page).build());
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    List.copyOf(relays.values()).forEach(running -> running.cancel(true));
+    ctx.fireChannelInactive();
   }
 
   private static RelayAnswer failed(Throwable failure) {
+    return refused(ResultCode.INTERNAL_ERROR, String.valueOf(failure.getMessage()));
+  }
+
+  private static RelayAnswer refused(ResultCode code, String message) {
     return RelayAnswer.newBuilder()
-        .setResultCode(ResultCode.INTERNAL_ERROR.number())
-        .setStatus(ResultCode.INTERNAL_ERROR.httpStatus())
-        .setMessage(String.valueOf(failure.getMessage()))
+        .setResultCode(code.number())
+        .setStatus(code.httpStatus())
+        .setMessage(message)
         .build();
   }
 
--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/peer/LinkProbeHandlerTests.java
@@ -0,0 +1,67 @@
+package org.foxtailford.net.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import org.foxtailford.schema.LinkProbe;
+import org.foxtailford.schema.PeerFrame;
+import org.foxtailford.schema.PeerHello;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class LinkProbeHandlerTests {
+
+  private static final LinkTimes TIMES = new LinkTimes(500, 1500);
+  private static final PeerFrame PROBE =
+      PeerFrame.newBuilder().setLinkProbe(LinkProbe.getDefaultInstance()).build();
+
+  private EmbeddedChannel channel;
+
+  @BeforeMethod
+  public void create() {
+    channel = new EmbeddedChannel();
+    channel.freezeTime();
+    channel
+        .pipeline()
+        .addLast(new IdleStateHandler(TIMES.silentMs(), TIMES.probeMs(), 0, TimeUnit.MILLISECONDS))
+        .addLast(new LinkProbeHandler());
+  }
+
+  @Test
+  public void idleEndSendsProbes() {
+    pass(TIMES.probeMs());
+    assertThat(channel.<PeerFrame>readOutbound().hasLinkProbe()).isTrue();
+  }
+
+  @Test
+  public void linkWhoseOtherEndProbesStaysOpen() {
+    for (int i = 0; i < 20; i++) {
+      pass(TIMES.probeMs());
+      channel.writeInbound(PROBE);
+    }
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  @Test
+  public void silentLinkIsClosed() {
+    pass(TIMES.silentMs() - 1);
+    assertThat(channel.isOpen()).isTrue();
+    pass(1);
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  @Test
+  public void probesAreNotPassedOn() {
+    PeerFrame hello = PeerFrame.newBuilder().setHello(PeerHello.getDefaultInstance()).build();
+    channel.writeInbound(PROBE, hello);
+    assertThat(channel.<PeerFrame>readInbound()).isEqualTo(hello);
+    assertThat(channel.<PeerFrame>readInbound()).isNull();
+  }
+
+  private void pass(long ms) {
+    channel.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
+}
--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
@@ -0,0 +1,196 @@
+package org.foxtailford.net.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
+import org.foxtailford.schema.ClaimResult;
+import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
+import org.foxtailford.schema.PeerFrame;
+import org.foxtailford.schema.RelayAnswer;
+import org.foxtailford.schema.RelayRequest;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Peer links on real sockets. */
+public class PeerLinkTests {
+
+  private static final int LONG_MS = 20_000;
+  private static final int MAX_FRAME_BYTES = 1 << 20;
+  private static final LinkTimes SHORT = new LinkTimes(50, 150);
+  private static final PeerIdentity A = new PeerIdentity("s", "a", "dc1", 1);
+  private static final PeerIdentity B = new PeerIdentity("s", "b", "dc2", 2);
+
+  private EventLoopGroup loops;
+  private PeerServer server;
+  private PeerLink link;
+  private CompletableFuture<RelayAnswer> relayed;
+  private CountDownLatch received;
+
+  @BeforeMethod
+  public void start() {
+    loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    relayed = new CompletableFuture<>();
+    received = new CountDownLatch(1);
+    server = new PeerServer(loops, B, MAX_FRAME_BYTES, new Handler());
+    int port = server.bind(Endpoint.newBuilder().setHost("127.0.0.1").build());
+    link = new PeerLink(loops, A, endpoint(port), MAX_FRAME_BYTES);
+  }
+
+  @AfterMethod
+  public void stop() {
+    link.close();
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void relayIsAnswered() {
+    connect();
+    relayed.complete(RelayAnswer.newBuilder().setStatus(201).build());
+    assertThat(link.relay(request(), LONG_MS).join().getStatus()).isEqualTo(201);
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void lateAnswerMeetsNoOtherRelay() throws InterruptedException {
+    connect();
+    CompletableFuture<RelayAnswer> late = link.relay(request(), 50);
+    assertThat(codeOf(late)).isEqualTo(ResultCode.ANSWER_TIMEOUT);
+    received.await();
+    CompletableFuture<RelayAnswer> first = relayed;
+    relayed = CompletableFuture.completedFuture(RelayAnswer.newBuilder().setStatus(2).build());
+    first.complete(RelayAnswer.newBuilder().setStatus(1).build());
+    assertThat(link.relay(request(), LONG_MS).join().getStatus()).isEqualTo(2);
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void cancelledRelayIsCancelledAtThePeer() throws InterruptedException {
+    connect();
+    CompletableFuture<RelayAnswer> answer = link.relay(request(), LONG_MS);
+    received.await();
+    answer.cancel(true);
+    assertThat(catchThrowable(() -> relayed.join())).isNotNull();
+    assertThat(relayed).isCancelled();
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void claimIsAnswered() {
+    connect();
+    ClaimRequest request = ClaimRequest.newBuilder().setRequestId("id").build();
+    assertThat(link.claim(request, LONG_MS).join().getResult())
+        .isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void refusalThatIsThrownDoesNotCutTheLink() {
+    connect();
+    relayed = null;
+    assertThat(link.relay(request(), LONG_MS).join().getResultCode())
+        .isEqualTo(ResultCode.UNKNOWN_SERVICE.number());
+    assertThat(link.remote()).contains(B);
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void relayWithoutALinkIsNotRun() {
+    assertThat(codeOf(link.relay(request(), LONG_MS))).isEqualTo(ResultCode.HOME_UNREACHABLE);
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void silentPeerIsFoundAndConnectedAnew() throws IOException {
+    try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      PeerLink toSilent =
+          new PeerLink(loops, A, endpoint(listener.getLocalPort()), MAX_FRAME_BYTES, SHORT);
+      for (int i = 0; i < 2; i++) {
+        toSilent.connect();
+        try (Socket socket = listener.accept()) {
+          greet(socket);
+          CompletableFuture<RelayAnswer> unanswered = relayWhenOpen(toSilent);
+          assertThat(codeOf(unanswered)).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+          assertThat(toSilent.remote()).isEmpty();
+        }
+      }
+      toSilent.close();
+    }
+  }
+
+  private static CompletableFuture<RelayAnswer> relayWhenOpen(PeerLink link) {
+    while (link.remote().isEmpty()) {
+      Thread.onSpinWait();
+    }
+    return link.relay(request(), LONG_MS);
+  }
+
+  private static void greet(Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    in.readNBytes(in.readInt());
+    byte[] hello = PeerFrame.newBuilder().setHello(B.toHello()).build().toByteArray();
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    out.writeInt(hello.length);
+    out.write(hello);
+    out.flush();
+  }
+
+  private void connect() {
+    link.connect();
+    while (link.remote().isEmpty()) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private static RelayRequest request() {
+    return RelayRequest.newBuilder().setUri("/a/b").build();
+  }
+
+  private static Endpoint endpoint(int port) {
+    return Endpoint.newBuilder().setHost("127.0.0.1").setPort(port).build();
+  }
+
+  private static ResultCode codeOf(CompletableFuture<RelayAnswer> answer) {
+    return ResultCodeException.codeOf(catchThrowable(answer::join));
+  }
+
+  private final class Handler implements PeerMessageHandler {
+
+    @Override
+    public void onMessage(PeerIdentity sender, PeerFrame frame) {
+      throw new AssertionError("no message expected");
+    }
+
+    @Override
+    public CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request) {
+      received.countDown();
+      if (relayed == null) {
+        throw new ResultCodeException(ResultCode.UNKNOWN_SERVICE, "no such service");
+      }
+      return relayed;
+    }
+
+    @Override
+    public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
+      return ClaimAnswer.newBuilder().setResult(ClaimResult.CLAIM_RESULT_GRANTED).build();
+    }
+
+    @Override
+    public HandOverPage onHandOver(PeerIdentity sender, HandOverRequest request) {
+      return HandOverPage.getDefaultInstance();
+    }
+  }
+}
