--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
@@ -59,6 +59,7 @@
             loads,
             new UpstreamSender(
                 (endpoint, exchange, timeoutMs) -> fleet.send(endpoint.getPort() - 1, entryVm)),
+            (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
             new RelaySender(home -> Optional.empty(), metrics, events),
             new RetryPolicy(MAX_ATTEMPTS, MIN_REMAINING_MS, budget),
             budget,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -17,9 +17,13 @@
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
 import org.foxtailford.core.configuration.ConfigurationInForce;
+import org.foxtailford.core.configuration.ConfigurationPropagation;
 import org.foxtailford.core.configuration.ConfigurationStore;
+import org.foxtailford.core.configuration.PropagationTiming;
 import org.foxtailford.core.dissemination.OwnershipFeed;
+import org.foxtailford.core.idempotency.RecordLimits;
 import org.foxtailford.core.membership.DisseminationTree;
+import org.foxtailford.core.membership.Member;
 import org.foxtailford.core.membership.MembershipTracker;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
@@ -29,6 +33,8 @@
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
+import org.foxtailford.core.poison.PoisonLimits;
+import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.retry.RetryAfter;
 import org.foxtailford.core.retry.RetryBudget;
 import org.foxtailford.core.retry.RetryPolicy;
@@ -39,9 +45,12 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
 import org.foxtailford.daemon.control.RoutingState;
+import org.foxtailford.daemon.idempotency.RequestGuard;
+import org.foxtailford.daemon.idempotency.RequestRecords;
 import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.HeartbeatExchange;
@@ -55,6 +64,7 @@
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.net.peer.LinkTimes;
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerLink;
 import org.foxtailford.net.peer.PeerMessageHandler;
@@ -65,7 +75,11 @@
 import org.foxtailford.platform.HttpTableService;
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.DaemonSettings;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.PeerHeartbeat;
@@ -73,6 +87,7 @@
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
 import org.foxtailford.schema.RequestSettings;
+import org.foxtailford.schema.VmList;
 import org.jspecify.annotations.Nullable;
 
 /** One entry VM: listeners, clients and control loops, assembled from settings. Thread-safe. */
@@ -104,6 +119,8 @@
   private final ConfigurationSightings sightings;
   private final ServiceLoads loads;
   private final RequestRouter router;
+  private final RequestRecords records;
+  private final PoisonTracker poison;
   private final RequestPath path;
   private final PeerNetwork peers;
   private final HttpServer callers;
@@ -114,6 +131,7 @@
   private final LeaseElection election;
   private final DataCentreLeader leader;
   private final ConfigurationPoller poller;
+  private final ConfigurationExchange configurations;
   private final RouterMetrics metrics;
   private final MembershipTracker tracker;
   private final OwnershipFeed feed;
@@ -139,6 +157,7 @@
     state = new RoutingState(settings.getDataCentre());
     inForce = new ConfigurationInForce(state::acceptConfiguration);
     sightings = new ConfigurationSightings(clock);
+    poison = new PoisonTracker(PoisonLimits.DEFAULT, clock);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
     int maxFrameBytes = maxAnswerBytes + FRAME_OVERHEAD_BYTES;
     PeerIdentity self =
@@ -148,7 +167,8 @@
     peers =
         new PeerNetwork(
             self,
-            endpoint -> new PeerLink(loops, self, endpoint, maxFrameBytes, linkSecurity),
+            endpoint ->
+                new PeerLink(loops, self, endpoint, maxFrameBytes, LinkTimes.DEFAULT, linkSecurity),
             random);
     tracker =
         new MembershipTracker(
@@ -159,6 +179,8 @@
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
+    TableService table = newTable();
+    records = new RequestRecords(self, peers, table, this::leads, RecordLimits.DEFAULT, clock);
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
@@ -169,28 +191,41 @@
         new HttpServer(loops, callerLimits, new CallerHandler(path, classifier, metrics, clock));
     peerServer = newPeerServer(self, maxFrameBytes, classifier);
     PlatformSettings platform = settings.getPlatform();
-    TableService table =
-        new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
     poller =
         new ConfigurationPoller(
             table,
             new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
             inForce,
             state,
-            vms -> control.execute(() -> tracker.onVmList(vms)),
+            vms -> control.execute(() -> acceptVms(vms)),
             metrics);
+    configurations =
+        new ConfigurationExchange(
+            new ConfigurationPropagation(
+                settings.getVm(), PropagationTiming.DEFAULT, inForce, clock, random),
+            poller,
+            inForce,
+            peers,
+            clock,
+            control);
     OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
     election = newElection(table, timing, random, self.bootId());
     leader = newLeader(timing);
     operators = newOperatorServer(table);
   }
 
+  private TableService newTable() {
+    PlatformSettings platform = settings.getPlatform();
+    return new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
+  }
+
   private PeerServer newPeerServer(
       PeerIdentity self, int maxFrameBytes, RequestClassifier classifier) {
     return new PeerServer(
         loops,
         self,
         maxFrameBytes,
+        LinkTimes.DEFAULT,
         new Messages(classifier),
         tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
   }
@@ -209,6 +244,7 @@
             state::snapshot,
             loads,
             new UpstreamSender(upstreamClient),
+            newRequestGuard(),
             new RelaySender(peers::anyIn, metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
@@ -232,6 +268,31 @@
     return () -> scheduled.cancel(false);
   }
 
+  private RequestGuard newRequestGuard() {
+    return new RequestGuard(
+        records.coordinator(),
+        poison,
+        report -> peers.broadcast(PeerFrame.newBuilder().setPoisonReport(report).build()),
+        metrics,
+        clock);
+  }
+
+  private boolean leads() {
+    return leader.leads();
+  }
+
+  private void acceptVms(VmList vms) {
+    tracker.onVmList(vms);
+    records
+        .poll(vms)
+        .exceptionally(
+            failure -> {
+              logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                  "the roster of request records can't be read: %s", failure.getMessage());
+              return null;
+            });
+  }
+
   private LeaseElection newElection(
       TableService table, OwnershipTiming timing, RandomGenerator random, long bootId) {
     return new LeaseElection(
@@ -272,7 +333,7 @@
             sightings::versions,
             new SecureRandom()::nextLong,
             tls.isPresent(),
-            () -> control.execute(guarded(this::poll)));
+            () -> control.execute(guarded(configurations::refresh)));
     OperatorHandler handler = new OperatorHandler(context, registry);
     HttpLimits limits =
         new HttpLimits(settings.getRequests().getMaxHeaderBytes(), OPERATOR_BODY_BYTES);
@@ -332,10 +393,6 @@
     poller.poll().exceptionally(EntryVm::reportFailedPoll);
   }
 
-  private void pollConfiguration() {
-    poller.pollConfiguration().exceptionally(EntryVm::reportFailedPoll);
-  }
-
   private static @Nullable Void reportFailedPoll(Throwable failure) {
     logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
         "the platform does not answer: %s", failure.getMessage());
@@ -346,12 +403,23 @@
     boolean led = leader.leads();
     election.tick();
     leader.tick();
+    records.tick();
+    configurations.tick(tracker.usableIn(settings.getDataCentre()), remotePeers());
     if (!led && leader.leads()) {
       metrics.leadershipGained();
       logger.atInfo().log("leads data centre %s", settings.getDataCentre());
     }
   }
 
+  private List<String> remotePeers() {
+    return tracker.members().stream()
+        .map(Member::dataCentre)
+        .distinct()
+        .filter(dataCentre -> !dataCentre.equals(settings.getDataCentre()))
+        .flatMap(dataCentre -> peers.openIn(dataCentre).stream())
+        .toList();
+  }
+
   private void publish(OwnershipCheckpoint checkpoint) {
     Fence before = feed.current().version();
     onOwners(feed.accept(checkpoint), before);
@@ -424,6 +492,9 @@
     }
 
     private void dispatch(PeerIdentity sender, PeerFrame frame) {
+      if (configurations.onFrame(sender.vm(), frame)) {
+        return;
+      }
       Fence before = feed.current().version();
       if (frame.hasHeartbeat()) {
         heartbeats.onHeartbeat(sender, frame.getHeartbeat());
@@ -433,9 +504,23 @@
         onOwners(feed.accept(frame.getOwnership()), before);
       } else if (frame.hasOwnershipDelta()) {
         onOwners(feed.accept(frame.getOwnershipDelta()), before);
+      } else if (frame.hasClaimEnd()) {
+        records.holder().end(frame.getClaimEnd());
+      } else if (frame.hasPoisonReport()) {
+        poison.receive(frame.getPoisonReport());
       }
     }
 
+    @Override
+    public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
+      return records.holder().claim(request);
+    }
+
+    @Override
+    public HandOverPage onHandOver(PeerIdentity sender, HandOverRequest request) {
+      return records.holder().handOver(request);
+    }
+
     @Override
     public CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request) {
       return path.serveRelayed(request, classifier);
@@ -447,15 +532,14 @@
 
     @Override
     public void addVersions(PeerHeartbeat.Builder heartbeat) {
-      heartbeat.setOwnershipVersion(feed.current().version().toValue());
+      heartbeat
+          .setConfigurationVersion(inForce.version())
+          .setOwnershipVersion(feed.current().version().toValue());
     }
 
     @Override
     public List<PeerFrame> missing(PeerIdentity sender, PeerHeartbeat received) {
       sightings.add(sender.vm(), received.getConfigurationVersion());
-      if (received.getConfigurationVersion() > inForce.version()) {
-        pollConfiguration();
-      }
       if (!sender.dataCentre().equals(settings.getDataCentre())) {
         return List.of();
       }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationExchange.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationExchange.java
@@ -56,6 +56,11 @@
     carryOut(propagation.tick());
   }
 
+  /** Reads the table at once, as after a change that this VM wrote. */
+  public void refresh() {
+    readTable();
+  }
+
   /**
    * Receives a peer's message about configurations.
    *
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
@@ -65,16 +65,13 @@
     this.metrics = Assert.notNull(metrics, "metrics");
   }
 
-  /** Reads everything once. The future fails if the platform does not answer. */
+  /** Reads the VM list and the homes once. The future fails if the platform does not answer. */
   public CompletableFuture<Void> poll() {
     CompletableFuture<Void> vms = vmList.read().thenAccept(this::acceptVms);
-    CompletableFuture<Void> row = pollConfiguration();
-    return CompletableFuture.allOf(vms, row)
-        .thenCompose(read -> pollHomes())
-        .whenComplete(this::countFailure);
+    return CompletableFuture.allOf(vms, pollHomes()).whenComplete(this::countFailure);
   }
 
-  /** Reads the configuration alone, as when a peer has told of a newer version. */
+  /** Reads the configuration. */
   public CompletableFuture<Void> pollConfiguration() {
     return table
         .readIfChanged(ConfigurationRecords.ROW, inForce.version())
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -39,6 +39,7 @@
   private final Supplier<RoutingSnapshot> snapshots;
   private final ServiceLoads loads;
   private final UpstreamSender sender;
+  private final AttemptGuard guard;
   private final RelaySender relays;
   private final RetryPolicy retries;
   private final RetryBudget budget;
@@ -55,6 +56,7 @@
    * @param snapshots gives the state to decide on
    * @param loads what this VM has seen of the upstreams
    * @param sender sends to upstreams
+   * @param guard stands before each attempt at an upstream
    * @param relays sends to other data centres
    * @param retries decides what follows a failed attempt
    * @param budget pays for hedges; the same that pays for retries
@@ -69,6 +71,7 @@
       Supplier<RoutingSnapshot> snapshots,
       ServiceLoads loads,
       UpstreamSender sender,
+      AttemptGuard guard,
       RelaySender relays,
       RetryPolicy retries,
       RetryBudget budget,
@@ -81,6 +84,7 @@
     this.snapshots = Assert.notNull(snapshots, "snapshots");
     this.loads = Assert.notNull(loads, "loads");
     this.sender = Assert.notNull(sender, "sender");
+    this.guard = Assert.notNull(guard, "guard");
     this.relays = Assert.notNull(relays, "relays");
     this.retries = Assert.notNull(retries, "retries");
     this.budget = Assert.notNull(budget, "budget");
@@ -204,9 +208,13 @@
       call.excluded().add(name);
     }
     int number = call.nextAttempt();
-    long remainingMs = call.attributes().deadlineMs() - startedMs;
     CompletableFuture<HttpAnswer> sent =
-        sender.send(target.upstream(), call.exchange(), target.ownership(), remainingMs);
+        guard.run(
+            call.exchange(),
+            call.attributes(),
+            target.kind().getIdempotent(),
+            name,
+            () -> sendNow(call, target));
     call.started(sent);
     Runnable cancelOverdue = tasks.schedule(() -> onOverdue(call, target, sent), load.overdueMs());
     sent.whenComplete(
@@ -220,6 +228,15 @@
     return true;
   }
 
+  private CompletableFuture<HttpAnswer> sendNow(RequestCall call, Target target) {
+    long remainingMs = call.attributes().deadlineMs() - clock.nowMs();
+    if (remainingMs <= 0) {
+      return CompletableFuture.failedFuture(
+          new ResultCodeException(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
+    }
+    return sender.send(target.upstream(), call.exchange(), target.ownership(), remainingMs);
+  }
+
   private static AttemptOutcome outcomeOf(Throwable failure) {
     if (failure == null) {
       return AttemptOutcome.ANSWERED;
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -82,6 +82,7 @@
             () -> snapshot,
             loads,
             new UpstreamSender(this::send),
+            (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
             new RelaySender(home -> Optional.empty(), metrics, clock),
             new RetryPolicy(3, 2, budget),
             budget,
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
@@ -24,6 +24,7 @@
   private final EventLoopGroup loops;
   private final PeerIdentity self;
   private final int maxFrameBytes;
+  private final LinkTimes times;
   private final PeerMessageHandler handler;
   private final ChannelSecurity security;
   private final ChannelGroup links = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -31,16 +32,27 @@
 
   public PeerServer(
       EventLoopGroup loops, PeerIdentity self, int maxFrameBytes, PeerMessageHandler handler) {
-    this(loops, self, maxFrameBytes, handler, ChannelSecurity.NONE);
+    this(loops, self, maxFrameBytes, LinkTimes.DEFAULT, handler, ChannelSecurity.NONE);
   }
 
-  /** Creates a server whose links are protected. */
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param loops event loops of the connections
+   * @param self this process
+   * @param maxFrameBytes largest message, in bytes
+   * @param times when a silent connection is probed and closed
+   * @param handler receives the messages
+   * @param security protection of the connections
+   */
   public PeerServer(
       EventLoopGroup loops,
       PeerIdentity self,
       int maxFrameBytes,
+      LinkTimes times,
       PeerMessageHandler handler,
       ChannelSecurity security) {
+    this.times = Assert.notNull(times, "times");
     this.security = Assert.notNull(security, "security");
     this.loops = Assert.notNull(loops, "loops");
     this.self = Assert.notNull(self, "self");
@@ -61,6 +73,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerPipelines.WATER_MARK)
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -68,7 +81,10 @@
                     links.add(channel);
                     security.secure(channel);
                     PeerPipelines.addHandlers(
-                        channel.pipeline(), maxFrameBytes, new PeerServerHandler(self, handler));
+                        channel.pipeline(),
+                        maxFrameBytes,
+                        times,
+                        new PeerServerHandler(self, handler));
                   }
                 });
     var bound = bootstrap.bind(endpoint.getHost(), endpoint.getPort()).awaitUninterruptibly();
--- a/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
@@ -40,11 +40,16 @@
 import org.foxtailford.net.http.HttpExchangeHandler;
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
+import org.foxtailford.net.peer.LinkTimes;
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerLink;
 import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.net.peer.PeerServer;
+import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.HandOverPage;
+import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
@@ -197,13 +202,23 @@
           public CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request) {
             return new CompletableFuture<>();
           }
+
+          @Override
+          public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
+            return ClaimAnswer.getDefaultInstance();
+          }
+
+          @Override
+          public HandOverPage onHandOver(PeerIdentity sender, HandOverRequest request) {
+            return HandOverPage.getDefaultInstance();
+          }
         };
-    return new PeerServer(loops, self, 4096, handler, contexts.peerListener());
+    return new PeerServer(loops, self, 4096, LinkTimes.DEFAULT, handler, contexts.peerListener());
   }
 
   private PeerLink link(Endpoint endpoint, ChannelSecurity security) {
     PeerIdentity self = new PeerIdentity("system", "entry-b1", "dc-b", 2);
-    return new PeerLink(loops, self, endpoint, 4096, security);
+    return new PeerLink(loops, self, endpoint, 4096, LinkTimes.DEFAULT, security);
   }
 
   private TlsFiles files() {
