--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -82,6 +82,7 @@
     this.homes = Assert.notNull(homes, "homes");
     this.clock = Assert.notNull(clock, "clock");
     this.control = Assert.notNull(control, "control");
+    election.onAcquired(this::tick);
   }
 
   /** Runs one round. Called at every renewal interval. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
@@ -42,6 +42,7 @@
   private final LongSupplier writeIds;
   private final Executor control;
 
+  private Runnable acquired = () -> {};
   private boolean inFlight;
   private @Nullable HeldLease held;
   private @Nullable PendingWrite unresolved;
@@ -86,6 +87,11 @@
     this.control = Assert.notNull(control, "control");
   }
 
+  /** Sets what runs as soon as this VM has taken the lease over. */
+  public void onAcquired(Runnable listener) {
+    acquired = Assert.notNull(listener, "listener");
+  }
+
   /** Returns the lease if this VM holds it at this moment. */
   public Optional<HeldLease> lease() {
     return Optional.ofNullable(held).filter(lease -> clock.nowMs() < lease.validUntilMs());
@@ -150,7 +156,7 @@
     unresolved = null;
     if (pending != null && pending.record().getWriteId() == record.getWriteId()) {
       onApplied(version, pending);
-      return CompletableFuture.completedFuture(null);
+      return lease().map(this::renew).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
     boolean gap = clock.nowMs() - lastReadMs > timing.leaseTtlMs();
     lastReadMs = clock.nowMs();
@@ -203,6 +209,9 @@
     possiblyWritten.add(pending.record().getArbitersList());
     lastReadMs = clock.nowMs();
     noteSeen(version, pending.record());
+    if (lease == null || lease.epoch() != pending.record().getEpoch()) {
+      acquired.run();
+    }
   }
 
   private void noteSeen(long version, LeaseRecord record) {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/ExploreCommand.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/ExploreCommand.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.stream.LongStream;
 import org.foxtailford.testkit.simulation.OwnershipExplorer;
+import org.foxtailford.testkit.simulation.RecoveryMeasurement;
 import org.foxtailford.testkit.simulation.ScheduleResult;
 import org.foxtailford.testkit.simulation.SimulationVariant;
 import org.kohsuke.args4j.CmdLineException;
@@ -24,6 +25,9 @@
   @Option(name = "--threads", metaVar = "COUNT", usage = "schedules that run at once")
   private int threads = 1;
 
+  @Option(name = "--recovery", usage = "measure the times to serve again instead")
+  private boolean recovery;
+
   @Option(name = "--help", aliases = "-h", help = true, usage = "show this help and exit")
   private boolean help;
 
@@ -44,6 +48,10 @@
       parser.printUsage(System.out);
       return;
     }
+    if (command.recovery) {
+      command.measureRecovery(System.out);
+      return;
+    }
     System.exit(command.run(System.out) == 0 ? 0 : EXIT_FAILED);
   }
 
@@ -61,6 +69,27 @@
     return failed;
   }
 
+  private void measureRecovery(PrintStream out) {
+    RecoveryMeasurement measurement = new RecoveryMeasurement(SimulationVariant.unchanged());
+    out.println("time until every slice has an owner again, in milliseconds");
+    out.printf("%-28s %6s %6s %6s %6s %8s%n", "loss", "p50", "p90", "p99", "max", "samples");
+    for (RecoveryMeasurement.Loss loss : RecoveryMeasurement.Loss.values()) {
+      long[] sorted = measurement.run(loss, seed, (int) schedules);
+      out.printf(
+          "%-28s %6d %6d %6d %6d %8d%n",
+          loss,
+          quantile(sorted, 0.5),
+          quantile(sorted, 0.9),
+          quantile(sorted, 0.99),
+          sorted[sorted.length - 1],
+          sorted.length);
+    }
+  }
+
+  private static long quantile(long[] sorted, double share) {
+    return sorted[(int) Math.min(sorted.length - 1, sorted.length * share)];
+  }
+
   private static synchronized void print(PrintStream out, ScheduleResult result) {
     out.printf("seed %d: %s%n", result.seed(), result.violations());
     result.trace().forEach(line -> out.println("  " + line));
