Daemon: lease calls time out within the lease; leadership gained is counted

Cause: a new leader now begins inside the election's answer, so the daemon's comparison around its tick never saw the change; and a lost answer kept the election waiting for the platform's timeout (1 s), longer than the lease. Ruled out: a shorter platform timeout for everything. Change: the last seen leadership is kept between ticks; lease calls time out after half the lease. LeaderTests keeps the timing that provokes its fault (it fails again when the term is dropped with the lease).

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -79,6 +79,7 @@
   private final ConfigurationPoller poller;
   private final RouterMetrics metrics;
   private volatile boolean accepting = true;
+  private boolean led;
 
   /**
    * Creates an entry VM that does nothing yet.
@@ -120,7 +121,10 @@
             state,
             peers::update);
     OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
-    election = newElection(table, timing, random, self.bootId());
+    int leaseTimeoutMs = Math.min(platform.getTimeoutMs(), timing.leaseTtlMs() / 2);
+    TableService leaseTable =
+        new HttpTableService(controlClient, platform.getAddress(), leaseTimeoutMs);
+    election = newElection(leaseTable, timing, random, self.bootId());
     leader = newLeader(timing);
     operators = newOperatorServer(table);
   }
@@ -219,14 +223,15 @@
   }
 
   private void tick() {
-    boolean led = leader.leads();
     election.tick();
     leader.tick();
     peers.connectAll();
-    if (!led && leader.leads()) {
+    boolean leads = leader.leads();
+    if (leads && !led) {
       metrics.leadershipGained();
       logger.atInfo().log("leads data centre %s", settings.getDataCentre());
     }
+    led = leads;
   }
 
   private void publish(OwnershipCheckpoint checkpoint) {
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/LeaderTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/LeaderTests.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import org.foxtailford.core.ownership.OwnershipTiming;
 import org.testng.annotations.Test;
 
 /** Named faults that the explorer found, each provoked on its own. */
@@ -12,6 +13,9 @@
   private static final long STEADY_MS = 3000;
   private static final long RECOVERY_TARGET_MS = 2000;
   private static final int RENEW_MS = 200;
+  private static final int LEASE_MS = 800;
+  private static final int GRANT_MS = 700;
+  private static final int MARGIN_PPM = 10_000;
   private static final long SLOW_ANSWER_MS = 270;
   private static final long LOST_FROM_MS = 380;
   private static final long LOST_ANSWER_MS = 120;
@@ -21,7 +25,7 @@
 
   private OwnershipSystem newSystem(int candidates) {
     OwnershipSystem system =
-        new OwnershipSystem(candidates, 3, 6, random.split(), SimulationVariant.unchanged(), trace);
+        new OwnershipSystem(candidates, 3, 6, random.split(), new StopsWithItsLease(), trace);
     system.begin();
     return system;
   }
@@ -40,4 +44,12 @@
       assertThat(system.checker().violations()).isEmpty();
     }
   }
+
+  private static final class StopsWithItsLease implements SimulationVariant {
+
+    @Override
+    public OwnershipTiming timing() {
+      return new OwnershipTiming(LEASE_MS, RENEW_MS, GRANT_MS, MARGIN_PPM, 0);
+    }
+  }
 }
