--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -137,6 +137,7 @@
   private final OwnershipFeed feed;
   private final HeartbeatExchange heartbeats;
   private volatile boolean accepting = true;
+  private boolean led;
 
   /**
    * Creates an entry VM that does nothing yet.
@@ -209,7 +210,10 @@
             clock,
             control);
     OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
-    election = newElection(table, timing, random, self.bootId());
+    int leaseTimeoutMs = Math.min(platform.getTimeoutMs(), timing.leaseTtlMs() / 2);
+    TableService leaseTable =
+        new HttpTableService(controlClient, platform.getAddress(), leaseTimeoutMs);
+    election = newElection(leaseTable, timing, random, self.bootId());
     leader = newLeader(timing);
     operators = newOperatorServer(table);
   }
@@ -400,15 +404,16 @@
   }
 
   private void tick() {
-    boolean led = leader.leads();
     election.tick();
     leader.tick();
     records.tick();
     configurations.tick(tracker.usableIn(settings.getDataCentre()), remotePeers());
-    if (!led && leader.leads()) {
+    boolean leads = leader.leads();
+    if (leads && !led) {
       metrics.leadershipGained();
       logger.atInfo().log("leads data centre %s", settings.getDataCentre());
     }
+    led = leads;
   }
 
   private List<String> remotePeers() {
