One connection a peer link; a resent pledge through whole entry VMs

Cause: a connect call between the success of the connection and its activation opened a second one, and messages were lost between the two.

Ruled out: the reports' one-second window (the clock stands still in the test). The new test of PeerLinkTests fails on the earlier class (2 connections for 1) and passes now.

Change: a link counts as connecting until it is active or closed.

Conclusion: one run, four equal answers.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -91,6 +91,8 @@
   private final ConfigurationPoller poller;
   private final RouterMetrics metrics;
   private volatile boolean accepting = true;
+  private volatile int callerPort;
+  private volatile int peerPort;
 
   /**
    * Creates an entry VM that does nothing yet.
@@ -222,9 +224,9 @@
 
   /** Binds the listeners and starts the control loops. */
   public void start() {
-    peerServer.bind(settings.getPeerListener());
+    peerPort = peerServer.bind(settings.getPeerListener());
     operators.bind(settings.getOperatorListener());
-    callers.bind(settings.getCallerListener());
+    callerPort = callers.bind(settings.getCallerListener());
     int pollMs = settings.getPlatform().getPollIntervalMs();
     int renewMs = settings.getOwnership().getRenewIntervalMs();
     control.scheduleWithFixedDelay(guarded(this::poll), 0, pollMs, TimeUnit.MILLISECONDS);
@@ -237,6 +239,16 @@
         settings.getCallerListener().getPort());
   }
 
+  /** Returns the port that callers use, once started. */
+  public int callerPort() {
+    return callerPort;
+  }
+
+  /** Returns the port that other entry VMs use, once started. */
+  public int peerPort() {
+    return peerPort;
+  }
+
   private static Runnable guarded(Runnable step) {
     return () -> {
       try {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestRecords.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestRecords.java
@@ -93,7 +93,8 @@
         .read(ROSTER_ROW)
         .thenCompose(
             row -> {
-              RecordRoster current = parse(row);
+              RecordRoster current =
+                  row.map(RequestRecords::parse).orElseGet(RecordRoster::getDefaultInstance);
               adopt(current);
               return mayPlan.getAsBoolean()
                   ? plan(current, row, running(current, vms))
@@ -101,11 +102,10 @@
             });
   }
 
-  private static RecordRoster parse(Optional<TableRow> row) {
+  /** Returns the roster in a row. */
+  public static RecordRoster parse(TableRow row) {
     try {
-      return row.isPresent()
-          ? RecordRoster.parseFrom(row.get().value())
-          : RecordRoster.getDefaultInstance();
+      return RecordRoster.parseFrom(row.value());
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalStateException("the roster of request records is unreadable", e);
     }
--- /dev/null
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
@@ -0,0 +1,190 @@
+package org.foxtailford.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.foxtailford.core.platform.TableService;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.time.SystemMillisClock;
+import org.foxtailford.daemon.idempotency.RequestRecords;
+import org.foxtailford.net.http.FoxtailHeaders;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.HttpLimits;
+import org.foxtailford.net.http.HttpServer;
+import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.DaemonSettings;
+import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.OwnershipSettings;
+import org.foxtailford.schema.PlatformSettings;
+import org.foxtailford.schema.RequestKind;
+import org.foxtailford.schema.RequestSettings;
+import org.foxtailford.schema.ServiceDefinition;
+import org.foxtailford.schema.VmEntry;
+import org.foxtailford.schema.VmRole;
+import org.foxtailford.schema.VmState;
+import org.foxtailford.testkit.platform.PlatformStandIn;
+import org.foxtailford.testkit.upstream.UpstreamProfile;
+import org.foxtailford.testkit.upstream.UpstreamStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Whole entry VMs on real sockets; a stand-in upstream counts its runs. */
+public class ResendTests {
+
+  private static final int TIMEOUT_MS = 60_000;
+  private static final Endpoint ANY = Endpoint.newBuilder().setHost("127.0.0.1").build();
+  private static final HttpLimits LIMITS = new HttpLimits(16 << 10, 1 << 20);
+
+  private final PlatformStandIn platform = new PlatformStandIn();
+  private final List<HttpServer> servers = new ArrayList<>();
+  private final List<EntryVm> vms = new ArrayList<>();
+  private EventLoopGroup loops;
+  private ScheduledExecutorService timer;
+  private UpstreamStandIn upstream;
+  private PooledHttpClient caller;
+  private Endpoint platformAddress;
+
+  @BeforeMethod
+  public void start() {
+    loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    timer = Executors.newSingleThreadScheduledExecutor();
+    caller = new PooledHttpClient(loops, 4, 1 << 20);
+    UpstreamProfile profile = new UpstreamProfile("u1", false, 4, 4, 0, 1);
+    upstream = new UpstreamStandIn(profile, 1, new SystemMillisClock(), timer);
+    HttpServer upstreamServer = new HttpServer(loops, LIMITS, upstream);
+    HttpServer platformServer = new HttpServer(loops, LIMITS, platform);
+    servers.add(upstreamServer);
+    servers.add(platformServer);
+    putVm("u1", "dc0", VmRole.VM_ROLE_UPSTREAM, upstreamServer.bind(ANY));
+    platformAddress = ANY.toBuilder().setPort(platformServer.bind(ANY)).build();
+    platform
+        .table()
+        .write("configuration", TableService.ABSENT, configuration().toByteString())
+        .join();
+    for (int i = 0; i < 3; i++) {
+      vms.add(startVm(i));
+    }
+  }
+
+  @AfterMethod
+  public void stop() {
+    vms.forEach(EntryVm::close);
+    servers.forEach(HttpServer::close);
+    caller.close();
+    timer.shutdownNow();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Test(timeOut = TIMEOUT_MS)
+  public void pledgeThatIsSentAgainThroughEachEntryVmRunsOnce() {
+    awaitRoster(3);
+    HttpAnswer first = sendUntilAnswered(0);
+    assertThat(first.headers().contains(FoxtailHeaders.REPLAYED)).isFalse();
+    for (int i = 1; i < 3; i++) {
+      HttpAnswer again = sendUntilAnswered(i);
+      assertThat(again.headers().get(FoxtailHeaders.REPLAYED)).isEqualTo("true");
+      assertThat(again.bodyText()).isEqualTo(first.bodyText());
+    }
+    vms.get(2).close();
+    vms.set(2, startVm(2));
+    assertThat(sendUntilAnswered(2).bodyText()).isEqualTo(first.bodyText());
+    assertThat(upstream.runs()).isEqualTo(1);
+  }
+
+  private void awaitRoster(int members) {
+    while (members != rosterSize()) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private int rosterSize() {
+    return platform
+        .table()
+        .find(RequestRecords.ROSTER_ROW)
+        .map(row -> RequestRecords.parse(row).getMembersCount())
+        .orElse(0);
+  }
+
+  private HttpAnswer sendUntilAnswered(int vm) {
+    while (true) {
+      HttpHeaders headers = new DefaultHttpHeaders().set(FoxtailHeaders.REQUEST_ID, "id");
+      HttpExchange pledge =
+          new HttpExchange(HttpMethod.POST, "/pledges/pledge", headers, new byte[] {'{', '}'});
+      Endpoint address = ANY.toBuilder().setPort(vms.get(vm).callerPort()).build();
+      HttpAnswer answer = caller.send(address, pledge, TIMEOUT_MS).join();
+      if (answer.headers().getInt(FoxtailHeaders.CODE) == ResultCode.OK.number()) {
+        return answer;
+      }
+    }
+  }
+
+  private EntryVm startVm(int number) {
+    String name = "e" + number;
+    DaemonSettings settings =
+        DaemonSettings.newBuilder()
+            .setSystemId("system")
+            .setVm(name)
+            .setDataCentre("dc" + number)
+            .setCallerListener(ANY)
+            .setPeerListener(ANY)
+            .setOperatorListener(ANY)
+            .setPlatform(
+                PlatformSettings.newBuilder()
+                    .setAddress(platformAddress)
+                    .setTimeoutMs(1000)
+                    .setPollIntervalMs(100))
+            .setOwnership(
+                OwnershipSettings.newBuilder()
+                    .setRenewIntervalMs(100)
+                    .setGrantTtlMs(400)
+                    .setLeaseTtlMs(1000))
+            .setRequests(
+                RequestSettings.newBuilder()
+                    .setMaxHeaderBytes(16 << 10)
+                    .setMaxBodyBytes(1 << 20)
+                    .setMaxAnswerBytes(1 << 20)
+                    .setDefaultTimeoutMs(5000)
+                    .setMaxInFlight(100))
+            .build();
+    EntryVm vm = new EntryVm(settings, 2);
+    vm.start();
+    putVm(name, "dc" + number, VmRole.VM_ROLE_ENTRY, vm.peerPort());
+    return vm;
+  }
+
+  private void putVm(String name, String dataCentre, VmRole role, int port) {
+    platform.putVm(
+        VmEntry.newBuilder()
+            .setName(name)
+            .setDataCentre(dataCentre)
+            .setRole(role)
+            .setState(VmState.VM_STATE_LIVE)
+            .setAddress(ANY.toBuilder().setPort(port))
+            .build());
+  }
+
+  private static ConfigurationDocument configuration() {
+    return ConfigurationDocument.newBuilder()
+        .addServices(
+            ServiceDefinition.newBuilder()
+                .setName("pledges")
+                .setSelector("vm=u1")
+                .setSlotsPerUpstream(4)
+                .setConnectionsPerUpstream(10)
+                .addKinds(RequestKind.newBuilder().setName("pledge").setWorth(50)))
+        .build();
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerLink.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerLink.java
@@ -105,6 +105,8 @@
     connecting = true;
     bootstrap
         .connect(endpoint.getHost(), endpoint.getPort())
+        .channel()
+        .closeFuture()
         .addListener(done -> connecting = false);
   }
 
@@ -189,6 +191,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       channel = ctx.channel();
+      connecting = false;
       if (closed) {
         ctx.close();
         return;
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
@@ -91,6 +91,11 @@
     return ((InetSocketAddress) bound.channel().localAddress()).getPort();
   }
 
+  /** Returns the number of open connections. */
+  public int connections() {
+    return links.size();
+  }
+
   @Override
   public void close() {
     Channel channel = listener;
--- a/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
@@ -108,6 +108,18 @@
     assertThat(link.remote()).contains(B);
   }
 
+  @Test(timeOut = LONG_MS)
+  public void connectThatIsRepeatedAtAnyMomentMakesOneConnection() {
+    Endpoint address = link.endpoint();
+    for (int i = 1; i <= 100; i++) {
+      PeerLink repeated = new PeerLink(loops, A, address, MAX_FRAME_BYTES);
+      while (repeated.remote().isEmpty()) {
+        repeated.connect();
+      }
+      assertThat(server.connections()).isEqualTo(i);
+    }
+  }
+
   @Test(timeOut = LONG_MS)
   public void relayWithoutALinkIsNotRun() {
     assertThat(codeOf(link.relay(request(), LONG_MS))).isEqualTo(ResultCode.HOME_UNREACHABLE);
