Planned stop: serve on while the balancer finds out, then finish what is in flight

Cause: EntryVm.stop closed the listener at once, before the balancer could notice, and waited only for the request path, so an answer not yet written could be cut; a second close() hung on a terminated event loop (seen: the first run of EntryVmStopTests did not end). Ruled out: refusing requests during the announced time (each refusal is a failed request); waiting for idle connections without end. Change: PlannedStop (announce, stop listening, wait until no request is in flight and no connection has an unwritten answer), Connection: close on each answer meanwhile, close() runs once. Conclusion: no request that reached this VM before its listener closed is cut; a request sent on an idle connection at the very end can still meet the close.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
@@ -36,6 +37,7 @@
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
+import org.foxtailford.daemon.request.PlannedStop;
 import org.foxtailford.daemon.request.RelaySender;
 import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
@@ -66,7 +68,6 @@
   private static final int UPSTREAM_CONNECTIONS = 12;
   private static final int OPERATOR_BODY_BYTES = 4 << 20;
   private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
-  private static final int STOP_POLL_MS = 20;
   private static final double PERCENT = 100.0;
   private static final double RETRIES_PER_SECOND = 1.0;
   private static final double RETRY_BURST = 20.0;
@@ -81,6 +82,7 @@
   private final RoutingState state;
   private final RequestPath path;
   private final PeerNetwork peers;
+  private final CallerHandler callerHandler;
   private final HttpServer callers;
   private final HttpServer operators;
   private final PeerServer peerServer;
@@ -91,6 +93,9 @@
   private final ConfigurationPoller poller;
   private final RouterMetrics metrics;
   private volatile boolean accepting = true;
+  private final AtomicBoolean closed = new AtomicBoolean();
+  private volatile int callerPort;
+  private volatile int operatorPort;
 
   /**
    * Creates an entry VM that does nothing yet.
@@ -119,8 +124,8 @@
     HttpLimits callerLimits =
         new HttpLimits(
             settings.getRequests().getMaxHeaderBytes(), settings.getRequests().getMaxBodyBytes());
-    callers =
-        new HttpServer(loops, callerLimits, new CallerHandler(path, classifier, metrics, clock));
+    callerHandler = new CallerHandler(path, classifier, metrics, clock);
+    callers = new HttpServer(loops, callerLimits, callerHandler);
     peerServer = new PeerServer(loops, self, maxFrameBytes, new Messages(classifier));
     PlatformSettings platform = settings.getPlatform();
     TableService table =
@@ -219,8 +224,8 @@
   /** Binds the listeners and starts the control loops. */
   public void start() {
     peerServer.bind(settings.getPeerListener());
-    operators.bind(settings.getOperatorListener());
-    callers.bind(settings.getCallerListener());
+    operatorPort = operators.bind(settings.getOperatorListener());
+    callerPort = callers.bind(settings.getCallerListener());
     int pollMs = settings.getPlatform().getPollIntervalMs();
     int renewMs = settings.getOwnership().getRenewIntervalMs();
     control.scheduleWithFixedDelay(guarded(this::poll), 0, pollMs, TimeUnit.MILLISECONDS);
@@ -233,6 +238,16 @@
         settings.getCallerListener().getPort());
   }
 
+  /** Returns the port where callers connect; zero before the start. */
+  public int callerPort() {
+    return callerPort;
+  }
+
+  /** Returns the port where operators connect; zero before the start. */
+  public int operatorPort() {
+    return operatorPort;
+  }
+
   private static Runnable guarded(Runnable step) {
     return () -> {
       try {
@@ -277,30 +292,25 @@
   }
 
   /**
-   * Stops in order: leaves the balancer, finishes what is in flight, then closes.
+   * Stops in order: reports not ready so that the balancer leaves it out, serves on for the
+   * announced time, finishes what is in flight, then closes.
    *
-   * @param graceMs longest wait for requests in flight, in milliseconds
+   * @param graceMs longest wait for requests in flight after the announced time, in milliseconds
    * @return completes when everything is closed
    */
   public CompletableFuture<Void> stop(long graceMs) {
     accepting = false;
-    callers.stopListening();
-    CompletableFuture<Void> stopped = new CompletableFuture<>();
-    awaitIdle(clock.nowMs() + graceMs, stopped);
-    return stopped.thenRunAsync(this::close);
-  }
-
-  private void awaitIdle(long untilMs, CompletableFuture<Void> idle) {
-    if (path.inFlight() == 0 || clock.nowMs() >= untilMs) {
-      path.stopAccepting();
-      idle.complete(null);
-      return;
-    }
-    control.schedule(() -> awaitIdle(untilMs, idle), STOP_POLL_MS, TimeUnit.MILLISECONDS);
+    long announceMs = settings.getRequests().getStopAnnounceMs();
+    return new PlannedStop(callers, callerHandler, path, clock, this::schedule)
+        .start(announceMs, graceMs)
+        .thenRunAsync(this::close);
   }
 
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
     control.shutdownNow();
     callers.close();
     operators.close();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/CallerHandler.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/CallerHandler.java
@@ -1,5 +1,7 @@
 package org.foxtailford.daemon.request;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
@@ -18,6 +20,7 @@
   private final RequestClassifier classifier;
   private final RouterMetrics metrics;
   private final MillisClock clock;
+  private volatile boolean closing;
 
   public CallerHandler(
       RequestPath path, RequestClassifier classifier, RouterMetrics metrics, MillisClock clock) {
@@ -27,6 +30,11 @@
     this.clock = Assert.notNull(clock, "clock");
   }
 
+  /** Asks callers from now on to close their connection after the answer. */
+  public void closeConnections() {
+    closing = true;
+  }
+
   @Override
   public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
     RequestAttributes attributes;
@@ -35,7 +43,17 @@
     } catch (ResultCodeException e) {
       return CompletableFuture.completedFuture(refuse(e.code(), String.valueOf(e.getMessage())));
     }
-    return path.serve(exchange, attributes);
+    CompletableFuture<HttpAnswer> served = path.serve(exchange, attributes);
+    CompletableFuture<HttpAnswer> answer = served.thenApply(this::withConnectionField);
+    answer.whenComplete((received, failure) -> served.cancel(false));
+    return answer;
+  }
+
+  private HttpAnswer withConnectionField(HttpAnswer answer) {
+    if (closing) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    return answer;
   }
 
   @Override
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -281,4 +281,18 @@
     request("check", 60);
     assertThat(sent).hasSize(2);
   }
+
+  @Test
+  public void stoppingVmAsksCallersToCloseTheirConnection() {
+    CallerHandler handler = new CallerHandler(path, classifier, new RouterMetrics(registry), clock);
+    HttpExchange exchange =
+        new HttpExchange(HttpMethod.GET, "/pantry/check", new DefaultHttpHeaders(), new byte[0]);
+    CompletableFuture<HttpAnswer> before = handler.handle(exchange);
+    sent.get(0).succeed();
+    assertThat(before.join().headers().contains("Connection")).isFalse();
+    handler.closeConnections();
+    CompletableFuture<HttpAnswer> after = handler.handle(exchange);
+    sent.get(1).succeed();
+    assertThat(after.join().headers().get("Connection")).isEqualTo("close");
+  }
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
@@ -88,6 +88,11 @@
         .addLast(new HttpServerHandler(handler));
   }
 
+  /** Returns the number of connections with a request that has no written answer yet. */
+  public int busyConnections() {
+    return (int) connections.stream().filter(c -> !c.config().isAutoRead()).count();
+  }
+
   /** Stops listening; open connections stay. */
   public CompletableFuture<Void> stopListening() {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
