--- a/foxtailford-core/src/main/java/org/foxtailford/core/admission/SlotWindow.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/admission/SlotWindow.java
@@ -78,6 +78,11 @@
     pausedUntilMs = nowMs + pauseMs;
   }
 
+  /** Starts again with one slot, for an upstream that was away. */
+  public synchronized void restart() {
+    window = 1;
+  }
+
   /** Returns the number of requests that this VM may have in flight at the upstream. */
   public synchronized int size() {
     return (int) window;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/ServiceLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/ServiceLoad.java
@@ -108,6 +108,7 @@
         break;
       case DRAINING:
         load.window().release(false);
+        load.window().restart();
         load.hold(nowMs);
         break;
       default:
--- a/foxtailford-core/src/test/java/org/foxtailford/core/routing/ServiceLoadTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/routing/ServiceLoadTests.java
@@ -78,6 +78,7 @@
     load.ended("u1", AttemptOutcome.DRAINING, 1, nowMs);
     assertThat(load.tryStart("u1", false, nowMs + 4999)).isFalse();
     assertThat(load.tryStart("u1", false, nowMs + 5000)).isTrue();
+    assertThat(load.tryStart("u1", false, nowMs + 5000)).isFalse();
   }
 
   @Test
