Request path asks slow start before each attempt and hedge

Cause: ColdGate had no place in the request path. Ruled out: a check in the router (it would give a permission that no attempt uses). Change: port ColdStartAdmission with ColdGate and UnguardedAdmission; a closed gate sends an unkeyed request elsewhere and answers a keyed one with UPSTREAM_COLD at once; a cold attempt carries the short timeout; QueueLimits keeps the constructor at twelve parameters; counter foxtailford.cold.gate.closed. Conclusion: ready for the wiring of boot ids and leases; EntryVm passes UnguardedAdmission until then.

--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
+import org.foxtailford.core.coldstart.UnguardedAdmission;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.retry.RetryAfter;
 import org.foxtailford.core.retry.RetryBudget;
@@ -17,6 +18,7 @@
 import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
 import org.foxtailford.daemon.peer.PeerNetwork;
+import org.foxtailford.daemon.request.QueueLimits;
 import org.foxtailford.daemon.request.RelaySender;
 import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
@@ -74,8 +76,8 @@
             metrics,
             events,
             events,
-            QUEUE_CAPACITY,
-            QUEUE_TIME_MS);
+            new UnguardedAdmission(),
+            new QueueLimits(QUEUE_CAPACITY, QUEUE_TIME_MS));
     this.path =
         new RequestPath(
             attempts,
--- a/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/ColdGate.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/ColdGate.java
@@ -15,7 +15,7 @@
  * ends the evidence with the connection. To a cold upstream only the holder of its gate sends, no
  * more than the allowance at once, with a timeout after which the upstream has dropped the request.
  */
-public final class ColdGate {
+public final class ColdGate implements ColdStartAdmission {
 
   private static final long NONE = Long.MIN_VALUE;
 
@@ -104,11 +104,10 @@
   }
 
   /**
-   * Asks to send a request.
-   *
-   * @return the permission, after which {@link #ended} must follow; empty if another entry VM holds
-   *     the gate, the allowance is in use, or the boot id is not known
+   * Asks to send a request; refuses if another entry VM holds the gate, the allowance is in use, or
+   * the boot id is not known.
    */
+  @Override
   public synchronized Optional<ColdTicket> tryStart(String upstream, long nowMs) {
     State state = state(upstream);
     if (!state.connected) {
@@ -134,13 +133,8 @@
     return Optional.of(new ColdTicket(upstream, state.bootId, true, nowMs, requestTimeoutMs));
   }
 
-  /**
-   * Notes the end of a request that a permission was given for.
-   *
-   * @param ticket the permission
-   * @param certain whether the upstream surely no longer runs it; otherwise its place stays taken
-   *     until its timeout
-   */
+  /** Notes the end of a request; an uncertain one keeps its place until its timeout. */
+  @Override
   public synchronized void ended(ColdTicket ticket, boolean certain) {
     State state = state(ticket.upstream());
     if (!ticket.cold() || ticket.bootId() != state.bootId) {
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/UnguardedAdmission.java
@@ -0,0 +1,15 @@
+package org.foxtailford.core.coldstart;
+
+import java.util.Optional;
+
+/** Admits every request; for upstreams without a cold start. Thread-safe. */
+public final class UnguardedAdmission implements ColdStartAdmission {
+
+  @Override
+  public Optional<ColdTicket> tryStart(String upstream, long nowMs) {
+    return Optional.of(new ColdTicket(upstream, 0, false, nowMs, Long.MAX_VALUE));
+  }
+
+  @Override
+  public void ended(ColdTicket ticket, boolean certain) {}
+}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -72,6 +72,11 @@
     registry.counter("foxtailford.limited", "reason", reason.name()).increment();
   }
 
+  /** Counts a choice of an upstream that slow start did not admit from this VM. */
+  public void coldGateClosed(String service) {
+    registry.counter("foxtailford.cold.gate.closed", "service", service).increment();
+  }
+
   /** Counts a request that its caller gave up. */
   public void abandoned(String service) {
     registry.counter("foxtailford.abandoned", "service", service).increment();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -15,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
+import org.foxtailford.core.coldstart.UnguardedAdmission;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.LeaseElection;
@@ -38,6 +39,7 @@
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
 import org.foxtailford.daemon.request.PlannedStop;
+import org.foxtailford.daemon.request.QueueLimits;
 import org.foxtailford.daemon.request.RelaySender;
 import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
@@ -163,8 +165,8 @@
             metrics,
             clock,
             this::schedule,
-            limits.getQueueCapacity(),
-            limits.getQueueTimeMs());
+            new UnguardedAdmission(),
+            new QueueLimits(limits.getQueueCapacity(), limits.getQueueTimeMs()));
     return new RequestPath(
         attempts,
         state::snapshot,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -4,9 +4,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.foxtailford.core.admission.AdmissionRefusal;
+import org.foxtailford.core.coldstart.ColdStartAdmission;
+import org.foxtailford.core.coldstart.ColdTicket;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.metrics.RouterMetrics;
+import org.foxtailford.core.result.Effect;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.retry.FailedAttempt;
@@ -46,6 +49,7 @@
   private final MillisClock clock;
   private final DelayedTasks tasks;
   private final SlotQueues queues;
+  private final ColdStartAdmission coldStarts;
   private final long queueTimeMs;
 
   /**
@@ -61,8 +65,8 @@
    * @param metrics counts retries, hedges and waits
    * @param clock this VM's clock
    * @param tasks runs hedges and rechecks
-   * @param queueCapacity most requests that wait in one queue
-   * @param queueTimeMs longest wait for a slot, in milliseconds
+   * @param coldStarts decides whether upstreams that may be cold take a request
+   * @param waiting limits of the queues
    */
   public RequestAttempts(
       RequestRouter router,
@@ -75,8 +79,8 @@
       RouterMetrics metrics,
       MillisClock clock,
       DelayedTasks tasks,
-      int queueCapacity,
-      long queueTimeMs) {
+      ColdStartAdmission coldStarts,
+      QueueLimits waiting) {
     this.router = Assert.notNull(router, "router");
     this.snapshots = Assert.notNull(snapshots, "snapshots");
     this.loads = Assert.notNull(loads, "loads");
@@ -87,8 +91,9 @@
     this.metrics = Assert.notNull(metrics, "metrics");
     this.clock = Assert.notNull(clock, "clock");
     this.tasks = Assert.notNull(tasks, "tasks");
-    this.queues = new SlotQueues(queueCapacity, clock, tasks, this::attempt, this::shed);
-    this.queueTimeMs = queueTimeMs;
+    this.queues = new SlotQueues(waiting.capacity(), clock, tasks, this::attempt, this::shed);
+    this.coldStarts = Assert.notNull(coldStarts, "coldStarts");
+    this.queueTimeMs = waiting.timeMs();
   }
 
   /** One attempt that was decided on. */
@@ -140,10 +145,29 @@
       Throwable refusal = new ResultCodeException(refuse.code(), refuse.message());
       call.answer().completeExceptionally(call.lastFailure().orElse(refusal));
     } else {
-      Target target = target(decision);
-      if (!send(call, target)) {
-        enqueue(call, target.queueName(), target.kind());
-      }
+      attempt(call, target(decision));
+    }
+  }
+
+  private void attempt(RequestCall call, Target target) {
+    String name = target.upstream().name();
+    Optional<ColdTicket> ticket = coldStarts.tryStart(name, clock.nowMs());
+    if (ticket.isEmpty()) {
+      refusedCold(call, target);
+    } else if (!send(call, target, ticket.get())) {
+      coldStarts.ended(ticket.get(), true);
+      enqueue(call, target.queueName(), target.kind());
+    }
+  }
+
+  private void refusedCold(RequestCall call, Target target) {
+    String name = target.upstream().name();
+    metrics.coldGateClosed(call.attributes().service());
+    call.failed(new ResultCodeException(ResultCode.UPSTREAM_COLD, name + " is in slow start"));
+    if (target.keyed() || !call.excluded().add(name)) {
+      call.answer().completeExceptionally(call.lastFailure().orElseThrow());
+    } else {
+      attempt(call);
     }
   }
 
@@ -193,7 +217,7 @@
     call.answer().completeExceptionally(call.lastFailure().orElse(refusal));
   }
 
-  private boolean send(RequestCall call, Target target) {
+  private boolean send(RequestCall call, Target target, ColdTicket ticket) {
     ServiceLoad load = loads.of(target.service());
     String name = target.upstream().name();
     long startedMs = clock.nowMs();
@@ -205,14 +229,16 @@
     }
     int number = call.nextAttempt();
     long remainingMs = call.attributes().deadlineMs() - startedMs;
+    long timeoutMs = Math.min(remainingMs, ticket.maxTimeoutMs());
     CompletableFuture<HttpAnswer> sent =
-        sender.send(target.upstream(), call.exchange(), target.ownership(), remainingMs);
+        sender.send(target.upstream(), call.exchange(), target.ownership(), timeoutMs);
     call.started(sent);
     Runnable cancelOverdue = tasks.schedule(() -> onOverdue(call, target, sent), load.overdueMs());
     sent.whenComplete(
         (received, failure) -> {
           cancelOverdue.run();
           long nowMs = clock.nowMs();
+          coldStarts.ended(ticket, isOver(failure));
           load.ended(name, outcomeOf(failure), nowMs - startedMs, nowMs);
           queues.slotReleased(target.queueName());
           onEnd(call, target, sent, number, received, failure);
@@ -220,6 +246,10 @@
     return true;
   }
 
+  private static boolean isOver(Throwable failure) {
+    return failure == null || ResultCodeException.codeOf(failure).effect() == Effect.NOT_RUN;
+  }
+
   private static AttemptOutcome outcomeOf(Throwable failure) {
     if (failure == null) {
       return AttemptOutcome.ANSWERED;
@@ -244,8 +274,14 @@
     if (!mayHedge || !(decide(call) instanceof RouteDecision.ToAny other)) {
       return;
     }
-    if (budget.tryTake(clock.nowMs()) && send(call, target(other))) {
+    Optional<ColdTicket> ticket = coldStarts.tryStart(other.upstream().name(), clock.nowMs());
+    if (ticket.isEmpty()) {
+      return;
+    }
+    if (budget.tryTake(clock.nowMs()) && send(call, target(other), ticket.get())) {
       metrics.hedge(call.attributes().service());
+    } else {
+      coldStarts.ended(ticket.get(), true);
     }
   }
 
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -11,9 +11,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
+import org.foxtailford.core.coldstart.ColdGate;
+import org.foxtailford.core.coldstart.ColdStartAdmission;
+import org.foxtailford.core.coldstart.GateLease;
+import org.foxtailford.core.coldstart.GateMember;
+import org.foxtailford.core.coldstart.UnguardedAdmission;
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
@@ -53,6 +59,7 @@
   private FakeMillisClock clock;
   private ManualTasks tasks;
   private SimpleMeterRegistry registry;
+  private ColdStartAdmission admission;
   private RequestPath path;
   private RequestClassifier classifier;
 
@@ -75,6 +82,7 @@
     tasks = new ManualTasks(clock);
     registry = new SimpleMeterRegistry();
     classifier = new RequestClassifier(1000);
+    admission = new UnguardedAdmission();
     path = newPath(2, 100);
   }
 
@@ -101,8 +109,8 @@
             metrics,
             clock,
             tasks,
-            4,
-            100);
+            admission,
+            new QueueLimits(4, 100));
     return new RequestPath(
         attempts,
         () -> snapshot,
@@ -295,4 +303,21 @@
     sent.get(1).succeed();
     assertThat(after.join().headers().get("Connection")).isEqualTo("close");
   }
+
+  @Test
+  public void coldUpstreamIsUsedOnlyByTheHolderOfItsGateWithAShortTimeout() {
+    ColdGate gate = new ColdGate(1, 400, 50, (upstream, bootId) -> {});
+    gate.onConnected("u1", 7, clock.nowMs());
+    gate.onConnected("u2", 8, clock.nowMs());
+    admission = gate;
+    path = newPath(2, 100);
+    assertThat(code(request("check", 0))).isEqualTo(number(ResultCode.UPSTREAM_COLD));
+    assertThat(sent).isEmpty();
+    GateMember self = new GateMember("entry", 1);
+    gate.onLease(new GateLease(self, Set.of("u2"), clock.nowMs(), 200));
+    request("check", 0);
+    assertThat(sent).hasSize(1);
+    assertThat(sent.get(0).port()).isEqualTo(2);
+    assertThat(sent.get(0).timeoutMs()).isEqualTo(50);
+  }
 }
