--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/RequestRouter.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/RequestRouter.java
@@ -1,11 +1,10 @@
 package org.foxtailford.core.routing;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.Collectors;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.ownership.KeyHashing;
@@ -92,25 +91,29 @@
   private RouteDecision decideUnkeyed(
       String dataCentre, ServiceView service, RequestKind kind, Set<String> excluded, long nowMs) {
     ServiceLoad load = loads.of(service);
-    List<Upstream> candidates =
-        service.upstreams().stream()
-            .filter(Upstream::available)
-            .filter(upstream -> !excluded.contains(upstream.name()))
-            .filter(upstream -> !load.isHeld(upstream.name(), nowMs))
-            .toList();
-    if (candidates.isEmpty()) {
-      return refuse(ResultCode.NO_UPSTREAM, "no upstream of the service may take the request");
+    List<Upstream> localFree = new ArrayList<>();
+    List<Upstream> remoteFree = new ArrayList<>();
+    boolean anyCandidate = false;
+    for (Upstream upstream : service.upstreams()) {
+      String name = upstream.name();
+      if (!upstream.available() || excluded.contains(name)) {
+        continue;
+      }
+      if (load.mayTake(name, nowMs)) {
+        boolean local = upstream.dataCentre().equals(dataCentre);
+        (local ? localFree : remoteFree).add(upstream);
+      }
+      anyCandidate = anyCandidate || !load.isHeld(name, nowMs);
     }
-    List<Upstream> free =
-        candidates.stream().filter(upstream -> load.mayTake(upstream.name(), nowMs)).toList();
-    Map<Boolean, List<Upstream>> byPlace =
-        free.stream().collect(Collectors.partitioningBy(u -> u.dataCentre().equals(dataCentre)));
     ToDoubleFunction<Upstream> cost = upstream -> load.cost(upstream.name());
-    return chooser
-        .choose(byPlace.get(true), cost)
-        .or(() -> chooser.choose(byPlace.get(false), cost))
-        .<RouteDecision>map(upstream -> new RouteDecision.ToAny(service, kind, upstream))
-        .orElseGet(() -> new RouteDecision.Wait(service, kind));
+    Optional<Upstream> chosen = chooser.choose(localFree.isEmpty() ? remoteFree : localFree, cost);
+    if (chosen.isPresent()) {
+      return new RouteDecision.ToAny(service, kind, chosen.get());
+    }
+    if (anyCandidate) {
+      return new RouteDecision.Wait(service, kind);
+    }
+    return refuse(ResultCode.NO_UPSTREAM, "no upstream of the service may take the request");
   }
 
   private static RouteDecision relay(RequestAttributes request, String dataCentre) {
