--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -13,9 +13,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
+import org.foxtailford.core.coldstart.UnguardedAdmission;
 import org.foxtailford.core.configuration.ConfigurationInForce;
 import org.foxtailford.core.configuration.ConfigurationPropagation;
 import org.foxtailford.core.configuration.ConfigurationStore;
@@ -56,6 +58,8 @@
 import org.foxtailford.daemon.peer.HeartbeatExchange;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
+import org.foxtailford.daemon.request.PlannedStop;
+import org.foxtailford.daemon.request.QueueLimits;
 import org.foxtailford.daemon.request.RelaySender;
 import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
@@ -98,7 +102,6 @@
   private static final int UPSTREAM_CONNECTIONS = 12;
   private static final int OPERATOR_BODY_BYTES = 4 << 20;
   private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
-  private static final int STOP_POLL_MS = 20;
   private static final int HEARTBEAT_INTERVAL_MS = 300;
   private static final int PEER_LOST_AFTER_MS = 1200;
   private static final int OWNERSHIP_HISTORY = 64;
@@ -123,6 +126,7 @@
   private final PoisonTracker poison;
   private final RequestPath path;
   private final PeerNetwork peers;
+  private final CallerHandler callerHandler;
   private final HttpServer callers;
   private final HttpServer operators;
   private final PeerServer peerServer;
@@ -138,8 +142,10 @@
   private final HeartbeatExchange heartbeats;
   private volatile boolean accepting = true;
   private boolean led;
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile int callerPort;
   private volatile int peerPort;
+  private volatile int operatorPort;
 
   /**
    * Creates an entry VM that does nothing yet.
@@ -190,8 +196,8 @@
     HttpLimits callerLimits =
         new HttpLimits(
             settings.getRequests().getMaxHeaderBytes(), settings.getRequests().getMaxBodyBytes());
-    callers =
-        new HttpServer(loops, callerLimits, new CallerHandler(path, classifier, metrics, clock));
+    callerHandler = new CallerHandler(path, classifier, metrics, clock);
+    callers = new HttpServer(loops, callerLimits, callerHandler);
     peerServer = newPeerServer(self, maxFrameBytes, classifier);
     PlatformSettings platform = settings.getPlatform();
     poller =
@@ -257,8 +263,8 @@
             metrics,
             clock,
             this::schedule,
-            limits.getQueueCapacity(),
-            limits.getQueueTimeMs());
+            new UnguardedAdmission(),
+            new QueueLimits(limits.getQueueCapacity(), limits.getQueueTimeMs()));
     return new RequestPath(
         attempts,
         state::snapshot,
@@ -353,7 +359,7 @@
   /** Binds the listeners and starts the control loops. */
   public void start() {
     peerPort = peerServer.bind(settings.getPeerListener());
-    operators.bind(settings.getOperatorListener());
+    operatorPort = operators.bind(settings.getOperatorListener());
     callerPort = callers.bind(settings.getCallerListener());
     int pollMs = settings.getPlatform().getPollIntervalMs();
     int renewMs = settings.getOwnership().getRenewIntervalMs();
@@ -377,16 +383,21 @@
         settings.getCallerListener().getPort());
   }
 
-  /** Returns the port that callers use, once started. */
+  /** Returns the port where callers connect; zero before the start. */
   public int callerPort() {
     return callerPort;
   }
 
-  /** Returns the port that other entry VMs use, once started. */
+  /** Returns the port where other entry VMs connect; zero before the start. */
   public int peerPort() {
     return peerPort;
   }
 
+  /** Returns the port where operators connect; zero before the start. */
+  public int operatorPort() {
+    return operatorPort;
+  }
+
   private static Runnable guarded(Runnable step) {
     return () -> {
       try {
@@ -460,30 +471,25 @@
   }
 
   /**
-   * Stops in order: leaves the balancer, finishes what is in flight, then closes.
+   * Stops in order: reports not ready so that the balancer leaves it out, serves on for the
+   * announced time, finishes what is in flight, then closes.
    *
-   * @param graceMs longest wait for requests in flight, in milliseconds
+   * @param graceMs longest wait for requests in flight after the announced time, in milliseconds
    * @return completes when everything is closed
    */
   public CompletableFuture<Void> stop(long graceMs) {
     accepting = false;
-    callers.stopListening();
-    CompletableFuture<Void> stopped = new CompletableFuture<>();
-    awaitIdle(clock.nowMs() + graceMs, stopped);
-    return stopped.thenRunAsync(this::close);
-  }
-
-  private void awaitIdle(long untilMs, CompletableFuture<Void> idle) {
-    if (path.inFlight() == 0 || clock.nowMs() >= untilMs) {
-      path.stopAccepting();
-      idle.complete(null);
-      return;
-    }
-    control.schedule(() -> awaitIdle(untilMs, idle), STOP_POLL_MS, TimeUnit.MILLISECONDS);
+    long announceMs = settings.getRequests().getStopAnnounceMs();
+    return new PlannedStop(callers, callerHandler, path, clock, this::schedule)
+        .start(announceMs, graceMs)
+        .thenRunAsync(this::close);
   }
 
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
     control.shutdownNow();
     callers.close();
     operators.close();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -4,9 +4,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.foxtailford.core.admission.AdmissionRefusal;
+import org.foxtailford.core.coldstart.ColdStartAdmission;
+import org.foxtailford.core.coldstart.ColdTicket;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.metrics.RouterMetrics;
+import org.foxtailford.core.result.Effect;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.retry.FailedAttempt;
@@ -47,6 +50,7 @@
   private final MillisClock clock;
   private final DelayedTasks tasks;
   private final SlotQueues queues;
+  private final ColdStartAdmission coldStarts;
   private final long queueTimeMs;
 
   /**
@@ -63,8 +67,8 @@
    * @param metrics counts retries, hedges and waits
    * @param clock this VM's clock
    * @param tasks runs hedges and rechecks
-   * @param queueCapacity most requests that wait in one queue
-   * @param queueTimeMs longest wait for a slot, in milliseconds
+   * @param coldStarts decides whether upstreams that may be cold take a request
+   * @param waiting limits of the queues
    */
   public RequestAttempts(
       RequestRouter router,
@@ -78,8 +82,8 @@
       RouterMetrics metrics,
       MillisClock clock,
       DelayedTasks tasks,
-      int queueCapacity,
-      long queueTimeMs) {
+      ColdStartAdmission coldStarts,
+      QueueLimits waiting) {
     this.router = Assert.notNull(router, "router");
     this.snapshots = Assert.notNull(snapshots, "snapshots");
     this.loads = Assert.notNull(loads, "loads");
@@ -91,8 +95,9 @@
     this.metrics = Assert.notNull(metrics, "metrics");
     this.clock = Assert.notNull(clock, "clock");
     this.tasks = Assert.notNull(tasks, "tasks");
-    this.queues = new SlotQueues(queueCapacity, clock, tasks, this::attempt, this::shed);
-    this.queueTimeMs = queueTimeMs;
+    this.queues = new SlotQueues(waiting.capacity(), clock, tasks, this::attempt, this::shed);
+    this.coldStarts = Assert.notNull(coldStarts, "coldStarts");
+    this.queueTimeMs = waiting.timeMs();
   }
 
   /** One attempt that was decided on. */
@@ -144,10 +149,29 @@
       Throwable refusal = new ResultCodeException(refuse.code(), refuse.message());
       call.answer().completeExceptionally(call.lastFailure().orElse(refusal));
     } else {
-      Target target = target(decision);
-      if (!send(call, target)) {
-        enqueue(call, target.queueName(), target.kind());
-      }
+      attempt(call, target(decision));
+    }
+  }
+
+  private void attempt(RequestCall call, Target target) {
+    String name = target.upstream().name();
+    Optional<ColdTicket> ticket = coldStarts.tryStart(name, clock.nowMs());
+    if (ticket.isEmpty()) {
+      refusedCold(call, target);
+    } else if (!send(call, target, ticket.get())) {
+      coldStarts.ended(ticket.get(), true);
+      enqueue(call, target.queueName(), target.kind());
+    }
+  }
+
+  private void refusedCold(RequestCall call, Target target) {
+    String name = target.upstream().name();
+    metrics.coldGateClosed(call.attributes().service());
+    call.failed(new ResultCodeException(ResultCode.UPSTREAM_COLD, name + " is in slow start"));
+    if (target.keyed() || !call.excluded().add(name)) {
+      call.answer().completeExceptionally(call.lastFailure().orElseThrow());
+    } else {
+      attempt(call);
     }
   }
 
@@ -197,7 +221,7 @@
     call.answer().completeExceptionally(call.lastFailure().orElse(refusal));
   }
 
-  private boolean send(RequestCall call, Target target) {
+  private boolean send(RequestCall call, Target target, ColdTicket ticket) {
     ServiceLoad load = loads.of(target.service());
     String name = target.upstream().name();
     long startedMs = clock.nowMs();
@@ -214,13 +238,14 @@
             call.attributes(),
             target.kind().getIdempotent(),
             name,
-            () -> sendNow(call, target));
+            () -> sendNow(call, target, ticket));
     call.started(sent);
     Runnable cancelOverdue = tasks.schedule(() -> onOverdue(call, target, sent), load.overdueMs());
     sent.whenComplete(
         (received, failure) -> {
           cancelOverdue.run();
           long nowMs = clock.nowMs();
+          coldStarts.ended(ticket, isOver(failure));
           load.ended(name, outcomeOf(failure), nowMs - startedMs, nowMs);
           queues.slotReleased(target.queueName());
           onEnd(call, target, sent, number, received, failure);
@@ -228,13 +253,19 @@
     return true;
   }
 
-  private CompletableFuture<HttpAnswer> sendNow(RequestCall call, Target target) {
+  private CompletableFuture<HttpAnswer> sendNow(
+      RequestCall call, Target target, ColdTicket ticket) {
     long remainingMs = call.attributes().deadlineMs() - clock.nowMs();
     if (remainingMs <= 0) {
       return CompletableFuture.failedFuture(
           new ResultCodeException(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
     }
-    return sender.send(target.upstream(), call.exchange(), target.ownership(), remainingMs);
+    long timeoutMs = Math.min(remainingMs, ticket.maxTimeoutMs());
+    return sender.send(target.upstream(), call.exchange(), target.ownership(), timeoutMs);
+  }
+
+  private static boolean isOver(Throwable failure) {
+    return failure == null || ResultCodeException.codeOf(failure).effect() == Effect.NOT_RUN;
   }
 
   private static AttemptOutcome outcomeOf(Throwable failure) {
@@ -261,8 +292,14 @@
     if (!mayHedge || !(decide(call) instanceof RouteDecision.ToAny other)) {
       return;
     }
-    if (budget.tryTake(clock.nowMs()) && send(call, target(other))) {
+    Optional<ColdTicket> ticket = coldStarts.tryStart(other.upstream().name(), clock.nowMs());
+    if (ticket.isEmpty()) {
+      return;
+    }
+    if (budget.tryTake(clock.nowMs()) && send(call, target(other), ticket.get())) {
       metrics.hedge(call.attributes().service());
+    } else {
+      coldStarts.ended(ticket.get(), true);
     }
   }
 
