--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -65,6 +65,7 @@
 import org.foxtailford.platform.HttpTableService;
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
+import org.foxtailford.schema.ConfigurationDigest;
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.PeerFrame;
@@ -433,6 +434,15 @@
         onOwners(feed.accept(frame.getOwnership()), before);
       } else if (frame.hasOwnershipDelta()) {
         onOwners(feed.accept(frame.getOwnershipDelta()), before);
+      } else if (frame.hasConfigurationDigest()) {
+        onDigest(sender, frame.getConfigurationDigest());
+      }
+    }
+
+    private void onDigest(PeerIdentity sender, ConfigurationDigest digest) {
+      sightings.add(sender.vm(), digest.getVersion());
+      if (digest.getVersion() > inForce.version()) {
+        pollConfiguration();
       }
     }
 
@@ -452,10 +462,6 @@
 
     @Override
     public List<PeerFrame> missing(PeerIdentity sender, PeerHeartbeat received) {
-      sightings.add(sender.vm(), received.getConfigurationVersion());
-      if (received.getConfigurationVersion() > inForce.version()) {
-        pollConfiguration();
-      }
       if (!sender.dataCentre().equals(settings.getDataCentre())) {
         return List.of();
       }
