--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.settings.SettingsDefaults;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.daemon.idempotency.RequestRecords;
 import org.foxtailford.net.http.FoxtailHeaders;
@@ -147,12 +148,12 @@
                     .setTimeoutMs(1000)
                     .setPollIntervalMs(100))
             .setOwnership(
-                OwnershipSettings.newBuilder()
+                SettingsDefaults.applyAll(OwnershipSettings.newBuilder())
                     .setRenewIntervalMs(100)
                     .setGrantTtlMs(400)
                     .setLeaseTtlMs(1000))
             .setRequests(
-                RequestSettings.newBuilder()
+                SettingsDefaults.applyAll(RequestSettings.newBuilder())
                     .setMaxHeaderBytes(16 << 10)
                     .setMaxBodyBytes(1 << 20)
                     .setMaxAnswerBytes(1 << 20)
