Explorer: faults of the table alone are told apart by their nodes

Cause: whether a fault excuses a lapse was decided by matching its text. Change: it is decided by the nodes that it hits.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/FaultInjector.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/FaultInjector.java
@@ -3,13 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
-import java.util.regex.Pattern;
 import org.foxtailford.core.util.Assert;
 
 /** Enters faults and their ends into the event queue of a system. */
 final class FaultInjector {
 
-  private static final Pattern ONLY_TABLE = Pattern.compile("^table |\\[table]");
   private static final long RECOVERY_MS = 3500;
   private static final int MAX_LOSS_PERCENT = 40;
   private static final int MAX_DUPLICATE_PERCENT = 50;
@@ -80,11 +78,17 @@
   }
 
   void pause(SimulatedNode node, long atMs, long lengthMs) {
-    enter(atMs, lengthMs, node.name() + " paused", node::pause, node::resume);
+    enter(
+        atMs,
+        lengthMs,
+        !isTable(List.of(node)),
+        node.name() + " paused",
+        node::pause,
+        node::resume);
   }
 
   void lose(SimulatedNode node, long atMs, long lengthMs) {
-    enter(atMs, lengthMs, node.name() + " lost", node::lose, node::start);
+    enter(atMs, lengthMs, !isTable(List.of(node)), node.name() + " lost", node::lose, node::start);
   }
 
   private void partition(long atMs, long lengthMs) {
@@ -105,6 +109,7 @@
     enter(
         atMs,
         lengthMs,
+        true,
         "messages disturbed",
         () -> network.disturb(loss, duplicates, delayMs),
         () -> network.disturb(0, 0, 0));
@@ -127,11 +132,16 @@
     enter(
         atMs,
         lengthMs,
+        !isTable(from) && !isTable(to),
         "cut from " + names(from) + " to " + names(to),
         () -> setCut(from, to, true),
         () -> setCut(from, to, false));
   }
 
+  private boolean isTable(List<? extends SimulatedNode> nodes) {
+    return nodes.equals(List.of(system.table()));
+  }
+
   private static List<String> names(List<? extends SimulatedNode> nodes) {
     return nodes.stream().map(SimulatedNode::name).toList();
   }
@@ -141,9 +151,10 @@
     from.forEach(a -> to.forEach(b -> system.network().setCut(a.name(), b.name(), cut)));
   }
 
-  private void enter(long atMs, long lengthMs, String text, Runnable begin, Runnable end) {
+  private void enter(
+      long atMs, long lengthMs, boolean disturbsGrants, String text, Runnable begin, Runnable end) {
     EventQueue queue = system.queue();
-    if (!ONLY_TABLE.matcher(text).find()) {
+    if (disturbsGrants) {
       system.checker().noteDisturbedBetween(atMs, atMs + lengthMs + RECOVERY_MS);
     }
     queue.schedule(
