Resend test writes a configuration record

Cause: the row holds a record with its schema number since acceptance became definite; the test wrote a bare document, so no configuration came into force and the test ran into its time-out. Change: the test writes a record.

--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.foxtailford.core.configuration.ConfigurationRecords;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.settings.SettingsDefaults;
@@ -25,6 +26,7 @@
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.net.http.PooledHttpClient;
 import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.ConfigurationRecord;
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.OwnershipSettings;
@@ -73,7 +75,7 @@
     platformAddress = ANY.toBuilder().setPort(platformServer.bind(ANY)).build();
     platform
         .table()
-        .write("configuration", TableService.ABSENT, configuration().toByteString())
+        .write(ConfigurationRecords.ROW, TableService.ABSENT, record().toByteString())
         .join();
     for (int i = 0; i < 3; i++) {
       vms.add(startVm(i));
@@ -177,6 +179,14 @@
             .build());
   }
 
+  private static ConfigurationRecord record() {
+    return ConfigurationRecord.newBuilder()
+        .setSchema(ConfigurationRecords.SCHEMA)
+        .setWriteId(1)
+        .setDocument(configuration())
+        .build();
+  }
+
   private static ConfigurationDocument configuration() {
     return ConfigurationDocument.newBuilder()
         .addServices(
