Data centres go out and come back: homes move by release; entry VM split by concern

Ruled out: giving the lease up at every pause (in a table outage it could not be had again): only a pause that the elapsed-time clock did not count gives it up. Change: HomeMover runs with the leader; HomesReading carries its age and a leader places only by homes read in its term; rows that overtake each other never bring an older one back; Leadership and OwnerSpread take over their part of EntryVm; LoadAwarePolicy places; owners are found by binary search.

--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
@@ -17,6 +17,7 @@
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
+import org.foxtailford.daemon.request.GuardedSender;
 import org.foxtailford.daemon.request.QueueLimits;
 import org.foxtailford.daemon.request.RelaySender;
 import org.foxtailford.daemon.request.RequestAttempts;
@@ -59,9 +60,11 @@
             new RequestRouter(new TwoChoicesChooser(random), loads),
             () -> snapshot,
             loads,
-            new UpstreamSender(
-                (endpoint, exchange, timeoutMs) -> fleet.send(endpoint.getPort() - 1, entryVm)),
-            (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
+            new GuardedSender(
+                (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
+                new UpstreamSender(
+                    (endpoint, exchange, timeoutMs) ->
+                        fleet.send(endpoint.getPort() - 1, entryVm))),
             new RelaySender(home -> Optional.empty(), metrics, events),
             new RetryPolicy(MAX_ATTEMPTS, MIN_REMAINING_MS, budget),
             budget,
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
@@ -21,6 +21,7 @@
 import org.foxtailford.core.configuration.ConfigurationStore;
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.ownership.HomeDirectory;
+import org.foxtailford.core.ownership.HomesReading;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.SliceAssignment;
 import org.foxtailford.core.ownership.SliceRange;
@@ -37,6 +38,7 @@
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.HomeRanges;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.ServiceAssignment;
 import org.foxtailford.schema.VmEntry;
@@ -88,7 +90,7 @@
   /** Starts the interface with something put before it. */
   OperatorFixture(UnaryOperator<HttpExchangeHandler> around) {
     inForce.acceptVms(vms());
-    state.acceptHomes(HomeDirectory.empty());
+    state.acceptHomes(HomesReading.none());
     OperatorContext context =
         new OperatorContext(
             "entry-a1",
@@ -123,8 +125,8 @@
 
   /** Makes every key of the service belong to an upstream. */
   void grant(String service, String upstream) {
-    state.acceptHomes(
-        HomeDirectory.of(List.of(HomeDirectory.initial(service, 1, List.of("dc-a")))));
+    HomeRanges homes = HomeDirectory.initial(service, 1, List.of("dc-a"));
+    state.acceptHomes(new HomesReading(HomeDirectory.of(List.of(homes)), 0));
     SliceAssignment slice = new SliceAssignment(SliceRange.ALL, upstream, new Fence(3, 1));
     state.acceptOwners(
         OwnershipMap.of(
--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ServiceView.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ServiceView.java
@@ -1,5 +1,7 @@
 package org.foxtailford.core.configuration;
 
+import com.google.common.collect.Lists;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,7 +29,8 @@
 
   /** Returns the upstream with a name. */
   public Optional<Upstream> upstream(String name) {
-    return upstreams.stream().filter(upstream -> upstream.name().equals(name)).findFirst();
+    int index = Collections.binarySearch(Lists.transform(upstreams, Upstream::name), name);
+    return index < 0 ? Optional.empty() : Optional.of(upstreams.get(index));
   }
 
   static ServiceView of(ServiceDefinition definition, List<Upstream> upstreams) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/membership/PauseDetector.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/membership/PauseDetector.java
@@ -36,16 +36,26 @@
   }
 
   /**
-   * Ends one interval and starts the next.
+   * What one interval showed.
    *
-   * @return the length of the pause in milliseconds; zero if there was none
+   * @param lengthMs length of the pause, in milliseconds; zero if there was none
+   * @param unseenMs part of it that the elapsed-time clock did not count, in milliseconds
    */
-  public long check() {
+  public record Pause(long lengthMs, long unseenMs) {}
+
+  /** Ends one interval and starts the next. */
+  public Pause check() {
     long nowMs = clock.nowMs();
     long nowTimeOfDayMs = timeOfDayMs.getAsLong();
-    long gapMs = Math.max(nowMs - lastMs, nowTimeOfDayMs - lastTimeOfDayMs);
+    long elapsedMs = nowMs - lastMs;
+    long unseenMs = nowTimeOfDayMs - lastTimeOfDayMs - elapsedMs;
     lastMs = nowMs;
     lastTimeOfDayMs = nowTimeOfDayMs;
-    return gapMs > toleratedMs ? gapMs : 0;
+    long gapMs = elapsedMs + Math.max(0, unseenMs);
+    return new Pause(orNone(gapMs), orNone(unseenMs));
+  }
+
+  private long orNone(long ms) {
+    return ms > toleratedMs ? ms : 0;
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -107,6 +107,11 @@
     registry.counter("foxtailford.ownership.updates").increment();
   }
 
+  /** Counts a pause of this process that the control loop noticed. */
+  public void pause() {
+    registry.counter("foxtailford.pauses").increment();
+  }
+
   /** Counts the start of a term as leader. */
   public void leadershipGained() {
     registry.counter("foxtailford.leadership.gained").increment();
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -55,7 +55,7 @@
   private final PlacementPolicy policy;
   private final OwnershipPublisher publisher;
   private final Supplier<ConfigurationView> configuration;
-  private final Supplier<HomeDirectory> homes;
+  private final Supplier<HomesReading> homes;
   private final MillisClock clock;
   private final Executor control;
 
@@ -69,7 +69,7 @@
       PlacementPolicy policy,
       OwnershipPublisher publisher,
       Supplier<ConfigurationView> configuration,
-      Supplier<HomeDirectory> homes,
+      Supplier<HomesReading> homes,
       MillisClock clock,
       Executor control) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
@@ -82,7 +82,7 @@
     this.homes = Assert.notNull(homes, "homes");
     this.clock = Assert.notNull(clock, "clock");
     this.control = Assert.notNull(control, "control");
-    election.onAcquired(this::tick);
+    election.addAcquiredListener(this::tick);
   }
 
   /** Runs one round. Called at every renewal interval. */
@@ -99,13 +99,19 @@
     refreshSessions(current);
     freeLapsedSlices(current);
     closeIfExcluded(current);
-    if (current.closedMs().isPresent() && authorityMs(current).isPresent()) {
+    boolean mayPlace = current.closedMs().isPresent() && knowsHomes(current);
+    if (mayPlace && authorityMs(current).isPresent()) {
       placeAll(current);
     }
     current.sessions().values().forEach(this::exchange);
     publishIfChanged(current);
   }
 
+  /** Homes read before the term may lack a move that an earlier leader completed. */
+  private boolean knowsHomes(LeaderTerm current) {
+    return homes.get().asOfMs() >= current.acquiredMs();
+  }
+
   private void placeAll(LeaderTerm current) {
     configuration.get().services().values().stream()
         .filter(service -> service.definition().getKeyed())
@@ -129,6 +135,7 @@
     LeaderTerm current = term;
     if (current == null
         || current.closedMs().isEmpty()
+        || !knowsHomes(current)
         || election.lease().filter(lease -> lease.epoch() == current.epoch()).isEmpty()) {
       return false;
     }
@@ -305,7 +312,7 @@
   private List<SliceKey> localSlices(ServiceView service) {
     String name = service.definition().getName();
     return SliceRange.divide(service.definition().getInitialSlices()).stream()
-        .filter(range -> homes.get().isHome(dataCentre, name, range))
+        .filter(range -> homes.get().directory().isHome(dataCentre, name, range))
         .map(range -> new SliceKey(name, range))
         .toList();
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeMover.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeMover.java
@@ -31,6 +31,7 @@
   private final TableService table;
   private final ConditionalWrites writes;
   private final LongSupplier writeIds;
+  private final Runnable changed;
   private final Executor control;
   private boolean inFlight;
 
@@ -43,6 +44,7 @@
    * @param configuration gives the configuration in force
    * @param table the table service
    * @param writeIds gives a number never given before
+   * @param changed runs after a row was changed, so that it is read again at once
    * @param control executor of all callbacks
    */
   public HomeMover(
@@ -52,6 +54,7 @@
       Supplier<ConfigurationView> configuration,
       TableService table,
       LongSupplier writeIds,
+      Runnable changed,
       Executor control) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.leader = Assert.notNull(leader, "leader");
@@ -60,6 +63,7 @@
     this.table = Assert.notNull(table, "table");
     this.writes = new ConditionalWrites(table);
     this.writeIds = Assert.notNull(writeIds, "writeIds");
+    this.changed = Assert.notNull(changed, "changed");
     this.control = Assert.notNull(control, "control");
   }
 
@@ -100,7 +104,9 @@
       return CompletableFuture.completedFuture(null);
     }
     HomeRanges value = next.get().toBuilder().setWriteId(writeIds.getAsLong()).build();
-    return writes.write(row.key(), row.version(), value.toByteString()).thenApply(done -> null);
+    return writes
+        .write(row.key(), row.version(), value.toByteString())
+        .thenAcceptAsync(written -> changed.run(), control);
   }
 
   private static List<String> available(ServiceView service) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
@@ -1,6 +1,7 @@
 package org.foxtailford.core.ownership;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -42,7 +43,7 @@
   private final LongSupplier writeIds;
   private final Executor control;
 
-  private Runnable acquired = () -> {};
+  private final List<Runnable> acquiredListeners = new ArrayList<>();
   private boolean inFlight;
   private @Nullable HeldLease held;
   private @Nullable PendingWrite unresolved;
@@ -87,9 +88,14 @@
     this.control = Assert.notNull(control, "control");
   }
 
-  /** Sets what runs as soon as this VM has taken the lease over. */
-  public void onAcquired(Runnable listener) {
-    acquired = Assert.notNull(listener, "listener");
+  /** Adds what runs as soon as this VM has taken the lease over. */
+  public void addAcquiredListener(Runnable listener) {
+    acquiredListeners.add(Assert.notNull(listener, "listener"));
+  }
+
+  /** Gives the lease up at once; the row still names this VM until another one takes it over. */
+  public void abandon() {
+    held = null;
   }
 
   /** Returns the lease if this VM holds it at this moment. */
@@ -218,7 +224,7 @@
     lastReadMs = clock.nowMs();
     noteSeen(version, pending.record());
     if (lease == null || lease.epoch() != pending.record().getEpoch()) {
-      acquired.run();
+      acquiredListeners.forEach(Runnable::run);
     }
   }
 
--- a/foxtailford-core/src/test/java/org/foxtailford/core/membership/PauseDetectorTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/membership/PauseDetectorTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.atomic.AtomicLong;
+import org.foxtailford.core.membership.PauseDetector.Pause;
 import org.testng.annotations.Test;
 
 public class PauseDetectorTests {
@@ -16,7 +17,7 @@
     for (int i = 0; i < 10; i++) {
       elapsedMs.addAndGet(200);
       timeOfDayMs.addAndGet(200);
-      assertThat(detector.check()).isZero();
+      assertThat(detector.check()).isEqualTo(new Pause(0, 0));
     }
   }
 
@@ -25,13 +26,13 @@
     detector.check();
     elapsedMs.addAndGet(900);
     timeOfDayMs.addAndGet(900);
-    assertThat(detector.check()).isEqualTo(900);
+    assertThat(detector.check()).isEqualTo(new Pause(900, 0));
   }
 
   @Test
   public void gapThatOnlyTheTimeOfDayShowsIsAPause() {
     detector.check();
     timeOfDayMs.addAndGet(5000);
-    assertThat(detector.check()).isEqualTo(5000);
+    assertThat(detector.check()).isEqualTo(new Pause(5000, 5000));
   }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -22,18 +22,11 @@
 import org.foxtailford.core.configuration.ConfigurationPropagation;
 import org.foxtailford.core.configuration.ConfigurationStore;
 import org.foxtailford.core.configuration.PropagationTiming;
-import org.foxtailford.core.dissemination.OwnershipFeed;
 import org.foxtailford.core.idempotency.RecordLimits;
-import org.foxtailford.core.membership.DisseminationTree;
 import org.foxtailford.core.membership.Member;
 import org.foxtailford.core.membership.MembershipTracker;
 import org.foxtailford.core.metrics.RouterMetrics;
-import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.Fence;
-import org.foxtailford.core.ownership.HeldLease;
-import org.foxtailford.core.ownership.LeaseElection;
-import org.foxtailford.core.ownership.OwnershipTiming;
-import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.poison.PoisonTracker;
@@ -50,14 +43,17 @@
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
+import org.foxtailford.daemon.control.Leadership;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.idempotency.RequestGuard;
 import org.foxtailford.daemon.idempotency.RequestRecords;
 import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.HeartbeatExchange;
+import org.foxtailford.daemon.peer.OwnerSpread;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.request.CallerHandler;
+import org.foxtailford.daemon.request.GuardedSender;
 import org.foxtailford.daemon.request.PlannedStop;
 import org.foxtailford.daemon.request.QueueLimits;
 import org.foxtailford.daemon.request.RelaySender;
@@ -84,7 +80,7 @@
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.HandOverPage;
 import org.foxtailford.schema.HandOverRequest;
-import org.foxtailford.schema.OwnershipCheckpoint;
+import org.foxtailford.schema.OwnershipSettings;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.PeerHeartbeat;
 import org.foxtailford.schema.PlatformSettings;
@@ -104,7 +100,6 @@
   private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
   private static final int HEARTBEAT_INTERVAL_MS = 300;
   private static final int PEER_LOST_AFTER_MS = 1200;
-  private static final int OWNERSHIP_HISTORY = 64;
   private static final double PERCENT = 100.0;
   private static final double RETRIES_PER_SECOND = 1.0;
   private static final double RETRY_BURST = 20.0;
@@ -132,16 +127,14 @@
   private final PeerServer peerServer;
   private final PooledHttpClient controlClient;
   private final PooledHttpClient upstreamClient;
-  private final LeaseElection election;
-  private final DataCentreLeader leader;
+  private final Leadership leadership;
   private final ConfigurationPoller poller;
   private final ConfigurationExchange configurations;
   private final RouterMetrics metrics;
   private final MembershipTracker tracker;
-  private final OwnershipFeed feed;
+  private final OwnerSpread owners;
   private final HeartbeatExchange heartbeats;
   private volatile boolean accepting = true;
-  private boolean led;
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile int callerPort;
   private volatile int peerPort;
@@ -182,14 +175,14 @@
     tracker =
         new MembershipTracker(
             settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
-    feed = new OwnershipFeed(settings.getDataCentre(), OWNERSHIP_HISTORY);
+    owners = new OwnerSpread(self, tracker, peers, state, metrics);
     heartbeats = new HeartbeatExchange(self, tracker, peers, new SharedState());
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
-    TableService table = newTable();
-    records = new RequestRecords(self, peers, table, this::leads, RecordLimits.DEFAULT, clock);
+    TableService table = newTable(settings.getPlatform().getTimeoutMs());
+    records = new RequestRecords(self, peers, table, this::leadsNow, RecordLimits.DEFAULT, clock);
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
@@ -199,36 +192,56 @@
     callerHandler = new CallerHandler(path, classifier, metrics, clock);
     callers = new HttpServer(loops, callerLimits, callerHandler);
     peerServer = newPeerServer(self, maxFrameBytes, classifier);
-    PlatformSettings platform = settings.getPlatform();
-    poller =
-        new ConfigurationPoller(
-            table,
-            new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
-            inForce,
-            state,
-            vms -> control.execute(() -> acceptVms(vms)),
-            metrics);
-    configurations =
-        new ConfigurationExchange(
-            new ConfigurationPropagation(
-                settings.getVm(), PropagationTiming.DEFAULT, inForce, clock, random),
-            poller,
-            inForce,
-            peers,
-            clock,
-            control);
-    OwnershipTiming timing = OwnershipTiming.of(settings.getOwnership());
-    int leaseTimeoutMs = Math.min(platform.getTimeoutMs(), timing.leaseTtlMs() / 2);
-    TableService leaseTable =
-        new HttpTableService(controlClient, platform.getAddress(), leaseTimeoutMs);
-    election = newElection(leaseTable, timing, random, self.bootId());
-    leader = newLeader(timing);
+    poller = newPoller(table);
+    configurations = newConfigurationExchange(random);
+    leadership = newLeadership(self, table, random);
     operators = newOperatorServer(table);
   }
 
-  private TableService newTable() {
+  private TableService newTable(int timeoutMs) {
+    return new HttpTableService(controlClient, settings.getPlatform().getAddress(), timeoutMs);
+  }
+
+  private ConfigurationPoller newPoller(TableService table) {
     PlatformSettings platform = settings.getPlatform();
-    return new HttpTableService(controlClient, platform.getAddress(), platform.getTimeoutMs());
+    return new ConfigurationPoller(
+        table,
+        new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
+        inForce,
+        state,
+        vms -> control.execute(() -> acceptVms(vms)),
+        metrics,
+        clock);
+  }
+
+  private ConfigurationExchange newConfigurationExchange(RandomGenerator random) {
+    return new ConfigurationExchange(
+        new ConfigurationPropagation(
+            settings.getVm(), PropagationTiming.DEFAULT, inForce, clock, random),
+        poller,
+        inForce,
+        peers,
+        clock,
+        control);
+  }
+
+  private Leadership newLeadership(PeerIdentity self, TableService table, RandomGenerator random) {
+    OwnershipSettings ownership = settings.getOwnership();
+    int leaseTimeoutMs =
+        Math.min(settings.getPlatform().getTimeoutMs(), ownership.getLeaseTtlMs() / 2);
+    return new Leadership(
+        self,
+        ownership,
+        newTable(leaseTimeoutMs),
+        table,
+        new HttpUpstreamGrants(controlClient, ownership.getRenewIntervalMs()),
+        owners::publish,
+        state,
+        this::pollHomes,
+        metrics,
+        clock,
+        random::nextLong,
+        control);
   }
 
   private PeerServer newPeerServer(
@@ -255,8 +268,7 @@
             router,
             state::snapshot,
             loads,
-            new UpstreamSender(upstreamClient),
-            newRequestGuard(),
+            new GuardedSender(newRequestGuard(), new UpstreamSender(upstreamClient)),
             new RelaySender(peers::anyIn, metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
@@ -289,8 +301,8 @@
         clock);
   }
 
-  private boolean leads() {
-    return leader.leads();
+  private boolean leadsNow() {
+    return leadership.leads();
   }
 
   private void acceptVms(VmList vms) {
@@ -305,33 +317,6 @@
             });
   }
 
-  private LeaseElection newElection(
-      TableService table, OwnershipTiming timing, RandomGenerator random, long bootId) {
-    return new LeaseElection(
-        "leader-" + settings.getDataCentre(),
-        settings.getVm(),
-        bootId,
-        timing,
-        table,
-        clock,
-        random::nextLong,
-        control);
-  }
-
-  private DataCentreLeader newLeader(OwnershipTiming timing) {
-    return new DataCentreLeader(
-        settings.getDataCentre(),
-        election,
-        timing,
-        new HttpUpstreamGrants(controlClient, timing.renewIntervalMs()),
-        new EvenCountPolicy(1),
-        this::publish,
-        () -> state.snapshot().configuration(),
-        () -> state.snapshot().homes(),
-        clock,
-        control);
-  }
-
   private HttpServer newOperatorServer(TableService table) {
     OperatorContext context =
         new OperatorContext(
@@ -341,7 +326,7 @@
             new ConfigurationStore(table),
             router,
             () -> accepting,
-            leader::leads,
+            leadership::leads,
             sightings::versions,
             new SecureRandom()::nextLong,
             tls.isPresent(),
@@ -420,6 +405,10 @@
     poller.poll().exceptionally(EntryVm::reportFailedPoll);
   }
 
+  private CompletableFuture<Void> pollHomes() {
+    return poller.pollHomes().exceptionally(EntryVm::reportFailedPoll);
+  }
+
   private static @Nullable Void reportFailedPoll(Throwable failure) {
     logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
         "the platform does not answer: %s", failure.getMessage());
@@ -427,16 +416,9 @@
   }
 
   private void tick() {
-    election.tick();
-    leader.tick();
+    leadership.tick();
     records.tick();
     configurations.tick(tracker.usableIn(settings.getDataCentre()), remotePeers());
-    boolean leads = leader.leads();
-    if (leads && !led) {
-      metrics.leadershipGained();
-      logger.atInfo().log("leads data centre %s", settings.getDataCentre());
-    }
-    led = leads;
   }
 
   private List<String> remotePeers() {
@@ -448,28 +430,6 @@
         .toList();
   }
 
-  private void publish(OwnershipCheckpoint checkpoint) {
-    Fence before = feed.current().version();
-    onOwners(feed.accept(checkpoint), before);
-  }
-
-  private void onOwners(boolean accepted, Fence before) {
-    if (!accepted) {
-      return;
-    }
-    metrics.ownershipUpdate();
-    state.acceptOwners(feed.current());
-    DisseminationTree tree =
-        DisseminationTree.of(
-            settings.getDataCentre(),
-            tracker.leader(),
-            tracker.usableIn(settings.getDataCentre()),
-            DisseminationTree.FAN_OUT);
-    feed.messageFor(before)
-        .ifPresent(
-            frame -> tree.children(settings.getVm()).forEach(child -> peers.send(child, frame)));
-  }
-
   /**
    * Stops in order: reports not ready so that the balancer leaves it out, serves on for the
    * announced time, finishes what is in flight, then closes.
@@ -479,6 +439,7 @@
    */
   public CompletableFuture<Void> stop(long graceMs) {
     accepting = false;
+    control.execute(heartbeats::announceLeaving);
     long announceMs = settings.getRequests().getStopAnnounceMs();
     return new PlannedStop(callers, callerHandler, path, clock, this::schedule)
         .start(announceMs, graceMs)
@@ -515,18 +476,13 @@
     }
 
     private void dispatch(PeerIdentity sender, PeerFrame frame) {
-      if (configurations.onFrame(sender.vm(), frame)) {
+      if (configurations.onFrame(sender.vm(), frame) || owners.onFrame(frame)) {
         return;
       }
-      Fence before = feed.current().version();
       if (frame.hasHeartbeat()) {
         heartbeats.onHeartbeat(sender, frame.getHeartbeat());
       } else if (frame.hasMembership()) {
         heartbeats.onMembership(frame.getMembership());
-      } else if (frame.hasOwnership()) {
-        onOwners(feed.accept(frame.getOwnership()), before);
-      } else if (frame.hasOwnershipDelta()) {
-        onOwners(feed.accept(frame.getOwnershipDelta()), before);
       } else if (frame.hasClaimEnd()) {
         records.holder().end(frame.getClaimEnd());
       } else if (frame.hasPoisonReport()) {
@@ -557,7 +513,7 @@
     public void addVersions(PeerHeartbeat.Builder heartbeat) {
       heartbeat
           .setConfigurationVersion(inForce.version())
-          .setOwnershipVersion(feed.current().version().toValue());
+          .setOwnershipVersion(owners.version().toValue());
     }
 
     @Override
@@ -567,12 +523,12 @@
         return List.of();
       }
       Fence known = Fence.of(received.getOwnershipVersion());
-      return feed.messageFor(known).stream().toList();
+      return owners.missing(known).stream().toList();
     }
 
     @Override
     public Optional<Long> leadingEpoch() {
-      return election.lease().map(HeldLease::epoch);
+      return leadership.leadingEpoch();
     }
   }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationPoller.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.foxtailford.core.configuration.ConfigurationInForce;
@@ -15,10 +17,12 @@
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.HomeDirectory;
+import org.foxtailford.core.ownership.HomesReading;
 import org.foxtailford.core.platform.TableRow;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.platform.VmListSource;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.HomeRanges;
 import org.foxtailford.schema.VmList;
@@ -39,6 +43,8 @@
   private final RoutingState state;
   private final Consumer<VmList> vmListener;
   private final RouterMetrics metrics;
+  private final MillisClock clock;
+  private final ConcurrentMap<String, TableRow> newestHomes = new ConcurrentHashMap<>();
 
   /**
    * Creates a poller.
@@ -49,6 +55,7 @@
    * @param state receives the homes of ranges
    * @param vmListener receives each VM list that was read
    * @param metrics counters
+   * @param clock clock of this VM
    */
   public ConfigurationPoller(
       TableService table,
@@ -56,13 +63,15 @@
       ConfigurationInForce inForce,
       RoutingState state,
       Consumer<VmList> vmListener,
-      RouterMetrics metrics) {
+      RouterMetrics metrics,
+      MillisClock clock) {
     this.table = Assert.notNull(table, "table");
     this.vmList = Assert.notNull(vmList, "vmList");
     this.inForce = Assert.notNull(inForce, "inForce");
     this.state = Assert.notNull(state, "state");
     this.vmListener = Assert.notNull(vmListener, "vmListener");
     this.metrics = Assert.notNull(metrics, "metrics");
+    this.clock = Assert.notNull(clock, "clock");
   }
 
   /** Reads the VM list and the homes once. The future fails if the platform does not answer. */
@@ -111,19 +120,21 @@
         "keeping configuration version %d: %s", inForce.version(), reason);
   }
 
-  private CompletableFuture<Void> pollHomes() {
+  /** Reads the homes of ranges. */
+  public CompletableFuture<Void> pollHomes() {
+    long startedMs = clock.nowMs();
     List<CompletableFuture<Optional<HomeRanges>>> reads =
         state.snapshot().configuration().services().values().stream()
             .filter(service -> service.definition().getKeyed())
             .map(this::readHomes)
             .toList();
     return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
-        .thenRun(() -> acceptHomes(reads));
+        .thenRun(() -> acceptHomes(reads, startedMs));
   }
 
-  private void acceptHomes(List<CompletableFuture<Optional<HomeRanges>>> reads) {
+  private void acceptHomes(List<CompletableFuture<Optional<HomeRanges>>> reads, long startedMs) {
     List<HomeRanges> rows = reads.stream().flatMap(read -> read.join().stream()).toList();
-    state.acceptHomes(HomeDirectory.of(rows));
+    state.acceptHomes(new HomesReading(HomeDirectory.of(rows), startedMs));
   }
 
   private CompletableFuture<Optional<HomeRanges>> readHomes(ServiceView service) {
@@ -133,9 +144,12 @@
         .thenCompose(row -> row.isPresent() ? parseHomes(row.get()) : createHomes(key, service));
   }
 
-  private static CompletableFuture<Optional<HomeRanges>> parseHomes(TableRow row) {
+  /** Reads that overtake each other must not bring an older row back. */
+  private CompletableFuture<Optional<HomeRanges>> parseHomes(TableRow row) {
+    TableRow newest =
+        newestHomes.merge(row.key(), row, (a, b) -> a.version() >= b.version() ? a : b);
     try {
-      return CompletableFuture.completedFuture(Optional.of(HomeRanges.parseFrom(row.value())));
+      return CompletableFuture.completedFuture(Optional.of(HomeRanges.parseFrom(newest.value())));
     } catch (InvalidProtocolBufferException e) {
       return CompletableFuture.failedFuture(e);
     }
--- /dev/null
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -0,0 +1,149 @@
+package org.foxtailford.daemon.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.foxtailford.core.membership.PauseDetector;
+import org.foxtailford.core.metrics.RouterMetrics;
+import org.foxtailford.core.ownership.DataCentreLeader;
+import org.foxtailford.core.ownership.HeldLease;
+import org.foxtailford.core.ownership.HomeMover;
+import org.foxtailford.core.ownership.HomePlanner;
+import org.foxtailford.core.ownership.LeaseElection;
+import org.foxtailford.core.ownership.OwnershipPublisher;
+import org.foxtailford.core.ownership.OwnershipTiming;
+import org.foxtailford.core.ownership.UpstreamGrants;
+import org.foxtailford.core.placement.LoadAwarePolicy;
+import org.foxtailford.core.platform.TableService;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.peer.PeerIdentity;
+import org.foxtailford.schema.OwnershipSettings;
+
+/**
+ * This VM's part in leading its data centre: the lease, the leader's rounds, and the moves of
+ * homes.
+ *
+ * <p>A pause during which the elapsed-time clock stood still gives the lease up before anything is
+ * sent, since that clock would still show it as valid. Not thread-safe: all calls run on the
+ * control executor.
+ */
+public final class Leadership {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final String dataCentre;
+  private final LeaseElection election;
+  private final DataCentreLeader leader;
+  private final HomeMover homeMover;
+  private final PauseDetector pauses;
+  private final RouterMetrics metrics;
+  private volatile boolean leads;
+
+  /**
+   * Creates a part without a lease.
+   *
+   * @param self this VM
+   * @param settings timing
+   * @param leaseTable table service whose calls end well before the lease does
+   * @param table table service of everything else
+   * @param grants grants of upstreams
+   * @param publisher receives new owners
+   * @param state configuration and homes
+   * @param pollHomes reads the homes again
+   * @param metrics counters
+   * @param clock clock of this VM
+   * @param writeIds gives a number never given before
+   * @param control executor of all callbacks
+   */
+  public Leadership(
+      PeerIdentity self,
+      OwnershipSettings settings,
+      TableService leaseTable,
+      TableService table,
+      UpstreamGrants grants,
+      OwnershipPublisher publisher,
+      RoutingState state,
+      Supplier<CompletableFuture<Void>> pollHomes,
+      RouterMetrics metrics,
+      MillisClock clock,
+      LongSupplier writeIds,
+      Executor control) {
+    this.dataCentre = self.dataCentre();
+    this.metrics = Assert.notNull(metrics, "metrics");
+    OwnershipTiming timing = OwnershipTiming.of(settings);
+    election =
+        new LeaseElection(
+            "leader-" + dataCentre,
+            self.vm(),
+            self.bootId(),
+            timing,
+            leaseTable,
+            clock,
+            writeIds,
+            control);
+    leader =
+        new DataCentreLeader(
+            dataCentre,
+            election,
+            timing,
+            grants,
+            new LoadAwarePolicy(),
+            publisher,
+            () -> state.snapshot().configuration(),
+            state::homes,
+            clock,
+            control);
+    election.addAcquiredListener(() -> pollHomes.get().thenRunAsync(leader::tick, control));
+    homeMover =
+        new HomeMover(
+            dataCentre,
+            leader,
+            new HomePlanner(settings.getHomeMovesAtOnce()),
+            () -> state.snapshot().configuration(),
+            table,
+            writeIds,
+            pollHomes::get,
+            control);
+    pauses = new PauseDetector(clock, System::currentTimeMillis, timing.trustedLeaseMs());
+  }
+
+  /** Runs one round. Called at every renewal interval. */
+  public void tick() {
+    notePause(pauses.check());
+    election.tick();
+    leader.tick();
+    homeMover.tick();
+    boolean now = leader.leads();
+    if (now && !leads) {
+      metrics.leadershipGained();
+      logger.atInfo().log("leads data centre %s", dataCentre);
+    }
+    leads = now;
+  }
+
+  private void notePause(PauseDetector.Pause pause) {
+    if (pause.lengthMs() > 0) {
+      metrics.pause();
+      logger.atWarning().log(
+          "the process stood still for %d ms, %d ms of them unseen by its clock",
+          pause.lengthMs(), pause.unseenMs());
+    }
+    if (pause.unseenMs() > 0) {
+      election.abandon();
+    }
+  }
+
+  /** Tells whether this VM led its data centre at the last round. Thread-safe. */
+  public boolean leads() {
+    return leads;
+  }
+
+  /** Returns the epoch under which this VM holds the lease at this moment. */
+  public Optional<Long> leadingEpoch() {
+    return election.lease().map(HeldLease::epoch);
+  }
+}
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/RoutingState.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/RoutingState.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicReference;
 import org.foxtailford.core.configuration.ConfigurationView;
-import org.foxtailford.core.ownership.HomeDirectory;
+import org.foxtailford.core.ownership.HomesReading;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.routing.RoutingSnapshot;
 
@@ -10,6 +10,7 @@
 public final class RoutingState {
 
   private final AtomicReference<RoutingSnapshot> snapshot;
+  private volatile HomesReading homes = HomesReading.none();
 
   public RoutingState(String dataCentre) {
     snapshot = new AtomicReference<>(RoutingSnapshot.initial(dataCentre));
@@ -25,8 +26,15 @@
         s -> view.version() >= s.configuration().version() ? s.withConfiguration(view) : s);
   }
 
-  public void acceptHomes(HomeDirectory homes) {
-    snapshot.updateAndGet(s -> s.withHomes(homes));
+  /** Takes the homes of ranges. */
+  public synchronized void acceptHomes(HomesReading reading) {
+    homes = reading;
+    snapshot.updateAndGet(s -> s.withHomes(reading.directory()));
+  }
+
+  /** Returns the homes of ranges and their age. */
+  public HomesReading homes() {
+    return homes;
   }
 
   /**
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -41,8 +41,7 @@
   private final RequestRouter router;
   private final Supplier<RoutingSnapshot> snapshots;
   private final ServiceLoads loads;
-  private final UpstreamSender sender;
-  private final AttemptGuard guard;
+  private final GuardedSender sender;
   private final RelaySender relays;
   private final RetryPolicy retries;
   private final RetryBudget budget;
@@ -59,8 +58,7 @@
    * @param router decides where each attempt goes
    * @param snapshots gives the state to decide on
    * @param loads what this VM has seen of the upstreams
-   * @param sender sends to upstreams
-   * @param guard stands before each attempt at an upstream
+   * @param sender sends to upstreams what its guard lets through
    * @param relays sends to other data centres
    * @param retries decides what follows a failed attempt
    * @param budget pays for hedges; the same that pays for retries
@@ -74,8 +72,7 @@
       RequestRouter router,
       Supplier<RoutingSnapshot> snapshots,
       ServiceLoads loads,
-      UpstreamSender sender,
-      AttemptGuard guard,
+      GuardedSender sender,
       RelaySender relays,
       RetryPolicy retries,
       RetryBudget budget,
@@ -88,7 +85,6 @@
     this.snapshots = Assert.notNull(snapshots, "snapshots");
     this.loads = Assert.notNull(loads, "loads");
     this.sender = Assert.notNull(sender, "sender");
-    this.guard = Assert.notNull(guard, "guard");
     this.relays = Assert.notNull(relays, "relays");
     this.retries = Assert.notNull(retries, "retries");
     this.budget = Assert.notNull(budget, "budget");
@@ -233,12 +229,14 @@
     }
     int number = call.nextAttempt();
     CompletableFuture<HttpAnswer> sent =
-        guard.run(
-            call.exchange(),
-            call.attributes(),
-            target.kind().getIdempotent(),
-            name,
-            () -> sendNow(call, target, ticket));
+        sender
+            .guard()
+            .run(
+                call.exchange(),
+                call.attributes(),
+                target.kind().getIdempotent(),
+                name,
+                () -> sendNow(call, target, ticket));
     call.started(sent);
     Runnable cancelOverdue = tasks.schedule(() -> onOverdue(call, target, sent), load.overdueMs());
     sent.whenComplete(
@@ -261,7 +259,7 @@
           new ResultCodeException(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
     }
     long timeoutMs = Math.min(remainingMs, ticket.maxTimeoutMs());
-    return sender.send(target.upstream(), call.exchange(), target.ownership(), timeoutMs);
+    return sender.sender().send(target.upstream(), call.exchange(), target.ownership(), timeoutMs);
   }
 
   private static boolean isOver(Throwable failure) {
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatExchangeTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatExchangeTests.java
@@ -22,8 +22,8 @@
     HeartbeatMesh mesh = new HeartbeatMesh(size);
     mesh.lead("vm-0");
     mesh.run(SETTLING_ROUNDS);
-    assertThat(mesh.nodes.values())
-        .allSatisfy(node -> assertThat(node.tracker.heardIn("dc")).hasSize(size));
+    assertThat(mesh.nodes().values())
+        .allSatisfy(node -> assertThat(node.tracker().heardIn("dc")).hasSize(size));
   }
 
   @Test(dataProvider = "sizes")
@@ -31,10 +31,10 @@
     HeartbeatMesh mesh = new HeartbeatMesh(size);
     mesh.lead("vm-0");
     mesh.run(SETTLING_ROUNDS);
-    mesh.bytesReceived.clear();
+    mesh.bytesReceived().clear();
     int rounds = 20;
     mesh.run(rounds);
-    long most = size == 1 ? 0 : Collections.max(mesh.bytesReceived.values());
+    long most = size == 1 ? 0 : Collections.max(mesh.bytesReceived().values());
     double seconds = rounds * HeartbeatMesh.INTERVAL_MS / 1000.0;
     assertThat(most / seconds).isLessThan(CONTROL_BYTES_PER_SECOND);
   }
@@ -44,10 +44,10 @@
     HeartbeatMesh mesh = new HeartbeatMesh(size);
     mesh.lead("vm-0");
     mesh.run(SETTLING_ROUNDS);
-    mesh.nodes.get("vm-0").publish(7);
+    mesh.nodes().get("vm-0").publish(7);
     mesh.run(8);
-    assertThat(mesh.nodes.values())
-        .allSatisfy(node -> assertThat(node.feed.current().version()).isEqualTo(new Fence(1, 7)));
+    assertThat(mesh.nodes().values())
+        .allSatisfy(node -> assertThat(node.feed().current().version()).isEqualTo(new Fence(1, 7)));
   }
 
   @Test
@@ -55,11 +55,11 @@
     HeartbeatMesh mesh = new HeartbeatMesh(40);
     mesh.lead("vm-0");
     mesh.run(SETTLING_ROUNDS);
-    mesh.stopped.add("vm-17");
+    mesh.stopped().add("vm-17");
     mesh.run(SETTLING_ROUNDS);
-    mesh.nodes.remove("vm-17");
-    assertThat(mesh.nodes.values())
-        .allSatisfy(node -> assertThat(node.tracker.heardIn("dc")).hasSize(39));
+    mesh.nodes().remove("vm-17");
+    assertThat(mesh.nodes().values())
+        .allSatisfy(node -> assertThat(node.tracker().heardIn("dc")).hasSize(39));
   }
 
   @Test
@@ -67,12 +67,12 @@
     HeartbeatMesh mesh = new HeartbeatMesh(40);
     mesh.lead("vm-0");
     mesh.run(SETTLING_ROUNDS);
-    mesh.stopped.add("vm-0");
+    mesh.stopped().add("vm-0");
     mesh.run(SETTLING_ROUNDS);
-    mesh.nodes.get("vm-5").publish(9);
+    mesh.nodes().get("vm-5").publish(9);
     mesh.run(SETTLING_ROUNDS);
-    mesh.nodes.remove("vm-0");
-    assertThat(mesh.nodes.values())
-        .allSatisfy(node -> assertThat(node.feed.current().version()).isEqualTo(new Fence(1, 9)));
+    mesh.nodes().remove("vm-0");
+    assertThat(mesh.nodes().values())
+        .allSatisfy(node -> assertThat(node.feed().current().version()).isEqualTo(new Fence(1, 9)));
   }
 }
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatMesh.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatMesh.java
@@ -30,10 +30,10 @@
   static final int INTERVAL_MS = 300;
   static final int LOST_AFTER_MS = 1200;
 
-  final FakeMillisClock clock = new FakeMillisClock();
-  final Map<String, Node> nodes = new TreeMap<>();
-  final Set<String> stopped = new TreeSet<>();
-  final Map<String, Long> bytesReceived = new TreeMap<>();
+  private final FakeMillisClock clock = new FakeMillisClock();
+  private final Map<String, Node> nodes = new TreeMap<>();
+  private final Set<String> stopped = new TreeSet<>();
+  private final Map<String, Long> bytesReceived = new TreeMap<>();
   private final Deque<Runnable> deliveries = new ArrayDeque<>();
   private Optional<String> leader = Optional.empty();
 
@@ -59,6 +59,18 @@
         .build();
   }
 
+  Map<String, Node> nodes() {
+    return nodes;
+  }
+
+  Set<String> stopped() {
+    return stopped;
+  }
+
+  Map<String, Long> bytesReceived() {
+    return bytesReceived;
+  }
+
   void lead(String vm) {
     leader = Optional.of(vm);
   }
@@ -78,10 +90,10 @@
   /** One entry VM. */
   final class Node implements PeerMessenger, HeartbeatExchange.VersionedState {
 
-    final String name;
-    final MembershipTracker tracker;
-    final OwnershipFeed feed = new OwnershipFeed("dc", 16);
-    final HeartbeatExchange exchange;
+    private final String name;
+    private final MembershipTracker tracker;
+    private final OwnershipFeed feed = new OwnershipFeed("dc", 16);
+    private final HeartbeatExchange exchange;
     private final PeerIdentity identity;
 
     Node(String name, long bootId) {
@@ -104,6 +116,14 @@
       }
     }
 
+    MembershipTracker tracker() {
+      return tracker;
+    }
+
+    OwnershipFeed feed() {
+      return feed;
+    }
+
     private void receive(PeerIdentity sender, PeerFrame frame) {
       if (frame.hasHeartbeat()) {
         exchange.onHeartbeat(sender, frame.getHeartbeat());
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -89,8 +89,9 @@
             new RequestRouter(new TwoChoicesChooser(new Random(1)), loads),
             () -> snapshot,
             loads,
-            new UpstreamSender(this::send),
-            (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
+            new GuardedSender(
+                (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
+                new UpstreamSender(this::send)),
             new RelaySender(home -> Optional.empty(), metrics, clock),
             new RetryPolicy(3, 2, budget),
             budget,
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/DemoCommand.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/DemoCommand.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.testkit.command.DemoClient.Answer;
 
@@ -21,6 +22,8 @@
   private static final long WAIT_MS = 30_000;
   private static final long POLL_MS = 20;
   private static final long RECOVERY_TARGET_MS = 2000;
+  private static final long DATA_CENTRE_TARGET_MS = 3000;
+  private static final int PROBE_KEYS = 24;
 
   private static final List<String> CALLERS = addresses(0);
   private static final List<String> OPERATORS = addresses(2);
@@ -68,6 +71,7 @@
     showOwners();
     showRefusals();
     showLossOfUpstream();
+    showDataCentreOutAndIn(Files.readString(folder.resolve("configuration.json")));
     showCounters();
     out.println(faults == 0 ? "\nDemonstration complete." : "\nDemonstration failed.");
     return faults == 0 ? 0 : 1;
@@ -93,7 +97,7 @@
         .allMatch(
             caller ->
                 List.of("menu-planning", "price-catalogue").stream()
-                    .allMatch(service -> serves(caller, service, 24)));
+                    .allMatch(service -> serves(caller, service, PROBE_KEYS)));
   }
 
   private boolean serves(String caller, String service, int keys) {
@@ -188,6 +192,44 @@
     return client.get(caller, "/menu-planning/lookup", "Foxtail-Key", key);
   }
 
+  private void showDataCentreOutAndIn(String document) {
+    out.println("\nData centre dc-b out, then in again:");
+    String withoutB =
+        document.replace(
+            "\"vms\": [", "\"dataCentres\": [{\"name\": \"dc-b\", \"out\": true}], \"vms\": [");
+    changeAndWait(withoutB, "dc-b is out", () -> isServedOnlyBy("-a"));
+    changeAndWait(document, "dc-b is in", () -> isServedBy("-b") && everySliceHasOwner());
+  }
+
+  private void changeAndWait(String document, String what, BooleanSupplier done) {
+    String operator = OPERATORS.get(0);
+    String version = client.get(operator, "/v1/configuration").etag();
+    Answer answer =
+        client.send(operator, "/v1/configuration", "PUT", document, "If-Match", version);
+    require(answer.isOk(), what + ": accepted: " + answer.body().strip());
+    long startedNs = System.nanoTime();
+    await(what, done);
+    long elapsedMs = (System.nanoTime() - startedNs) / 1_000_000;
+    out.printf("  %s after %d ms, checked with %d keys%n", what, elapsedMs, PROBE_KEYS);
+    require(elapsedMs <= DATA_CENTRE_TARGET_MS, what + " within 3 s");
+  }
+
+  private boolean isServedBy(String dataCentreMark) {
+    return IntStream.range(0, PROBE_KEYS)
+        .mapToObj(i -> lookup(CALLERS.get(0), "probe-" + i))
+        .anyMatch(answer -> answer.upstream().contains(dataCentreMark));
+  }
+
+  private boolean isServedOnlyBy(String dataCentreMark) {
+    for (int i = 0; i < PROBE_KEYS; i++) {
+      Answer answer = lookup(CALLERS.get(0), "probe-" + i);
+      if (!answer.isOk() || !answer.upstream().contains(dataCentreMark)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void showCounters() {
     out.println("\nRefusals, retries and relays counted:");
     for (String operator : OPERATORS) {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -4,6 +4,7 @@
 import org.foxtailford.core.dissemination.OwnershipFeed;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.Fence;
+import org.foxtailford.core.ownership.HomesReading;
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.OwnershipTiming;
@@ -90,7 +91,7 @@
         system.policy(),
         this::publish,
         system::configuration,
-        system::homes,
+        () -> new HomesReading(system.homes(), clock.nowMs()),
         clock,
         control());
   }
