--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -64,7 +64,7 @@
   public void faultyDocumentIsRefusedWithPathsLinesAndHints() throws IOException {
     String text = OperatorFixture.DOCUMENT.replace("service=pantry", "service=>pantry");
     assertThat(fixture.run("config", "check", file(text))).isEqualTo(ExitStatus.REFUSED);
-    assertThat(fixture.err()).contains("$.services[1].selector", "line 6", "hint:");
+    assertThat(fixture.err()).contains("$.services[1].selector", "line 7", "hint:");
     assertThat(fixture.store().read().join().getVersion()).isEqualTo(1);
   }
 
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
@@ -56,6 +56,7 @@
       {
         "services": [
           {"name": "menu-planning", "keyed": true, "selector": "service=menu-planning",
+           "upstreamsCheckFences": true,
            "kinds": [{"name": "lookup", "idempotent": true, "worth": 40}]},
           {"name": "pantry", "selector": "service=pantry",
            "kinds": [{"name": "check", "idempotent": true, "worth": 0}]}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationChecker.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationChecker.java
@@ -111,6 +111,12 @@
       if (service.getKindsCount() == 0) {
         error(path + ".kinds", "has no kind of request", "add at least one kind");
       }
+      if (service.getKeyed() && !service.getUpstreamsCheckFences()) {
+        error(
+            path + ".upstreamsCheckFences",
+            "keys of upstreams that do not check fences would have no sole owner",
+            "set it to true if the upstreams take fenced grants; otherwise leave keyed out");
+      }
       try {
         LabelSelector.parse(service.getSelector());
       } catch (IllegalArgumentException e) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationCheckerTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationCheckerTests.java
@@ -48,6 +48,16 @@
     assertThat(findings).noneMatch(f -> f.hint().isEmpty());
   }
 
+  @Test
+  public void keyedServiceWhoseUpstreamsDoNotCheckFencesIsAnError() {
+    String text =
+        "{\"services\": [{\"name\": \"menu\", \"selector\": \"vm\", \"keyed\": true,"
+            + " \"kinds\": [{\"name\": \"get\", \"idempotent\": true}]}]}";
+    assertThat(checker.check(text, VMS).findings())
+        .extracting(ConfigurationFinding::path, ConfigurationFinding::severity)
+        .containsExactly(tuple("$.services[0].upstreamsCheckFences", FindingSeverity.ERROR));
+  }
+
   @Test
   public void kindThatStandsTwiceIsAnError() {
     String kind = "{\"name\": \"get\", \"idempotent\": true}";
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/EntryVmStopTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/EntryVmStopTests.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.settings.SettingsDefaults;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.net.http.HttpExchangeHandler;
@@ -117,7 +118,7 @@
                     .setTimeoutMs(1000)
                     .setPollIntervalMs(50))
             .setOwnership(
-                OwnershipSettings.newBuilder()
+                SettingsDefaults.applyAll(OwnershipSettings.newBuilder())
                     .setLeaseTtlMs(800)
                     .setRenewIntervalMs(200)
                     .setGrantTtlMs(700))
