Status names every listed entry VM; the daemon places by count until loads are reported

Ruled out: versions in the members' update, which would send 9 KB down the tree at each configuration change. Change: listed VMs that are not heard count as not in force; other data centres hear from each VM every tenth heartbeat; EvenCountPolicy places; slices of other data centres are shown as unknown. Conclusion: load reports are needed before LoadAwarePolicy serves the daemon.

--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/StatusCommand.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/StatusCommand.java
@@ -43,15 +43,14 @@
     }
   }
 
-  /** Asks every endpoint; what a VM says of itself goes before what others heard of it. */
+  /** Asks every endpoint; the highest version that anybody knows of a VM counts. */
   private static Map<String, Long> versions(OperatorClient client) {
     Map<String, Long> versions = new TreeMap<>();
     for (String endpoint : client.endpoints()) {
       try {
         JsonNode status = client.getFrom(endpoint, "/v1/status").body();
-        versions.put(text(status, "vm"), status.path("configurationVersion").asLong());
         for (JsonNode vm : status.path("vms")) {
-          versions.putIfAbsent(text(vm, "vm"), vm.path("configurationVersion").asLong());
+          versions.merge(text(vm, "vm"), vm.path("configurationVersion").asLong(), Math::max);
         }
       } catch (ResultCodeException e) {
         versions.put(endpoint, UNREACHABLE);
@@ -79,7 +78,7 @@
 
   private static String state(long version, long stored) {
     if (version == UNREACHABLE) {
-      return "does not answer";
+      return "not heard from";
     }
     return version >= stored ? "in force" : "behind";
   }
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -170,6 +170,12 @@
     assertThat(fixture.run("owner", "pantry", "rice")).isEqualTo(ExitStatus.NOT_FOUND);
   }
 
+  @Test
+  public void listedVmThatIsNotHeardFromIsNotCountedAsInForce() {
+    assertThat(fixture.run("status", "--wait", "--wait-ms", "3000")).isEqualTo(ExitStatus.NOT_YET);
+    assertThat(fixture.out()).containsPattern("entry-b1 +- +not heard from");
+  }
+
   @Test
   public void statusWaitsUntilEveryVmHasTheStoredVersion() {
     fixture.peerVersions().put("entry-b1", 0L);
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/RunbookTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/RunbookTests.java
@@ -18,6 +18,7 @@
   private static final int MIN_COMMANDS = 20;
   private static final Pattern LINE =
       Pattern.compile("foxtailctl (.*?)(?: > (\\S+))?(?:\\s+# exit ([0-9]+))?");
+  private static final long NEWEST_VERSION = 1000;
   private static final Pattern WORD = Pattern.compile("\"([^\"]*)\"|(\\S+)");
 
   @Test
@@ -29,6 +30,7 @@
       assertThat(fixture.run("config", "apply", folder.resolve("first.json").toString()))
           .isEqualTo(ExitStatus.DONE);
       fixture.grant("menu-planning", "menu-a1");
+      fixture.peerVersions().put("entry-b1", NEWEST_VERSION);
       for (String line : Files.readAllLines(PAGE)) {
         Matcher matcher = LINE.matcher(line.strip());
         if (matcher.matches()) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -16,7 +16,7 @@
 import org.foxtailford.core.ownership.OwnershipPublisher;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.UpstreamGrants;
-import org.foxtailford.core.placement.LoadAwarePolicy;
+import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
@@ -34,6 +34,7 @@
 public final class Leadership {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MOVES_PER_ROUND = 1;
 
   private final String dataCentre;
   private final LeaseElection election;
@@ -91,7 +92,7 @@
             election,
             timing,
             grants,
-            new LoadAwarePolicy(),
+            new EvenCountPolicy(MOVES_PER_ROUND),
             publisher,
             () -> state.snapshot().configuration(),
             state::homes,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/InventoryResources.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/InventoryResources.java
@@ -98,13 +98,14 @@
         snapshot.configuration().upstreams().stream()
             .sorted(Comparator.comparing(Upstream::name))
             .toList();
-    return answer("upstreams", sorted, u -> upstream(u, snapshot.configuration(), slices));
+    return answer("upstreams", sorted, u -> upstream(u, snapshot, slices));
   }
 
   private static ObjectNode upstream(
-      Upstream upstream, ConfigurationView view, Map<String, Integer> slices) {
+      Upstream upstream, RoutingSnapshot snapshot, Map<String, Integer> slices) {
+    boolean local = upstream.dataCentre().equals(snapshot.dataCentre());
     List<String> services =
-        view.services().values().stream()
+        snapshot.configuration().services().values().stream()
             .filter(service -> service.upstream(upstream.name()).isPresent())
             .map(service -> service.definition().getName())
             .sorted()
@@ -115,7 +116,7 @@
             .put("dataCentre", upstream.dataCentre())
             .put("available", upstream.available())
             .put("services", String.join(",", services))
-            .put("slices", slices.getOrDefault(upstream.name(), 0));
+            .put("slices", local ? slices.getOrDefault(upstream.name(), 0) : null);
     putLabels(node, upstream.labels());
     return node;
   }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
@@ -25,6 +25,9 @@
 
   private static final int SIGHTINGS_REFRESH_HEARTBEATS = 16;
 
+  /** Below the root, other data centres hear from a VM more rarely than its neighbours. */
+  private static final int REMOTE_HEARTBEAT_ROUNDS = 10;
+
   private final PeerIdentity self;
   private final MembershipTracker tracker;
   private final PeerMessenger network;
@@ -35,6 +38,7 @@
   private int heartbeatsSinceSightings;
   private MembershipUpdate lastUpdate = MembershipUpdate.getDefaultInstance();
   private long sequence;
+  private long rounds;
   private boolean leaving;
 
   /** State that spreads by versions. */
@@ -74,7 +78,8 @@
     Optional<String> parent = tree.parent(self.vm());
     tree.children(self.vm()).forEach(vm -> network.send(vm, heartbeat(List.of())));
     parent.ifPresent(vm -> network.send(vm, heartbeat(sightingsFor(vm))));
-    if (parent.isEmpty()) {
+    boolean remoteRound = ++rounds % REMOTE_HEARTBEAT_ROUNDS == 0;
+    if (parent.isEmpty() || remoteRound) {
       members.stream()
           .map(Member::dataCentre)
           .distinct()
