--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -28,7 +28,6 @@
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.CheckpointReader;
 import org.foxtailford.core.ownership.CheckpointWriter;
-import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.platform.ObjectStore;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.poison.PoisonLimits;
@@ -54,7 +53,9 @@
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.HeartbeatExchange;
 import org.foxtailford.daemon.peer.OwnerSpread;
+import org.foxtailford.daemon.peer.PeerDispatcher;
 import org.foxtailford.daemon.peer.PeerNetwork;
+import org.foxtailford.daemon.peer.SharedVersions;
 import org.foxtailford.daemon.request.CallerHandler;
 import org.foxtailford.daemon.request.GuardedSender;
 import org.foxtailford.daemon.request.PlannedStop;
@@ -70,7 +71,6 @@
 import org.foxtailford.net.peer.LinkTimes;
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerLink;
-import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.net.peer.PeerServer;
 import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.net.tls.TlsContexts;
@@ -79,18 +79,11 @@
 import org.foxtailford.platform.HttpTableService;
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
-import org.foxtailford.schema.ClaimAnswer;
-import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.DaemonSettings;
-import org.foxtailford.schema.HandOverPage;
-import org.foxtailford.schema.HandOverRequest;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.OwnershipSettings;
 import org.foxtailford.schema.PeerFrame;
-import org.foxtailford.schema.PeerHeartbeat;
 import org.foxtailford.schema.PlatformSettings;
-import org.foxtailford.schema.RelayAnswer;
-import org.foxtailford.schema.RelayRequest;
 import org.foxtailford.schema.RequestSettings;
 import org.foxtailford.schema.VmList;
 import org.jspecify.annotations.Nullable;
@@ -183,7 +176,13 @@
         new MembershipTracker(
             settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
     owners = new OwnerSpread(self, tracker, peers, state, metrics);
-    heartbeats = new HeartbeatExchange(self, tracker, peers, new SharedState());
+    heartbeats =
+        new HeartbeatExchange(
+            self,
+            tracker,
+            peers,
+            new SharedVersions(
+                settings.getDataCentre(), inForce, sightings, owners, this::leadingEpoch));
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
@@ -193,14 +192,11 @@
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
-    HttpLimits callerLimits =
-        new HttpLimits(
-            settings.getRequests().getMaxHeaderBytes(), settings.getRequests().getMaxBodyBytes());
     callerHandler = new CallerHandler(path, classifier, metrics, clock);
-    callers = new HttpServer(loops, callerLimits, callerHandler);
-    peerServer = newPeerServer(self, maxFrameBytes, classifier);
+    callers = new HttpServer(loops, callerLimits(), callerHandler);
     poller = newPoller(table);
     configurations = newConfigurationExchange(random);
+    peerServer = newPeerServer(self, maxFrameBytes, classifier);
     ObjectStore objects = newObjectStore();
     savedOwners = new CheckpointReader(table, objects);
     checkpoints =
@@ -210,6 +206,11 @@
     operators = newOperatorServer(table);
   }
 
+  private HttpLimits callerLimits() {
+    RequestSettings requests = settings.getRequests();
+    return new HttpLimits(requests.getMaxHeaderBytes(), requests.getMaxBodyBytes());
+  }
+
   private TableService newTable(int timeoutMs) {
     return new HttpTableService(controlClient, settings.getPlatform().getAddress(), timeoutMs);
   }
@@ -268,7 +269,8 @@
         self,
         maxFrameBytes,
         LinkTimes.DEFAULT,
-        new Messages(classifier),
+        new PeerDispatcher(
+            configurations, owners, heartbeats, records, poison, path, classifier, control),
         tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
   }
 
@@ -331,6 +333,10 @@
         .exceptionally(EntryVm::reportFailedPoll);
   }
 
+  private Optional<Long> leadingEpoch() {
+    return leadership.leadingEpoch();
+  }
+
   private boolean leadsNow() {
     return leadership.leads();
   }
@@ -492,75 +498,4 @@
     upstreamClient.close();
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
-
-  /** Receives messages of other entry VMs. */
-  private final class Messages implements PeerMessageHandler {
-
-    private final RequestClassifier classifier;
-
-    Messages(RequestClassifier classifier) {
-      this.classifier = classifier;
-    }
-
-    @Override
-    public void onMessage(PeerIdentity sender, PeerFrame frame) {
-      control.execute(guarded(() -> dispatch(sender, frame)));
-    }
-
-    private void dispatch(PeerIdentity sender, PeerFrame frame) {
-      if (configurations.onFrame(sender.vm(), frame) || owners.onFrame(frame)) {
-        return;
-      }
-      if (frame.hasHeartbeat()) {
-        heartbeats.onHeartbeat(sender, frame.getHeartbeat());
-      } else if (frame.hasMembership()) {
-        heartbeats.onMembership(frame.getMembership());
-      } else if (frame.hasClaimEnd()) {
-        records.holder().end(frame.getClaimEnd());
-      } else if (frame.hasPoisonReport()) {
-        poison.receive(frame.getPoisonReport());
-      }
-    }
-
-    @Override
-    public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
-      return records.holder().claim(request);
-    }
-
-    @Override
-    public HandOverPage onHandOver(PeerIdentity sender, HandOverRequest request) {
-      return records.holder().handOver(request);
-    }
-
-    @Override
-    public CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request) {
-      return path.serveRelayed(request, classifier);
-    }
-  }
-
-  /** What this VM has and what its neighbours lack. */
-  private final class SharedState implements HeartbeatExchange.VersionedState {
-
-    @Override
-    public void addVersions(PeerHeartbeat.Builder heartbeat) {
-      heartbeat
-          .setConfigurationVersion(inForce.version())
-          .setOwnershipVersion(owners.version().toValue());
-    }
-
-    @Override
-    public List<PeerFrame> missing(PeerIdentity sender, PeerHeartbeat received) {
-      sightings.add(sender.vm(), received.getConfigurationVersion());
-      if (!sender.dataCentre().equals(settings.getDataCentre())) {
-        return List.of();
-      }
-      Fence known = Fence.of(received.getOwnershipVersion());
-      return owners.missing(known).stream().toList();
-    }
-
-    @Override
-    public Optional<Long> leadingEpoch() {
-      return leadership.leadingEpoch();
-    }
-  }
 }
