One way to listen for HTTP and peer links

Change: ListenerUtils. Peer listeners get the backlog of 1,024 that HTTP listeners had. Conclusion: no other behaviour changed.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
@@ -1,23 +1,19 @@
 package org.foxtailford.net.http;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.timeout.WriteTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
-import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.tcp.ListenerUtils;
 import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.net.tls.ClientSubjectHandler;
 import org.foxtailford.schema.Endpoint;
@@ -30,8 +26,6 @@
  */
 public final class HttpServer implements AutoCloseable {
 
-  private static final int BACKLOG = 1024;
-
   private final EventLoopGroup loops;
   private final HttpLimits limits;
   private final HttpExchangeHandler handler;
@@ -63,28 +57,9 @@
    * @throws ResultCodeException with {@link ResultCode#ADDRESS_IN_USE} if it cannot be bound
    */
   public int bind(Endpoint endpoint) {
-    ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    addHandlers(channel);
-                  }
-                });
-    var bound = bootstrap.bind(endpoint.getHost(), endpoint.getPort()).awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      String address = endpoint.getHost() + ":" + endpoint.getPort();
-      throw new ResultCodeException(
-          ResultCode.ADDRESS_IN_USE, "cannot listen on " + address, bound.cause());
-    }
-    listener = bound.channel();
-    return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+    Channel bound = ListenerUtils.bind(ListenerUtils.bootstrap(loops, this::addHandlers), endpoint);
+    listener = bound;
+    return ListenerUtils.portOf(bound);
   }
 
   private void addHandlers(SocketChannel channel) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServer.java
@@ -2,18 +2,16 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
-import java.net.InetSocketAddress;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.tcp.ListenerUtils;
 import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.schema.Endpoint;
 import org.jspecify.annotations.Nullable;
@@ -68,33 +66,18 @@
    */
   public int bind(Endpoint endpoint) {
     ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerPipelines.WATER_MARK)
-            .childHandler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel channel) {
-                    links.add(channel);
-                    security.secure(channel);
-                    PeerPipelines.addHandlers(
-                        channel.pipeline(),
-                        maxFrameBytes,
-                        times,
-                        new PeerServerHandler(self, handler));
-                  }
-                });
-    var bound = bootstrap.bind(endpoint.getHost(), endpoint.getPort()).awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      String address = endpoint.getHost() + ":" + endpoint.getPort();
-      throw new ResultCodeException(
-          ResultCode.ADDRESS_IN_USE, "cannot listen on " + address, bound.cause());
-    }
-    listener = bound.channel();
-    return ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        ListenerUtils.bootstrap(loops, this::addHandlers)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerPipelines.WATER_MARK);
+    Channel bound = ListenerUtils.bind(bootstrap, endpoint);
+    listener = bound;
+    return ListenerUtils.portOf(bound);
+  }
+
+  private void addHandlers(SocketChannel channel) {
+    links.add(channel);
+    security.secure(channel);
+    PeerServerHandler last = new PeerServerHandler(self, handler);
+    PeerPipelines.addHandlers(channel.pipeline(), maxFrameBytes, times, last);
   }
 
   /** Returns the number of open connections. */
