--- a/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
@@ -40,6 +40,8 @@
   private static final PeerIdentity A = new PeerIdentity("s", "a", "dc1", 1);
   private static final PeerIdentity B = new PeerIdentity("s", "b", "dc2", 2);
 
+  private static final PeerIdentity FOREIGN = new PeerIdentity("other", "x", "dc1", 3);
+
   private EventLoopGroup loops;
   private PeerServer server;
   private PeerLink link;
@@ -100,6 +102,35 @@
         .isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
   }
 
+  @Test(timeOut = LONG_MS)
+  public void serverRejectsAPeerOfAnotherSystemAndClosesTheConnection() throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), link.endpoint().getPort())) {
+      writeHello(socket, FOREIGN);
+      DataInputStream in = new DataInputStream(socket.getInputStream());
+      PeerFrame answer = PeerFrame.parseFrom(in.readNBytes(in.readInt()));
+      assertThat(answer.getRejection().getResultCode()).isEqualTo(ResultCode.OTHER_SYSTEM.number());
+      assertThat(in.read()).isEqualTo(-1);
+    }
+  }
+
+  @Test(timeOut = LONG_MS)
+  public void linkRejectsAPeerOfAnotherSystem() throws IOException {
+    try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      PeerLink toForeign =
+          new PeerLink(loops, A, endpoint(listener.getLocalPort()), MAX_FRAME_BYTES);
+      toForeign.connect();
+      try (Socket socket = listener.accept()) {
+        writeHello(socket, FOREIGN);
+        while (toForeign.rejection().isEmpty()) {
+          Thread.onSpinWait();
+        }
+        assertThat(toForeign.rejection()).contains(ResultCode.OTHER_SYSTEM);
+        assertThat(toForeign.remote()).isEmpty();
+      }
+      toForeign.close();
+    }
+  }
+
   @Test(timeOut = LONG_MS)
   public void refusalThatIsThrownDoesNotCutTheLink() {
     connect();
@@ -157,16 +188,20 @@
     return link.relay(request(), LONG_MS);
   }
 
-  private static void greet(Socket socket) throws IOException {
-    DataInputStream in = new DataInputStream(socket.getInputStream());
-    in.readNBytes(in.readInt());
-    byte[] hello = PeerFrame.newBuilder().setHello(B.toHello()).build().toByteArray();
+  private static void writeHello(Socket socket, PeerIdentity identity) throws IOException {
+    byte[] hello = PeerFrame.newBuilder().setHello(identity.toHello()).build().toByteArray();
     DataOutputStream out = new DataOutputStream(socket.getOutputStream());
     out.writeInt(hello.length);
     out.write(hello);
     out.flush();
   }
 
+  private static void greet(Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    in.readNBytes(in.readInt());
+    writeHello(socket, B);
+  }
+
   private void connect() {
     link.connect();
     while (link.remote().isEmpty()) {
