Configurations travel along the tree of the heartbeats

Cause: ConfigurationPropagation had a tree of its own, sorted by name. Above 64 entry VMs a data centre links only neighbours of the DisseminationTree, so its digests and pulls were dropped. The test's network linked every node with every other and so could not show it.

Change: the test's network drops what PeerNetwork would not link; propagation takes the DisseminationTree and the open links. The tree moves to core.topology, below membership and configuration, and finds places by a map.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationPropagation.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationPropagation.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.configuration.PropagationStep.ReadTable;
 import org.foxtailford.core.configuration.PropagationStep.SendDelta;
@@ -12,6 +11,7 @@
 import org.foxtailford.core.configuration.PropagationStep.SendPull;
 import org.foxtailford.core.configuration.PropagationStep.SendSnapshot;
 import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.topology.DisseminationTree;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.ConfigurationDelta;
 import org.foxtailford.schema.ConfigurationDigest;
@@ -21,12 +21,13 @@
 /**
  * Decides how one node spreads and learns configurations.
  *
- * <p>The live nodes of a data centre, sorted by name, form a tree. The first few read the table;
- * every node sends its children a digest at each interval and at once when a version comes into
- * force. A digest carries the age of the table read that confirmed it. A node that hears of a newer
- * version pulls it, and receives a delta or the whole document. A node whose last confirmation is
- * too old asks random peers, and then the table, so that lost nodes of the tree or of the pollers
- * delay a version only by a few intervals.
+ * <p>The live nodes of a data centre form a tree, the same along which heartbeats travel, since
+ * only its neighbours are sure to be linked. The first few nodes of it read the table; every node
+ * sends its children a digest at each interval and at once when a version comes into force. A
+ * digest carries the age of the table read that confirmed it. A node that hears of a newer version
+ * pulls it, and receives a delta or the whole document. A node whose last confirmation is too old
+ * asks random peers, and then the table, so that lost nodes of the tree or of the pollers delay a
+ * version only by a few intervals.
  *
  * <p>Does no I/O. Not thread-safe: called by one control thread.
  */
@@ -40,6 +41,7 @@
   private final ConfigurationInForce inForce;
   private final MillisClock clock;
   private final RandomGenerator random;
+  private DisseminationTree tree;
   private List<String> local = List.of();
   private List<String> remote = List.of();
   private long confirmedMs;
@@ -66,6 +68,7 @@
     this.inForce = Assert.notNull(inForce, "inForce");
     this.clock = Assert.notNull(clock, "clock");
     this.random = Assert.notNull(random, "random");
+    this.tree = DisseminationTree.alone(self);
     this.confirmedMs = clock.nowMs() - timing.tableAfterMs();
     this.nextDigestMs = clock.nowMs();
   }
@@ -73,13 +76,14 @@
   /**
    * Sets the live entry VMs.
    *
-   * @param localPeers those of this data centre, with or without this one
+   * @param tree those of this data centre
+   * @param localPeers those of this data centre to which there is a link
    * @param remotePeers those of other data centres to which there is a link
    */
-  public void setMembers(Collection<String> localPeers, Collection<String> remotePeers) {
-    TreeSet<String> sorted = new TreeSet<>(localPeers);
-    sorted.add(self);
-    local = List.copyOf(sorted);
+  public void setMembers(
+      DisseminationTree tree, Collection<String> localPeers, Collection<String> remotePeers) {
+    this.tree = Assert.notNull(tree, "tree");
+    local = List.copyOf(localPeers);
     remote = List.copyOf(remotePeers);
   }
 
@@ -97,7 +101,7 @@
       return steps;
     }
     nextDigestMs = nowMs + timing.digestIntervalMs();
-    children().forEach(child -> steps.add(new SendDigest(child, digest())));
+    tree.children(self).forEach(child -> steps.add(new SendDigest(child, digest())));
     if (readsTable()) {
       steps.add(new ReadTable());
     }
@@ -110,11 +114,11 @@
   }
 
   private boolean readsTable() {
-    if (index() < timing.pollers()) {
+    if (tree.place(self).orElse(0) < timing.pollers()) {
       return true;
     }
     boolean stale = confirmedAgeMs() >= timing.tableAfterMs();
-    return stale && random.nextInt(local.size()) < timing.fallbackReads();
+    return stale && random.nextInt(tree.size()) < timing.fallbackReads();
   }
 
   /**
@@ -181,8 +185,8 @@
       return;
     }
     announcedVersion = inForce.version();
-    parent().ifPresent(parent -> steps.add(new SendDigest(parent, digest())));
-    children().forEach(child -> steps.add(new SendDigest(child, digest())));
+    tree.parent(self).ifPresent(parent -> steps.add(new SendDigest(parent, digest())));
+    tree.children(self).forEach(child -> steps.add(new SendDigest(child, digest())));
   }
 
   private SendPull pull(String peer) {
@@ -197,24 +201,9 @@
         .build();
   }
 
-  private int index() {
-    return Math.max(local.indexOf(self), 0);
-  }
-
-  private Optional<String> parent() {
-    int index = index();
-    return index == 0 ? Optional.empty() : Optional.of(local.get((index - 1) / timing.fanOut()));
-  }
-
-  private List<String> children() {
-    int from = Math.min(index() * timing.fanOut() + 1, local.size());
-    int to = Math.min(from + timing.fanOut(), local.size());
-    return local.subList(from, to);
-  }
-
   private Optional<String> randomPeer() {
     boolean far = !remote.isEmpty() && random.nextInt(REMOTE_PULL_ONE_IN) == 0;
-    List<String> peers = far ? remote : local.stream().filter(peer -> !peer.equals(self)).toList();
+    List<String> peers = far ? remote : local;
     return peers.isEmpty()
         ? Optional.empty()
         : Optional.of(peers.get(random.nextInt(peers.size())));
--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/PropagationTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/PropagationTiming.java
@@ -3,7 +3,7 @@
 import org.foxtailford.core.util.Assert;
 
 /**
- * Timing and shape of the propagation of configurations.
+ * Timing of the propagation of configurations.
  *
  * @param digestIntervalMs time between digests to the children in the tree, and between reads of
  *     the table by the pollers, in milliseconds
@@ -12,20 +12,14 @@
  * @param tableAfterMs age of the last confirmation after which any node may read the table, in
  *     milliseconds
  * @param pollers nodes of each data centre that read the table in ordinary running
- * @param fanOut children of each node of the tree
  * @param fallbackReads reads of the table per interval that the stale nodes of a data centre make
  *     together, on average
  */
 public record PropagationTiming(
-    long digestIntervalMs,
-    long staleAfterMs,
-    long tableAfterMs,
-    int pollers,
-    int fanOut,
-    int fallbackReads) {
+    long digestIntervalMs, long staleAfterMs, long tableAfterMs, int pollers, int fallbackReads) {
 
   /** Timing that brings a version into force everywhere within 9 s. */
-  public static final PropagationTiming DEFAULT = new PropagationTiming(1000, 2500, 3500, 2, 8, 8);
+  public static final PropagationTiming DEFAULT = new PropagationTiming(1000, 2500, 3500, 2, 8);
 
   /** Checks the components. */
   public PropagationTiming {
@@ -33,7 +27,6 @@
     Assert.isTrue(staleAfterMs > digestIntervalMs, "staleAfterMs must exceed digestIntervalMs");
     Assert.isTrue(tableAfterMs >= staleAfterMs, "tableAfterMs must not be below staleAfterMs");
     Assert.isTrue(pollers > 0, "pollers must be positive");
-    Assert.isTrue(fanOut > 0, "fanOut must be positive");
     Assert.isTrue(fallbackReads > 0, "fallbackReads must be positive");
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/membership/DisseminationTree.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/topology/DisseminationTree.java
@@ -1,9 +1,12 @@
-package org.foxtailford.core.membership;
+package org.foxtailford.core.topology;
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.core.util.RendezvousHashing;
 
@@ -20,11 +23,13 @@
   public static final int FAN_OUT = 16;
 
   private final List<String> order;
+  private final Map<String, Integer> places = new HashMap<>();
   private final int fanOut;
 
   private DisseminationTree(List<String> order, int fanOut) {
     this.order = order;
     this.fanOut = fanOut;
+    order.forEach(vm -> places.put(vm, places.size()));
   }
 
   /**
@@ -46,15 +51,20 @@
     return new DisseminationTree(List.copyOf(order), fanOut);
   }
 
+  /** Returns the tree of a VM that knows of no other. */
+  public static DisseminationTree alone(String vm) {
+    return new DisseminationTree(List.of(vm), FAN_OUT);
+  }
+
   /** Returns the parent of a VM; empty for the root and for a VM outside the tree. */
   public Optional<String> parent(String vm) {
-    int index = order.indexOf(vm);
+    int index = place(vm).orElse(-1);
     return index <= 0 ? Optional.empty() : Optional.of(order.get((index - 1) / fanOut));
   }
 
   /** Returns the children of a VM. */
   public List<String> children(String vm) {
-    int index = order.indexOf(vm);
+    int index = place(vm).orElse(-1);
     if (index < 0) {
       return List.of();
     }
@@ -70,6 +80,17 @@
     return neighbours;
   }
 
+  /** Returns the number of VMs. */
+  public int size() {
+    return order.size();
+  }
+
+  /** Returns the place of a VM in the order from the root, from 0; empty outside the tree. */
+  public OptionalInt place(String vm) {
+    Integer place = places.get(vm);
+    return place == null ? OptionalInt.empty() : OptionalInt.of(place);
+  }
+
   /** Returns the longest way from the root, in hops. */
   public int depth() {
     int depth = 0;
--- a/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationPropagationProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationPropagationProperties.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.foxtailford.core.topology.DisseminationTree;
 import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.ConfigurationRecord;
 import org.foxtailford.schema.LabelledVm;
@@ -23,7 +24,7 @@
       @ForAll @IntRange(min = 1, max = 12) int nodesOfEach) {
     Random random = new Random(seed);
     PropagationNetwork network =
-        new PropagationNetwork(random, new PropagationTiming(1000, 2500, 3500, 2, 2, 4));
+        new PropagationNetwork(random, new PropagationTiming(1000, 2500, 3500, 2, 4), 2);
     network.addDataCentres(dataCentres, nodesOfEach);
     ConfigurationDocument document = ConfigurationDocument.getDefaultInstance();
     for (int round = 0; round < 25; round++) {
@@ -40,7 +41,8 @@
   @Property(seed = "9", tries = 200)
   void versionIsInForceInTimeWithOneNodeInThreeCutOffFromTheTable(@ForAll long seed) {
     Random random = new Random(seed);
-    PropagationNetwork network = new PropagationNetwork(random, PropagationTiming.DEFAULT);
+    PropagationNetwork network =
+        new PropagationNetwork(random, PropagationTiming.DEFAULT, DisseminationTree.FAN_OUT);
     network.addDataCentres(2, 30);
     network.runUntil(5000);
     toggle(network, network.withoutTable(), random, 3);
--- a/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationPropagationTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationPropagationTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
+import org.foxtailford.core.topology.DisseminationTree;
 import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.ConfigurationRecord;
 import org.foxtailford.schema.ConfigurationVersion;
@@ -28,7 +29,8 @@
   @Test(dataProvider = "sizes")
   public void changesAreInForceEverywhereInTimeAndWithinTheBudgets(int dataCentres, int nodes) {
     PropagationNetwork network =
-        new PropagationNetwork(new Random(4100), PropagationTiming.DEFAULT);
+        new PropagationNetwork(
+            new Random(4100), PropagationTiming.DEFAULT, DisseminationTree.FAN_OUT);
     network.addDataCentres(dataCentres, nodes);
     network.accept(ConfigurationRecord.getDefaultInstance());
     network.runUntil(10_000);
--- a/foxtailford-core/src/test/java/org/foxtailford/core/configuration/PropagationNetwork.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/PropagationNetwork.java
@@ -6,10 +6,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import org.foxtailford.core.topology.DisseminationTree;
 import org.foxtailford.schema.ConfigurationRecord;
 import org.foxtailford.schema.ConfigurationVersion;
 import org.foxtailford.schema.VmList;
@@ -19,11 +21,15 @@
 
   private static final long TICK_MS = 100;
   private static final int MAX_DELAY_MS = 30;
+  private static final int FULL_MESH_LIMIT = 64;
+  private static final int DATA_CENTRE_PREFIX = 4;
 
   private final Map<String, Node> nodes = new TreeMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Map<String, DisseminationTree> trees = new TreeMap<>();
   private final Random random;
   private final PropagationTiming timing;
+  private final int fanOut;
   private final List<ConfigurationVersion> accepted = new ArrayList<>();
   private final Set<String> cutOff = new HashSet<>();
   private final Set<String> withoutTable = new HashSet<>();
@@ -35,8 +41,9 @@
   private long messages;
   private long messageBytes;
 
-  PropagationNetwork(Random random, PropagationTiming timing) {
+  PropagationNetwork(Random random, PropagationTiming timing, int fanOut) {
     this.random = random;
+    this.fanOut = fanOut;
     this.timing = timing;
   }
 
@@ -58,14 +65,31 @@
         schedule(random.nextInt((int) TICK_MS), node::tick);
       }
     }
-    nodes.values().forEach(node -> node.propagation.setMembers(members(node), strangers(node)));
+    for (Node node : nodes.values()) {
+      trees.computeIfAbsent(
+          dataCentre(node.name),
+          dataCentre -> DisseminationTree.of(dataCentre, Optional.empty(), members(node), fanOut));
+    }
+    nodes.values().forEach(this::setMembers);
   }
 
   /** Starts a node anew, without a configuration. */
   void restart(String name) {
     Node node = new Node(name);
     nodes.put(name, node);
-    node.propagation.setMembers(members(node), strangers(node));
+    setMembers(node);
+  }
+
+  private void setMembers(Node node) {
+    List<String> linked =
+        members(node).stream()
+            .filter(peer -> !peer.equals(node.name) && isLinked(node.name, peer))
+            .toList();
+    node.propagation.setMembers(trees.get(dataCentre(node.name)), linked, strangers(node));
+  }
+
+  private static String dataCentre(String name) {
+    return name.substring(0, DATA_CENTRE_PREFIX);
   }
 
   private List<String> members(Node node) {
@@ -77,7 +101,16 @@
   }
 
   private static boolean sameDataCentre(String a, String b) {
-    return a.substring(0, 4).equals(b.substring(0, 4));
+    return dataCentre(a).equals(dataCentre(b));
+  }
+
+  /** Above a size, entry VMs of one data centre are linked along the tree only. */
+  private boolean isLinked(String a, String b) {
+    if (!sameDataCentre(a, b)) {
+      return true;
+    }
+    DisseminationTree tree = trees.get(dataCentre(a));
+    return tree.size() <= FULL_MESH_LIMIT || tree.neighbours(a).contains(b);
   }
 
   List<String> names() {
@@ -215,7 +248,7 @@
     private void send(String peer, int bytes, Delivery delivery) {
       messages++;
       messageBytes += bytes;
-      boolean lost = random.nextDouble() < lossRate;
+      boolean lost = random.nextDouble() < lossRate || !isLinked(name, peer);
       if (lost || cutOff.contains(name) || cutOff.contains(peer)) {
         return;
       }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/membership/DisseminationTreeProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/topology/DisseminationTreeProperties.java
@@ -1,4 +1,4 @@
-package org.foxtailford.core.membership;
+package org.foxtailford.core.topology;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -456,7 +456,7 @@
     leadership.tick();
     checkpoints.tick();
     records.tick();
-    configurations.tick(tracker.usableIn(settings.getDataCentre()), remotePeers());
+    configurations.tick(heartbeats.tree(), peers.openIn(settings.getDataCentre()), remotePeers());
   }
 
   private List<String> remotePeers() {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationExchange.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/ConfigurationExchange.java
@@ -9,6 +9,7 @@
 import org.foxtailford.core.configuration.ConfigurationPropagation;
 import org.foxtailford.core.configuration.PropagationStep;
 import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.topology.DisseminationTree;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.daemon.peer.PeerMessenger;
 import org.foxtailford.schema.PeerFrame;
@@ -48,11 +49,13 @@
   /**
    * Runs one round.
    *
-   * @param localPeers live entry VMs of this data centre
+   * @param tree live entry VMs of this data centre
+   * @param localPeers those of this data centre to which there is a link
    * @param remotePeers entry VMs of other data centres to which there is a link
    */
-  public void tick(Collection<String> localPeers, Collection<String> remotePeers) {
-    propagation.setMembers(localPeers, remotePeers);
+  public void tick(
+      DisseminationTree tree, Collection<String> localPeers, Collection<String> remotePeers) {
+    propagation.setMembers(tree, localPeers, remotePeers);
     carryOut(propagation.tick());
   }
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
@@ -4,10 +4,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.foxtailford.core.membership.DisseminationTree;
 import org.foxtailford.core.membership.Member;
 import org.foxtailford.core.membership.MembershipTracker;
 import org.foxtailford.core.ownership.Fence;
+import org.foxtailford.core.topology.DisseminationTree;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.schema.MemberSighting;
@@ -37,6 +37,9 @@
   private String sightingsParent = "";
   private int heartbeatsSinceSightings;
   private MembershipUpdate lastUpdate = MembershipUpdate.getDefaultInstance();
+  private Optional<String> treeLeader = Optional.empty();
+  private List<String> treeMembers = List.of();
+  private DisseminationTree tree;
   private long sequence;
   private long rounds;
   private boolean leaving;
@@ -60,6 +63,7 @@
     this.tracker = Assert.notNull(tracker, "tracker");
     this.network = Assert.notNull(network, "network");
     this.state = Assert.notNull(state, "state");
+    this.tree = DisseminationTree.alone(self.vm());
   }
 
   /** Announces from the next heartbeat on that this VM is about to stop. */
@@ -89,11 +93,17 @@
     }
   }
 
-  private DisseminationTree tree() {
+  /** Returns the tree of the usable entry VMs of this data centre, as this VM sees them. */
+  public DisseminationTree tree() {
     Optional<String> leader =
         state.leadingEpoch().isPresent() ? Optional.of(self.vm()) : tracker.leader();
-    return DisseminationTree.of(
-        self.dataCentre(), leader, tracker.usableIn(self.dataCentre()), DisseminationTree.FAN_OUT);
+    List<String> usable = tracker.usableIn(self.dataCentre());
+    if (!leader.equals(treeLeader) || !usable.equals(treeMembers)) {
+      treeLeader = leader;
+      treeMembers = usable;
+      tree = DisseminationTree.of(self.dataCentre(), leader, usable, DisseminationTree.FAN_OUT);
+    }
+    return tree;
   }
 
   /** Returns what was heard in the subtree if the parent may not know it; nothing otherwise. */
