Hand-overs of request records carry the kept answers

Cause: a red build. ResendTests hung because the resend got 3007 ANSWER_NOT_KEPT for ever: the first pledge ran under a roster of one member, which alone kept the answer; the later roster's members took over its record but not the answer, and then that member was replaced. Found by freezing the test's process at random moments: 1 of 60 and 1 of 143 runs hung; the second logged the code. Ruled out: links, the roster's spread, slots.

Change: a handed-over record carries its answer if the source keeps it. A page ends after 256 KiB of answers.

Before: the new test's answer is absent. After: it is there, and ClaimProperties stays green.

Any replacement of entry VMs one after the other lost answers before, not only the test's.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/idempotency/RecordHolder.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/idempotency/RecordHolder.java
@@ -39,6 +39,9 @@
   /** Records in one page of a hand-over. */
   static final int PAGE_RECORDS = 2000;
 
+  /** Bytes of answers after which a page of a hand-over ends. */
+  static final int PAGE_ANSWER_BYTES = 256 << 10;
+
   private static final int MAX_RETRY_AFTER_MS = 1000;
 
   private final RecordMember self;
@@ -208,19 +211,28 @@
     page.setSettledVersion(isSettled() ? rosterVersion() : 0);
     page.setComplete(completeVersions.contains(receivers.version() - 1));
     Map<String, RequestRecord> rest = records.tailMap(request.getAfterKey(), false);
+    int answerBytes = 0;
     for (Map.Entry<String, RequestRecord> entry : rest.entrySet()) {
       if (!receivers.holders(entry.getKey()).contains(request.getReceiver())) {
         continue;
       }
-      if (page.getRecordsCount() == PAGE_RECORDS) {
+      if (page.getRecordsCount() == PAGE_RECORDS || answerBytes >= PAGE_ANSWER_BYTES) {
         page.setLast(false);
         break;
       }
-      page.addRecords(entry.getValue().toHanded(entry.getKey(), nowMs));
+      HandedRecord handed = toHanded(entry.getKey(), entry.getValue(), nowMs);
+      answerBytes += handed.getAnswer().getSerializedSize();
+      page.addRecords(handed);
     }
     return page.build();
   }
 
+  private HandedRecord toHanded(String key, RequestRecord record, long nowMs) {
+    HandedRecord handed = record.toHanded(key, nowMs);
+    KeptAnswer answer = answers.getIfPresent(key);
+    return answer == null ? handed : handed.toBuilder().setAnswer(answer).build();
+  }
+
   /**
    * Takes records of another member.
    *
@@ -249,6 +261,9 @@
       record.join(claim.getClaim(), claim.getState(), nowMs + claim.getRunMs(), touchedMs);
     }
     expireLater(handed.getKey(), touchedMs);
+    if (handed.hasAnswer()) {
+      answers.put(handed.getKey(), handed.getAnswer());
+    }
   }
 
   private RequestRecord recordOf(String key, long fingerprint, long nowMs) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/idempotency/RecordHolderTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/idempotency/RecordHolderTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.protobuf.ByteString;
 import java.util.List;
 import org.foxtailford.schema.ClaimEnd;
 import org.foxtailford.schema.ClaimId;
@@ -132,6 +133,34 @@
         .isEqualTo(ClaimResult.CLAIM_RESULT_IN_PROGRESS);
   }
 
+  @Test
+  public void answerOutlivesTheMemberThatKeptIt() {
+    claim(1, "id");
+    holder.end(answered(KeptAnswer.newBuilder().setStatus(201).build()));
+    RecordRoster grown = roster(2, List.of(A, B), List.of(A));
+    RecordHolder b = new RecordHolder(B, LIMITS, () -> nowMs);
+    b.adopt(grown);
+    b.receive(A, 2, holder.handOver(handOver(grown, B)));
+    var answer = b.claim(request(2, "id", 7, 2));
+    assertThat(answer.getAnswer().getStatus()).isEqualTo(201);
+  }
+
+  @Test
+  public void handOverPageEndsBeforeItsAnswersAreTooManyBytes() {
+    RecordLimits limits = new RecordLimits(1000, 100, 100_000, 1 << 20);
+    RecordHolder source = new RecordHolder(A, limits, () -> nowMs);
+    source.adopt(FIRST);
+    KeptAnswer large =
+        KeptAnswer.newBuilder().setBody(ByteString.copyFrom(new byte[60_000])).build();
+    for (int i = 0; i < 20; i++) {
+      source.end(answered(large).toBuilder().setRequestId("id" + i).build());
+    }
+    HandOverPage page = source.handOver(handOver(SECOND, NEW_A));
+    assertThat(page.getLast()).isFalse();
+    assertThat(page.getSerializedSize())
+        .isLessThan(RecordHolder.PAGE_ANSWER_BYTES + limits.maxAnswerBytes());
+  }
+
   @Test
   public void firstSendIsServedByAnIncompleteMember() {
     RecordHolder young = new RecordHolder(NEW_A, LIMITS, () -> nowMs);
@@ -179,6 +208,10 @@
         .setState(state);
   }
 
+  private static ClaimEnd answered(KeptAnswer answer) {
+    return ended(1, ClaimState.CLAIM_STATE_ANSWERED).setAnswer(answer).build();
+  }
+
   private static HandOverRequest handOver(RecordRoster roster, RecordMember receiver) {
     return HandOverRequest.newBuilder().setRoster(roster).setReceiver(receiver).build();
   }
