Resend test waits for settled records; a claim whose attempt can't start ends

Cause: ResendTests began once the roster's row named three members, before they had taken over the records. It then replaced the only holder of a record, a loss that docs/design/at-most-once.md answers with OUTCOME_UNKNOWN for the life of a record. An attempt that throws left its caller without an answer.

Change: gauges foxtailford.records.settled and .roster.version, which the test scrapes (operators need them before they replace the next VM); two guard tests, one replaces every entry VM in turn and gets the first answer.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -1,8 +1,11 @@
 package org.foxtailford.core.metrics;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.foxtailford.core.admission.AdmissionRefusal;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.retry.RetryVerdict;
@@ -92,6 +95,19 @@
     registry.counter("foxtailford.claims", "outcome", outcome).increment();
   }
 
+  /**
+   * Shows the state of the records of request ids.
+   *
+   * @param rosterVersion gives the version of the roster that this VM knows
+   * @param settled tells whether this VM has every record that it might need
+   */
+  public void records(LongSupplier rosterVersion, BooleanSupplier settled) {
+    Gauge.builder("foxtailford.records.roster.version", rosterVersion::getAsLong)
+        .register(registry);
+    Gauge.builder("foxtailford.records.settled", () -> settled.getAsBoolean() ? 1 : 0)
+        .register(registry);
+  }
+
   /** Counts a request that was suspected or refused because upstreams were lost under it. */
   public void poison(String verdict) {
     registry.counter("foxtailford.poison.requests", "verdict", verdict).increment();
--- a/foxtailford-core/src/test/java/org/foxtailford/core/metrics/MetricsPageTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/metrics/MetricsPageTests.java
@@ -13,6 +13,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.testng.annotations.Test;
 
@@ -56,6 +58,12 @@
     if (type == long.class) {
       return 1L;
     }
+    if (type == LongSupplier.class) {
+      return (LongSupplier) () -> 1L;
+    }
+    if (type == BooleanSupplier.class) {
+      return (BooleanSupplier) () -> true;
+    }
     throw new IllegalArgumentException("no example of " + type);
   }
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -189,6 +189,7 @@
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
     TableService table = newTable(settings.getPlatform().getTimeoutMs());
     records = new RequestRecords(self, peers, table, this::leadsNow, RecordLimits.DEFAULT, clock);
+    metrics.records(records.holder()::rosterVersion, records.holder()::isSettled);
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/ClaimedRuns.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/ClaimedRuns.java
@@ -65,7 +65,7 @@
           new ResultCodeException(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
       return;
     }
-    CompletableFuture<HttpAnswer> sent = attempt.get();
+    CompletableFuture<HttpAnswer> sent = started(attempt);
     sent.whenComplete(
         (answer, failure) -> {
           if (failure == null) {
@@ -79,6 +79,16 @@
     result.whenComplete((answer, failure) -> sent.cancel(true));
   }
 
+  /** A failure to start must end the claim too; otherwise its caller waits for ever. */
+  private static CompletableFuture<HttpAnswer> started(
+      Supplier<CompletableFuture<HttpAnswer>> attempt) {
+    try {
+      return attempt.get();
+    } catch (RuntimeException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
   private static void end(ClaimTicket ticket, ResultCode code) {
     if (code.effect() == Effect.NOT_RUN) {
       ticket.release();
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/ResendTests.java
@@ -93,7 +93,7 @@
 
   @Test(timeOut = TIMEOUT_MS)
   public void pledgeThatIsSentAgainThroughEachEntryVmRunsOnce() {
-    awaitRoster(3);
+    awaitRecords(3);
     HttpAnswer first = sendUntilAnswered(0);
     assertThat(first.headers().contains(FoxtailHeaders.REPLAYED)).isFalse();
     for (int i = 1; i < 3; i++) {
@@ -107,12 +107,34 @@
     assertThat(upstream.runs()).isEqualTo(1);
   }
 
-  private void awaitRoster(int members) {
-    while (members != rosterSize()) {
+  /**
+   * Waits until each entry VM has every record under a roster of this size. Before that a record is
+   * at fewer than three holders, and the loss of one may lose it.
+   */
+  private void awaitRecords(int members) {
+    while (members != rosterSize() || !vms.stream().allMatch(this::isSettled)) {
       Thread.onSpinWait();
     }
   }
 
+  private boolean isSettled(EntryVm vm) {
+    Endpoint operators = ANY.toBuilder().setPort(vm.operatorPort()).build();
+    HttpExchange scrape =
+        new HttpExchange(HttpMethod.GET, "/metrics", new DefaultHttpHeaders(), new byte[0]);
+    List<String> meters =
+        caller.send(operators, scrape, TIMEOUT_MS).join().bodyText().lines().toList();
+    return meters.contains("foxtailford_records_settled 1.0")
+        && meters.contains("foxtailford_records_roster_version " + (double) rosterVersion());
+  }
+
+  private long rosterVersion() {
+    return platform
+        .table()
+        .find(RequestRecords.ROSTER_ROW)
+        .map(row -> RequestRecords.parse(row).getVersion())
+        .orElse(0L);
+  }
+
   private int rosterSize() {
     return platform
         .table()
@@ -159,7 +181,7 @@
                     .setMaxHeaderBytes(16 << 10)
                     .setMaxBodyBytes(1 << 20)
                     .setMaxAnswerBytes(1 << 20)
-                    .setDefaultTimeoutMs(5000)
+                    .setDefaultTimeoutMs(TIMEOUT_MS / 2)
                     .setMaxInFlight(100))
             .build();
     EntryVm vm = new EntryVm(settings, 2);
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/RequestGuardTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/RequestGuardTests.java
@@ -88,6 +88,35 @@
     assertThat(runs).hasValue(1);
   }
 
+  @Test(timeOut = TIMEOUT_MS)
+  public void attemptThatCannotBeStartedIsAnswered() {
+    CompletableFuture<HttpAnswer> answer =
+        vms.get(0)
+            .send(
+                "id",
+                "flour",
+                () -> {
+                  throw new IllegalStateException("the client is closed");
+                });
+    assertThat(codeOf(answer)).isEqualTo(ResultCode.INTERNAL_ERROR);
+  }
+
+  @Test(timeOut = TIMEOUT_MS)
+  public void answerOutlivesTheEntryVmThatRanTheRequest() {
+    vms.get(0).send("id", "flour", this::run).join();
+    vms.get(0).close();
+    vms.set(0, new GuardedVm(loops, "e0", 98, table, true));
+    settle();
+    vms.get(1).close();
+    vms.set(1, new GuardedVm(loops, "e1", 97, table, false));
+    settle();
+    vms.get(2).close();
+    vms.set(2, new GuardedVm(loops, "e2", 96, table, false));
+    settle();
+    assertThat(sendUntilAnswered(vms.get(2)).bodyText()).isEqualTo("run 1");
+    assertThat(runs).hasValue(1);
+  }
+
   @Test(timeOut = TIMEOUT_MS)
   public void resendWhileTheFirstRunsIsInProgress() {
     CompletableFuture<HttpAnswer> running = new CompletableFuture<>();
