Scenarios name data centres, and operators take them out

Cause: scenarios knew one data centre, and configuration and homes that every entry VM saw at once. Nothing ran homes, relays and configuration under faults together.

Change: the simulated system has several data centres with a leader each. All scenarios run so; random schedules of one data centre keep their random numbers. New words: data centres, take out, no new work, answered at home, configuration in force, no reverted configuration. ScenarioRunner is split into ScenarioFaults and ScenarioChecks, SimulatedCallers into RequestLedger and SimulatedRequestPath.

Found: with the table and the other data centres out of reach, a data centre still gets the homes of one that is taken out, and a lost data centre keeps its homes.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/Scenario.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/Scenario.java
@@ -8,6 +8,7 @@
  * @param title what it shows
  * @param seed seed of every random number of the run
  * @param lengthMs length of the run, in milliseconds
+ * @param dataCentres names of the data centres; VMs are dealt out to them in turn
  * @param entryVms entry VMs, named {@code entry-0} and so on
  * @param upstreams upstreams, named {@code upstream-0} and so on
  * @param slices slices of the keyed service
@@ -19,6 +20,7 @@
     String title,
     long seed,
     long lengthMs,
+    List<String> dataCentres,
     int entryVms,
     int upstreams,
     int slices,
@@ -27,6 +29,7 @@
     List<ScenarioExpectation> expectations) {
 
   public Scenario {
+    dataCentres = List.copyOf(dataCentres);
     loads = List.copyOf(loads);
     faults = List.copyOf(faults);
     expectations = List.copyOf(expectations);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
@@ -8,7 +8,8 @@
  * @param atMs when it begins, from the start of the run, in milliseconds
  * @param forMs how long it lasts, in milliseconds
  * @param action what fails
- * @param targets names of the nodes; {@code leader} stands for whoever leads at that time
+ * @param targets names of nodes or data centres; {@code leader} stands for whoever leads at that
+ *     time
  */
 public record ScenarioFault(long atMs, long forMs, Action action, List<String> targets) {
 
@@ -22,6 +23,8 @@
     CUT,
     /** No message passes from the first target to the others. */
     CUT_ONE_WAY,
+    /** Operators take the data centres out and bring them back at the end. */
+    TAKE_OUT,
     /** Messages are lost, delayed, repeated and reordered. */
     DISTURB
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipChecker.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipChecker.java
@@ -32,10 +32,13 @@
   private final List<SliceRange> slices;
   private final Trace trace;
   private final List<String> violations = new ArrayList<>();
-  private final Map<SliceRange, Fence> highestOwned = new HashMap<>();
+  private final Map<LocalSlice, Fence> highestOwned = new HashMap<>();
   private final Map<String, Holding> holdings = new HashMap<>();
   private final List<Interval> disturbances = new ArrayList<>();
 
+  /** A slice in one data centre, whose leaders give its fences. */
+  private record LocalSlice(String dataCentre, SliceRange range) {}
+
   private record Holding(int starts, Set<SliceRange> slices) {}
 
   private record Interval(long fromMs, long untilMs) {}
@@ -93,11 +96,12 @@
       if (owned.isEmpty()) {
         continue;
       }
-      Fence highest = highestOwned.getOrDefault(slice, Fence.NONE);
+      LocalSlice local = new LocalSlice(upstream.dataCentre(), slice);
+      Fence highest = highestOwned.getOrDefault(local, Fence.NONE);
       if (owned.get().compareTo(highest) < 0) {
         violate("%s owns %s under %s after %s", upstream.name(), slice, owned.get(), highest);
       } else {
-        highestOwned.put(slice, owned.get());
+        highestOwned.put(local, owned.get());
       }
     }
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipSystem.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipSystem.java
@@ -4,27 +4,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.placement.PlacementPolicy;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.schema.ConfigurationDocument;
-import org.foxtailford.schema.RequestKind;
-import org.foxtailford.schema.ServiceDefinition;
-import org.foxtailford.schema.VmEntry;
-import org.foxtailford.schema.VmList;
-import org.foxtailford.schema.VmRole;
-import org.foxtailford.schema.VmState;
-
-/** One data centre with candidates for its leadership, upstreams and the platform's table. */
-public final class OwnershipSystem {
+import org.foxtailford.schema.HomeRanges;
 
-  static final String DATA_CENTRE = "dc-a";
-  static final String SERVICE = "menu-planning";
+/** Data centres with candidates for their leadership, upstreams and the platform's table. */
+public final class OwnershipSystem {
 
-  static final String IDEMPOTENT_KIND = "lookup";
-  static final String NON_IDEMPOTENT_KIND = "plan";
+  static final String DATA_CENTRE = SystemLayout.ONLY_DATA_CENTRE;
+  static final String SERVICE = SimulatedServices.KEYED;
 
   private static final long MAX_CLOCK_ORIGIN_MS = 1_000_000;
   private static final int MAX_CLOCK_RATE_PPM = 4_900;
@@ -37,6 +29,8 @@
   private final Map<String, SimulatedUpstream> upstreams = new LinkedHashMap<>();
   private final List<SimulatedCandidate> candidates = new ArrayList<>();
   private final OwnershipChecker checker;
+  private final ConfigurationCheck configurations = new ConfigurationCheck();
+  private final SystemLayout layout;
   private ConfigurationView configuration;
   private HomeDirectory homes;
   private final PlacementPolicy policy;
@@ -60,46 +54,42 @@
       RandomGenerator random,
       SimulationVariant variant,
       Trace trace) {
+    this(SystemLayout.oneDataCentre(candidateCount, upstreamCount, slices), random, variant, trace);
+  }
+
+  /**
+   * Creates a system.
+   *
+   * @param layout its places
+   * @param random source of clock rates, delays and losses
+   * @param variant rules that this run changes
+   * @param trace receives what happens
+   */
+  OwnershipSystem(
+      SystemLayout layout, RandomGenerator random, SimulationVariant variant, Trace trace) {
+    this.layout = Assert.notNull(layout, "layout");
     this.random = Assert.notNull(random, "random");
     this.variant = Assert.notNull(variant, "variant");
     network = new SimulatedNetwork(queue, random);
     table = new SimulatedTable(network);
     policy = new RestlessPolicy(random, () -> queue.nowMs() < restlessUntilMs);
-    configuration = newConfiguration(upstreamCount, slices);
-    homes = HomeDirectory.of(List.of(HomeDirectory.initial(SERVICE, slices, List.of(DATA_CENTRE))));
-    for (int i = 0; i < upstreamCount; i++) {
+    configuration = SimulatedServices.view(layout);
+    HomeRanges initial = HomeDirectory.initial(SERVICE, layout.slices(), layout.dataCentres());
+    homes = HomeDirectory.of(List.of(initial));
+    for (int i = 0; i < layout.upstreams(); i++) {
       String name = "upstream-" + i;
-      upstreams.put(name, new SimulatedUpstream(name, i, newClock(), variant));
+      String dataCentre = layout.dataCentreOf(i);
+      upstreams.put(name, new SimulatedUpstream(name, dataCentre, i, newClock(), variant));
     }
-    checker = new OwnershipChecker(queue, List.copyOf(upstreams.values()), slices, trace);
-    for (int i = 0; i < candidateCount; i++) {
-      candidates.add(new SimulatedCandidate("entry-" + i, this, newClock()));
+    checker = new OwnershipChecker(queue, List.copyOf(upstreams.values()), layout.slices(), trace);
+    for (int i = 0; i < layout.entryVms(); i++) {
+      String name = "entry-" + i;
+      candidates.add(new SimulatedCandidate(name, layout.dataCentreOf(i), this, newClock()));
     }
-  }
-
-  private static ConfigurationView newConfiguration(int upstreamCount, int slices) {
-    VmList.Builder vms = VmList.newBuilder();
-    for (int i = 0; i < upstreamCount; i++) {
-      vms.addVms(
-          VmEntry.newBuilder()
-              .setName("upstream-" + i)
-              .setDataCentre(DATA_CENTRE)
-              .setRole(VmRole.VM_ROLE_UPSTREAM)
-              .setState(VmState.VM_STATE_LIVE));
+    if (layout.readsPlatform()) {
+      table.fill(SimulatedServices.configuration(layout.slices()), initial);
+      table.setVms(SimulatedServices.vms(layout));
     }
-    ServiceDefinition service =
-        ServiceDefinition.newBuilder()
-            .setName(SERVICE)
-            .setKeyed(true)
-            .setSelector("vm")
-            .setUpstreamsCheckFences(true)
-            .setInitialSlices(slices)
-            .addKinds(RequestKind.newBuilder().setName(IDEMPOTENT_KIND).setIdempotent(true))
-            .addKinds(RequestKind.newBuilder().setName(NON_IDEMPOTENT_KIND))
-            .build();
-    ConfigurationDocument document =
-        ConfigurationDocument.newBuilder().addServices(service).build();
-    return ConfigurationView.of(1, document, vms.build());
   }
 
   private SkewedClock newClock() {
@@ -141,6 +131,14 @@
     return checker;
   }
 
+  SystemLayout layout() {
+    return layout;
+  }
+
+  ConfigurationCheck configurations() {
+    return configurations;
+  }
+
   ConfigurationView configuration() {
     return configuration;
   }
@@ -149,6 +147,12 @@
     return homes;
   }
 
+  /** Returns the data centre that is home to a key by the table. */
+  Optional<String> presentHome(long keyHash) {
+    HomeDirectory present = layout.readsPlatform() ? table.homes() : homes;
+    return present.home(SERVICE, keyHash);
+  }
+
   /** Changes the homes that all candidates see. */
   void setHomes(HomeDirectory value) {
     homes = value;
@@ -156,13 +160,18 @@
 
   /** Divides the hash space of the service anew. */
   void setSlices(int slices) {
-    configuration = newConfiguration(upstreams.size(), slices);
+    configuration = SimulatedServices.view(layout.withSlices(slices));
   }
 
   List<SimulatedCandidate> candidates() {
     return candidates;
   }
 
+  /** Returns the entry VMs of one data centre. */
+  List<SimulatedCandidate> candidates(String dataCentre) {
+    return candidates.stream().filter(c -> c.dataCentre().equals(dataCentre)).toList();
+  }
+
   List<SimulatedUpstream> upstreams() {
     return List.copyOf(upstreams.values());
   }
--- /dev/null
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/RequestLedger.java
@@ -0,0 +1,152 @@
+package org.foxtailford.testkit.simulation;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.foxtailford.core.result.Effect;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.util.Assert;
+
+/** What callers sent and were told, and where their requests ran. */
+final class RequestLedger {
+
+  private static final int ALL_PERCENT = 100;
+
+  private final Map<String, Sent> sent = new LinkedHashMap<>();
+  private final List<Run> runs = new ArrayList<>();
+
+  /** One start of a request at an upstream. */
+  private record Run(String requestId, SimulatedUpstream upstream, long atMs) {}
+
+  /** A request and its result, once there is one. */
+  static final class Sent {
+
+    private final String id;
+    private final boolean idempotent;
+    private final String dataCentre;
+    private final boolean home;
+    private final long atMs;
+    private Optional<ResultCode> result = Optional.empty();
+
+    /**
+     * Creates a request without a result.
+     *
+     * @param id id of the request
+     * @param idempotent whether running it twice has the effect of running it once
+     * @param dataCentre data centre of the entry VM that its caller chose
+     * @param home whether that data centre is home to its key
+     * @param atMs true time of its sending
+     */
+    Sent(String id, boolean idempotent, String dataCentre, boolean home, long atMs) {
+      this.id = Assert.hasLength(id, "id");
+      this.idempotent = idempotent;
+      this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
+      this.home = home;
+      this.atMs = atMs;
+    }
+
+    String id() {
+      return id;
+    }
+
+    boolean idempotent() {
+      return idempotent;
+    }
+
+    void finish(ResultCode code) {
+      result = Optional.of(code);
+    }
+
+    /** Tells whether it was sent to the data centre that is home to its key. */
+    boolean sentHome(String name) {
+      return home && dataCentre.equals(name);
+    }
+
+    private boolean sentBetween(long fromMs, long untilMs) {
+      return fromMs <= atMs && atMs < untilMs;
+    }
+
+    private boolean answered() {
+      return result.equals(Optional.of(ResultCode.OK));
+    }
+
+    private boolean toldNotRun() {
+      return result.filter(code -> code.effect() == Effect.NOT_RUN).isPresent();
+    }
+  }
+
+  void add(Sent request) {
+    sent.put(request.id(), request);
+  }
+
+  /** Returns the number of requests. */
+  int size() {
+    return sent.size();
+  }
+
+  /** Notes that an upstream begins to run a request. */
+  void ran(String requestId, SimulatedUpstream upstream, long atMs) {
+    runs.add(new Run(requestId, upstream, atMs));
+  }
+
+  /** Returns the requests that are not idempotent and ran more than once. */
+  List<String> doubleRuns() {
+    return sent.values().stream()
+        .filter(request -> !request.idempotent() && runs(request) > 1)
+        .map(Sent::id)
+        .toList();
+  }
+
+  /** Returns the requests that ran although their caller was told that they did not. */
+  List<String> falseNotRun() {
+    return sent.values().stream()
+        .filter(request -> request.toldNotRun() && runs(request) > 0)
+        .map(Sent::id)
+        .toList();
+  }
+
+  private long runs(Sent request) {
+    return runs.stream().filter(run -> run.requestId().equals(request.id())).count();
+  }
+
+  /** Returns the requests that began at an upstream, or in a data centre, between two times. */
+  List<String> startedAt(String place, long fromMs, long untilMs) {
+    return runs.stream()
+        .filter(run -> run.atMs() >= fromMs && run.atMs() < untilMs)
+        .filter(run -> isAt(run.upstream(), place))
+        .map(Run::requestId)
+        .toList();
+  }
+
+  private static boolean isAt(SimulatedUpstream upstream, String place) {
+    return upstream.name().equals(place) || upstream.dataCentre().equals(place);
+  }
+
+  /** Returns the share of all requests that were answered, in percent. */
+  double answeredPercent() {
+    return answeredPercent(request -> true);
+  }
+
+  /** Returns the share of the requests sent home between two times that were answered. */
+  double answeredAtHomePercent(String dataCentre, long fromMs, long untilMs) {
+    return answeredPercent(r -> r.sentHome(dataCentre) && r.sentBetween(fromMs, untilMs));
+  }
+
+  private double answeredPercent(Predicate<Sent> which) {
+    List<Sent> chosen = sent.values().stream().filter(which).toList();
+    long answered = chosen.stream().filter(Sent::answered).count();
+    return chosen.isEmpty() ? ALL_PERCENT : (double) ALL_PERCENT * answered / chosen.size();
+  }
+
+  /** Returns the number of requests by result; {@code none} stands for no answer. */
+  String summary() {
+    Map<String, Integer> counts = new TreeMap<>();
+    sent.values()
+        .forEach(r -> counts.merge(r.result.map(Enum::name).orElse("none"), 1, Integer::sum));
+    return counts.toString();
+  }
+}
--- /dev/null
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioChecks.java
@@ -0,0 +1,119 @@
+package org.foxtailford.testkit.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.testkit.scenario.Scenario;
+import org.foxtailford.testkit.scenario.ScenarioExpectation;
+
+/** Checks what a scenario expects, during its run and at its end. */
+final class ScenarioChecks {
+
+  private final OwnershipSystem system;
+  private final RequestLedger ledger;
+  private final List<String> failures = new ArrayList<>();
+
+  ScenarioChecks(OwnershipSystem system, RequestLedger ledger) {
+    this.system = Assert.notNull(system, "system");
+    this.ledger = Assert.notNull(ledger, "ledger");
+  }
+
+  /** Enters what is checked at a time within the run. */
+  void enter(Scenario scenario) {
+    for (ScenarioExpectation expected : scenario.expectations()) {
+      long atMs = expected.untilMs();
+      if (expected.kind() == ScenarioExpectation.Kind.SERVED_AGAIN) {
+        system.queue().schedule(atMs, () -> checkAllOwned(atMs));
+      } else if (expected.kind() == ScenarioExpectation.Kind.IN_FORCE) {
+        system.queue().schedule(atMs, () -> checkInForce(expected));
+      }
+    }
+  }
+
+  private void checkAllOwned(long atMs) {
+    if (!system.checker().unowned().isEmpty()) {
+      failures.add("at " + atMs + " ms nobody owns " + system.checker().unowned());
+    }
+  }
+
+  private void checkInForce(ScenarioExpectation expected) {
+    ConfigurationCheck configurations = system.configurations();
+    if (configurations.acceptedMs() < expected.fromMs()) {
+      failures.add("no configuration was accepted after " + expected.fromMs() + " ms");
+    }
+    long accepted = configurations.acceptedVersion();
+    for (SimulatedCandidate vm : system.candidates()) {
+      long version = vm.knowledge().configuration().version();
+      if (vm.running() && version < accepted) {
+        String text = "at %d ms %s uses configuration version %d, not %d";
+        failures.add(String.format(text, expected.untilMs(), vm.name(), version, accepted));
+      }
+    }
+  }
+
+  /** Checks what holds for the whole run. */
+  void checkAtEnd(ScenarioExpectation expected) {
+    switch (expected.kind()) {
+      case ONE_OWNER:
+        failures.addAll(system.checker().violations());
+        break;
+      case ALL_OWNED:
+        checkAllOwned(system.queue().nowMs());
+        break;
+      case ANSWERED:
+        checkShare(expected, ledger.answeredPercent());
+        break;
+      case ANSWERED_AT_HOME:
+        checkShare(
+            expected,
+            ledger.answeredAtHomePercent(expected.place(), expected.fromMs(), expected.untilMs()));
+        break;
+      case NO_NEW_WORK:
+        checkNoNewWork(expected);
+        break;
+      case NO_REVERTED_CONFIGURATION:
+        failures.addAll(system.configurations().violations());
+        break;
+      case NO_DOUBLE_RUN:
+        ledger.doubleRuns().forEach(id -> failures.add(id + " ran twice"));
+        break;
+      case NO_FALSE_NOT_RUN:
+        ledger.falseNotRun().forEach(id -> failures.add(id + " ran, but was said not to have"));
+        break;
+      case SERVED_AGAIN:
+      case IN_FORCE:
+        break;
+      default:
+        throw new IllegalArgumentException(expected.kind().name());
+    }
+  }
+
+  private void checkShare(ScenarioExpectation expected, double percent) {
+    if (percent < expected.limit()) {
+      String where = expected.place().isEmpty() ? "" : " sent home to " + expected.place();
+      String text = "%.1f%% of the requests%s were answered: %s";
+      failures.add(String.format(text, percent, where, ledger.summary()));
+    }
+  }
+
+  private void checkNoNewWork(ScenarioExpectation expected) {
+    List<String> started =
+        ledger.startedAt(expected.place(), expected.fromMs(), expected.untilMs());
+    if (!started.isEmpty()) {
+      String text = "%d requests began at %s between %d and %d ms, the first of them %s";
+      failures.add(
+          String.format(
+              text,
+              started.size(),
+              expected.place(),
+              expected.fromMs(),
+              expected.untilMs(),
+              started.get(0)));
+    }
+  }
+
+  /** Returns the expectations that did not hold, each with what was seen. */
+  List<String> failures() {
+    return List.copyOf(failures);
+  }
+}
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -1,10 +1,14 @@
 package org.foxtailford.testkit.simulation;
 
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.foxtailford.core.dissemination.OwnershipFeed;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.Fence;
-import org.foxtailford.core.ownership.HomesReading;
+import org.foxtailford.core.ownership.HomeMover;
+import org.foxtailford.core.ownership.HomePlanner;
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.OwnershipTiming;
@@ -12,22 +16,38 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.OwnershipCheckpoint;
+import org.jspecify.annotations.Nullable;
 
 /** An entry VM that may lead its data centre. */
 final class SimulatedCandidate extends SimulatedNode {
 
+  private static final int HOME_MOVES_AT_ONCE = 32;
+
+  private final String dataCentre;
   private final OwnershipSystem system;
   private final MillisClock clock;
   private LeaseElection election;
   private DataCentreLeader leader;
-  private OwnershipFeed feed = newFeed();
+  private HomeMover mover;
+  private PlatformKnowledge knowledge;
+  private OwnershipFeed feed;
+  private Supplier<@Nullable SimulatedRequestPath> newPath = () -> null;
+  private @Nullable SimulatedRequestPath path;
 
-  SimulatedCandidate(String name, OwnershipSystem system, MillisClock clock) {
+  SimulatedCandidate(String name, String dataCentre, OwnershipSystem system, MillisClock clock) {
     super(name);
+    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.system = Assert.notNull(system, "system");
     this.clock = Assert.notNull(clock, "clock");
+    feed = newFeed();
+    knowledge = newKnowledge();
     election = newElection();
     leader = newLeader();
+    mover = newMover();
+  }
+
+  String dataCentre() {
+    return dataCentre;
   }
 
   boolean leads() {
@@ -42,6 +62,7 @@
   /** Starts the rounds of this candidate. */
   void begin(long delayMs) {
     int start = starts();
+    knowledge.begin();
     system.queue().schedule(delayMs, () -> round(start));
   }
 
@@ -53,6 +74,7 @@
         () -> {
           election.tick();
           leader.tick();
+          moveHomes();
           sendHeartbeats();
         });
     system.queue().schedule(system.variant().timing().renewIntervalMs(), () -> round(start));
@@ -69,10 +91,34 @@
     }
   }
 
+  private void moveHomes() {
+    if (system.layout().readsPlatform()) {
+      mover.tick();
+    }
+  }
+
+  private PlatformKnowledge newKnowledge() {
+    return system.layout().readsPlatform()
+        ? new PolledKnowledge(this, system)
+        : new SharedKnowledge(system, clock);
+  }
+
+  private HomeMover newMover() {
+    return new HomeMover(
+        dataCentre,
+        leader,
+        new HomePlanner(HOME_MOVES_AT_ONCE),
+        knowledge::configuration,
+        system.table().from(name()),
+        system::nextWriteId,
+        knowledge::readHomes,
+        control());
+  }
+
   private LeaseElection newElection() {
     OwnershipTiming timing = system.variant().timing(name());
     return new LeaseElection(
-        "leader-" + OwnershipSystem.DATA_CENTRE,
+        "leader-" + dataCentre,
         name(),
         starts(),
         timing,
@@ -83,23 +129,29 @@
   }
 
   private DataCentreLeader newLeader() {
-    return new DataCentreLeader(
-        OwnershipSystem.DATA_CENTRE,
-        election,
-        system.variant().timing(name()),
-        system.variant().grants(new SimulatedGrants(name(), system)),
-        system.policy(),
-        this::publish,
-        system::configuration,
-        () -> new HomesReading(system.homes(), clock.nowMs()),
-        clock,
-        control());
+    DataCentreLeader created =
+        new DataCentreLeader(
+            dataCentre,
+            election,
+            system.variant().timing(name()),
+            system.variant().grants(new SimulatedGrants(name(), system)),
+            system.policy(),
+            this::publish,
+            knowledge::configuration,
+            knowledge::homes,
+            clock,
+            control());
+    if (system.layout().readsPlatform()) {
+      Executor control = control();
+      election.addAcquiredListener(
+          () -> knowledge.readHomes().thenRunAsync(created::tick, control));
+    }
+    return created;
   }
 
   private void publish(OwnershipCheckpoint checkpoint) {
     accept(checkpoint);
-    system.candidates().stream()
-        .filter(other -> other != this)
+    localOthers()
         .forEach(other -> system.network().send(name(), other, () -> other.accept(checkpoint)));
   }
 
@@ -110,10 +162,14 @@
   /** Tells the others which owners this VM knows; whoever knows newer ones answers with them. */
   private void sendHeartbeats() {
     Fence known = feed.current().version();
-    system.candidates().stream()
-        .filter(other -> other != this)
+    localOthers()
         .forEach(
             other -> system.network().send(name(), other, () -> other.onHeartbeat(this, known)));
+    knowledge.exchange();
+  }
+
+  private Stream<SimulatedCandidate> localOthers() {
+    return system.candidates(dataCentre).stream().filter(other -> other != this);
   }
 
   private void onHeartbeat(SimulatedCandidate sender, Fence known) {
@@ -123,6 +179,22 @@
                 system.network().send(name(), sender, () -> sender.accept(frame.getOwnership())));
   }
 
+  /** Lets callers send requests to this entry VM. */
+  void serve(RequestLedger ledger, RandomGenerator random) {
+    newPath = () -> new SimulatedRequestPath(this, system, ledger, random);
+    path = newPath.get();
+  }
+
+  /** Returns the way of requests through this start of the entry VM. */
+  SimulatedRequestPath path() {
+    return Assert.notNull(path, "path");
+  }
+
+  /** Returns what this entry VM knows from the platform. */
+  PlatformKnowledge knowledge() {
+    return knowledge;
+  }
+
   /** Returns the owners that this entry VM routes by. */
   OwnershipMap owners() {
     return feed.current();
@@ -138,14 +210,17 @@
     feed = newFeed();
   }
 
-  private static OwnershipFeed newFeed() {
-    return new OwnershipFeed(OwnershipSystem.DATA_CENTRE, 0);
+  private OwnershipFeed newFeed() {
+    return new OwnershipFeed(dataCentre, 0);
   }
 
   @Override
   void onStarted() {
+    knowledge = newKnowledge();
     election = newElection();
     leader = newLeader();
+    mover = newMover();
+    path = newPath.get();
     begin(0);
   }
 }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
@@ -66,6 +66,24 @@
     return answer;
   }
 
+  /** Calls a node, which answers later, over a connection, which never repeats a message. */
+  <R> CompletableFuture<R> callLater(
+      String from, SimulatedNode to, long timeoutMs, Supplier<CompletableFuture<R>> effect) {
+    CompletableFuture<R> answer = new CompletableFuture<>();
+    queue.schedule(timeoutMs, () -> answer.completeExceptionally(new TimeoutException(to.name())));
+    deliver(
+        from,
+        to,
+        () -> effect.get().thenAccept(result -> sendBack(to.name(), from, result, answer)));
+    return answer;
+  }
+
+  private <R> void sendBack(String from, String to, R result, CompletableFuture<R> answer) {
+    if (!lost(from, to)) {
+      queue.schedule(delayMs(), () -> answer.complete(result));
+    }
+  }
+
   /** Sends a message that needs no answer. */
   void send(String from, SimulatedNode to, Runnable effect) {
     deliver(from, to, effect);
@@ -87,10 +105,7 @@
 
   private <R> void answer(
       SimulatedNode from, String to, Supplier<R> effect, CompletableFuture<R> answer) {
-    R result = effect.get();
-    if (!lost(from.name(), to)) {
-      queue.schedule(delayMs(), () -> answer.complete(result));
-    }
+    sendBack(from.name(), to, effect.get(), answer);
   }
 
   private boolean lost(String from, String to) {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedTable.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedTable.java
@@ -1,12 +1,20 @@
 package org.foxtailford.testkit.simulation;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.foxtailford.core.configuration.ConfigurationRecords;
+import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.platform.TableRow;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.platform.WriteResult;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.ConfigurationDocument;
+import org.foxtailford.schema.ConfigurationRecord;
+import org.foxtailford.schema.HomeRanges;
+import org.foxtailford.schema.VmList;
 import org.foxtailford.testkit.platform.InMemoryTable;
 
 /** The platform's table; an outage loses calls, and rows outlast it. */
@@ -18,12 +26,44 @@
 
   private final InMemoryTable rows = new InMemoryTable();
   private final SimulatedNetwork network;
+  private VmList vms = VmList.getDefaultInstance();
 
   SimulatedTable(SimulatedNetwork network) {
     super(NAME);
     this.network = Assert.notNull(network, "network");
   }
 
+  /** Enters the first configuration and the first homes. */
+  void fill(ConfigurationDocument document, HomeRanges homes) {
+    ConfigurationRecord record =
+        ConfigurationRecord.newBuilder()
+            .setSchema(ConfigurationRecords.SCHEMA)
+            .setDocument(document)
+            .build();
+    rows.write(ConfigurationRecords.ROW, TableService.ABSENT, record.toByteString());
+    rows.write(PolledKnowledge.HOMES_ROW, TableService.ABSENT, homes.toByteString());
+  }
+
+  /** Returns the homes as they stand in the table. */
+  HomeDirectory homes() {
+    TableRow row = rows.find(PolledKnowledge.HOMES_ROW).orElseThrow();
+    try {
+      return HomeDirectory.of(List.of(HomeRanges.parseFrom(row.value())));
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("homes cannot be read", e);
+    }
+  }
+
+  /** Sets the VM list, which the platform gives along with the table. */
+  void setVms(VmList list) {
+    vms = list;
+  }
+
+  /** Reads the VM list. */
+  CompletableFuture<VmList> vmList(String node) {
+    return network.call(node, this, TIMEOUT_MS, () -> vms);
+  }
+
   /** Returns the table as one node reaches it. */
   TableService from(String node) {
     return new TableService() {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedUpstream.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedUpstream.java
@@ -1,7 +1,5 @@
 package org.foxtailford.testkit.simulation;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.time.MillisClock;
@@ -16,20 +14,26 @@
 
   private static final int BOOT_ID_FACTOR = 1000;
 
+  private final String dataCentre;
   private final int index;
   private final MillisClock clock;
   private final SimulationVariant variant;
-  private final Map<String, Integer> runs = new HashMap<>();
   private @Nullable GrantHolder holder;
 
-  SimulatedUpstream(String name, int index, MillisClock clock, SimulationVariant variant) {
+  SimulatedUpstream(
+      String name, String dataCentre, int index, MillisClock clock, SimulationVariant variant) {
     super(name);
+    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.index = index;
     this.clock = Assert.notNull(clock, "clock");
     this.variant = Assert.notNull(variant, "variant");
     onStarted();
   }
 
+  String dataCentre() {
+    return dataCentre;
+  }
+
   GrantReply status() {
     return present().status();
   }
@@ -43,22 +47,9 @@
     return Optional.ofNullable(holder).flatMap(h -> h.ownedFence(service, keyHash));
   }
 
-  /**
-   * Runs a request if this upstream owns its key under its fence.
-   *
-   * @return whether it ran
-   */
-  boolean run(String requestId, String service, long keyHash, Fence fence) {
-    boolean owner = ownedFence(service, keyHash).filter(fence::equals).isPresent();
-    if (owner) {
-      runs.merge(requestId, 1, Integer::sum);
-    }
-    return owner;
-  }
-
-  /** Returns how often a request ran here, earlier starts included. */
-  int runs(String requestId) {
-    return runs.getOrDefault(requestId, 0);
+  /** Tells whether this upstream owns a key under a fence. */
+  boolean owns(String service, long keyHash, Fence fence) {
+    return ownedFence(service, keyHash).filter(fence::equals).isPresent();
   }
 
   private GrantHolder present() {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
@@ -1,5 +1,6 @@
 package org.foxtailford.testkit.simulation;
 
+import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.UpstreamGrants;
 import org.foxtailford.core.settings.SettingsDefaults;
@@ -33,4 +34,14 @@
   default UpstreamGrants grants(UpstreamGrants grants) {
     return grants;
   }
+
+  /**
+   * Returns the configuration that an entry VM uses.
+   *
+   * @param used the one that it used so far
+   * @param next the one that it would use from now on
+   */
+  default ConfigurationView onConfiguration(ConfigurationView used, ConfigurationView next) {
+    return next;
+  }
 }
--- /dev/null
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/ScenarioExpectationTests.java
@@ -0,0 +1,71 @@
+package org.foxtailford.testkit.simulation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.foxtailford.core.configuration.ConfigurationView;
+import org.foxtailford.core.ownership.OwnershipTiming;
+import org.foxtailford.testkit.scenario.ScenarioParser;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Breaks one rule at a time and requires the expectation of a scenario to find it. */
+public class ScenarioExpectationTests {
+
+  private static final Path FOLDER = Path.of("..", "scenarios");
+
+  @DataProvider
+  public Object[][] brokenRules() {
+    return new Object[][] {
+      {"data-centre-out", new FirstConfigurationKept(), "requests began at dc-b"},
+      {"data-centre-out", new FirstConfigurationKept(), "uses configuration version 1, not 2"},
+      {"data-centre-out", new SecondConfigurationReverted(), "back to 1"},
+      {"data-centre-cut-from-all", new StopsWithItsLease(), "sent home to dc-b were answered"},
+    };
+  }
+
+  @Test(dataProvider = "brokenRules")
+  public void brokenRuleIsFound(String name, SimulationVariant variant, String finding)
+      throws IOException {
+    String text = Files.readString(FOLDER.resolve(name + ".scenario"));
+    ScenarioResult result = new ScenarioRunner(variant).run(new ScenarioParser().parse(text));
+    assertThat(result.failures()).anyMatch(failure -> failure.contains(finding));
+  }
+
+  private static final class FirstConfigurationKept implements SimulationVariant {
+
+    @Override
+    public ConfigurationView onConfiguration(ConfigurationView used, ConfigurationView next) {
+      return used.version() == 0 ? next : used;
+    }
+  }
+
+  private static final class SecondConfigurationReverted implements SimulationVariant {
+
+    private ConfigurationView first = ConfigurationView.none();
+
+    @Override
+    public ConfigurationView onConfiguration(ConfigurationView used, ConfigurationView next) {
+      if (first.version() == 0) {
+        first = next;
+      }
+      return used.version() > first.version() ? first : next;
+    }
+  }
+
+  private static final class StopsWithItsLease implements SimulationVariant {
+
+    @Override
+    public OwnershipTiming timing() {
+      OwnershipTiming timing = SimulationVariant.unchanged().timing();
+      return new OwnershipTiming(
+          timing.leaseTtlMs(),
+          timing.renewIntervalMs(),
+          timing.grantTtlMs(),
+          timing.clockRateMarginPpm(),
+          0);
+    }
+  }
+}
