The end of a claim takes effect before the next claim of its sender

Cause: an entry VM handed the end of a claim to its control executor and answered claims on the link's thread. The end that a refused attempt sends could be overtaken by the claim of its retry, which then got REQUEST_IN_PROGRESS: the caller of a pledge that never ran was told that it may be running.

Ruled out: to order both on the control executor, which would add its wait to each claim.

Change: PeerMessageHandler receives ends of claims by a method of their own, which is done on return, like claims.

The new test compares the order at the handler; the dispatcher's own fault was seen by reading, not reproduced over processes.

Conclusion: a retry after a refusal finds its own earlier claim released.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
@@ -12,6 +12,7 @@
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimEnd;
 import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.HandOverPage;
 import org.foxtailford.schema.HandOverRequest;
@@ -75,13 +76,16 @@
       heartbeats.onHeartbeat(sender, frame.getHeartbeat());
     } else if (frame.hasMembership()) {
       heartbeats.onMembership(frame.getMembership());
-    } else if (frame.hasClaimEnd()) {
-      records.holder().end(frame.getClaimEnd());
     } else if (frame.hasPoisonReport()) {
       poison.receive(frame.getPoisonReport());
     }
   }
 
+  @Override
+  public void onClaimEnd(PeerIdentity sender, ClaimEnd end) {
+    records.holder().end(end);
+  }
+
   @Override
   public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
     return records.holder().claim(request);
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/GuardedVm.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/GuardedVm.java
@@ -25,6 +25,7 @@
 import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.net.peer.PeerServer;
 import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimEnd;
 import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.HandOverPage;
@@ -131,9 +132,7 @@
 
     @Override
     public void onMessage(PeerIdentity sender, PeerFrame frame) {
-      if (frame.hasClaimEnd()) {
-        records.holder().end(frame.getClaimEnd());
-      } else if (frame.hasPoisonReport()) {
+      if (frame.hasPoisonReport()) {
         poison.receive(frame.getPoisonReport());
       }
     }
@@ -143,6 +142,11 @@
       throw new AssertionError("no relay expected");
     }
 
+    @Override
+    public void onClaimEnd(PeerIdentity sender, ClaimEnd end) {
+      records.holder().end(end);
+    }
+
     @Override
     public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
       return records.holder().claim(request);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerMessageHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerMessageHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimEnd;
 import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.HandOverPage;
 import org.foxtailford.schema.HandOverRequest;
@@ -18,6 +19,9 @@
   /** Answers a relayed request; the future is cancelled if the sender gives it up. */
   CompletableFuture<RelayAnswer> onRelay(PeerIdentity sender, RelayRequest request);
 
+  /** Receives the end of a claim. Must be done on return, before a later claim of the sender. */
+  void onClaimEnd(PeerIdentity sender, ClaimEnd end);
+
   /** Answers a claim on a request id. */
   ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request);
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServerHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/peer/PeerServerHandler.java
@@ -46,6 +46,8 @@
       onCancel(frame.getRelayCancel());
     } else if (frame.hasClaimRequest()) {
       onClaim(ctx, sender, frame.getClaimRequest());
+    } else if (frame.hasClaimEnd()) {
+      handler.onClaimEnd(sender, frame.getClaimEnd());
     } else if (frame.hasHandOverRequest()) {
       onHandOver(ctx, sender, frame.getHandOverRequest());
     } else {
--- a/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/peer/PeerLinkTests.java
@@ -12,13 +12,16 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimEnd;
 import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.ClaimResult;
 import org.foxtailford.schema.Endpoint;
@@ -46,6 +49,8 @@
   private PeerServer server;
   private PeerLink link;
   private CompletableFuture<RelayAnswer> relayed;
+  private final List<String> ends = new CopyOnWriteArrayList<>();
+  private volatile List<String> endsAtClaim = List.of();
   private CountDownLatch received;
 
   @BeforeMethod
@@ -102,6 +107,15 @@
         .isEqualTo(ClaimResult.CLAIM_RESULT_GRANTED);
   }
 
+  @Test(timeOut = LONG_MS)
+  public void endOfAClaimIsReceivedBeforeTheNextClaim() {
+    connect();
+    ClaimEnd end = ClaimEnd.newBuilder().setRequestId("id").build();
+    link.send(PeerFrame.newBuilder().setClaimEnd(end).build());
+    link.claim(ClaimRequest.newBuilder().setRequestId("id").build(), LONG_MS).join();
+    assertThat(endsAtClaim).containsExactly("id");
+  }
+
   @Test(timeOut = LONG_MS)
   public void serverRejectsAPeerOfAnotherSystemAndClosesTheConnection() throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), link.endpoint().getPort())) {
@@ -237,8 +251,14 @@
       return relayed;
     }
 
+    @Override
+    public void onClaimEnd(PeerIdentity sender, ClaimEnd end) {
+      ends.add(end.getRequestId());
+    }
+
     @Override
     public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
+      endsAtClaim = List.copyOf(ends);
       return ClaimAnswer.newBuilder().setResult(ClaimResult.CLAIM_RESULT_GRANTED).build();
     }
 
--- a/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
@@ -46,6 +46,7 @@
 import org.foxtailford.net.peer.PeerMessageHandler;
 import org.foxtailford.net.peer.PeerServer;
 import org.foxtailford.schema.ClaimAnswer;
+import org.foxtailford.schema.ClaimEnd;
 import org.foxtailford.schema.ClaimRequest;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.HandOverPage;
@@ -203,6 +204,11 @@
             return new CompletableFuture<>();
           }
 
+          @Override
+          public void onClaimEnd(PeerIdentity sender, ClaimEnd end) {
+            throw new AssertionError("no claim expected");
+          }
+
           @Override
           public ClaimAnswer onClaim(PeerIdentity sender, ClaimRequest request) {
             return ClaimAnswer.getDefaultInstance();
