Scenarios run requests without keys, claims, poison, leaving and slow upstreams

Cause: scenarios had keyed requests only, and those ran without claims.

Change: requests go through the real router, loads, retries, hedges, claims (ClaimCoordinator, RecordHolder) and search for poison (PoisonTracker) at each entry VM, with fakes for slots, refusals and crashes of upstreams. Callers may send a request again, with its id, through another entry VM. New words: unkeyed, sent again, drain, slow, fill, send poison, answered within, idempotent answered at home, no unknown outcome, at most N crashes; no new work counts arrivals. Since claims now count, the scenarios of cut-off data centres expect service of idempotent requests at home, as design/at-most-once.md states; non-idempotent ones get RECORDS_UNREACHABLE there.

Conclusion: leaving, planned stop, pledges sent again, poison, stragglers, shedding and silent connections are under test.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioExpectation.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioExpectation.java
@@ -6,9 +6,10 @@
  * @param kind what must hold
  * @param place data centre or upstream that it is about; empty text if it is about the whole system
  * @param limit bound: milliseconds for {@link Kind#SERVED_AGAIN} and {@link Kind#IN_FORCE}, percent
- *     for {@link Kind#ANSWERED} and {@link Kind#ANSWERED_AT_HOME}
+ *     for {@link Kind#ANSWERED} and {@link Kind#ANSWERED_AT_HOME}, a count for {@link Kind#CRASHES}
  * @param fromMs time from which it counts, from the start of the run, in milliseconds
- * @param untilMs time until which it counts, from the start of the run, in milliseconds
+ * @param untilMs time until which it counts, from the start of the run, or the bound of {@link
+ *     Kind#ANSWERED_WITHIN}, in milliseconds
  */
 public record ScenarioExpectation(Kind kind, String place, long limit, long fromMs, long untilMs) {
 
@@ -34,6 +35,14 @@
     ANSWERED,
     /** At least the given share of the requests sent to the home of their keys was answered. */
     ANSWERED_AT_HOME,
+    /** At least the given share of the requests was answered within a time. */
+    ANSWERED_WITHIN,
+    /** At least the given share of the idempotent requests sent home was answered. */
+    IDEMPOTENT_ANSWERED_AT_HOME,
+    /** Every caller knows whether its request ran. */
+    NO_UNKNOWN_OUTCOME,
+    /** At most the given number of upstreams is lost to requests that crash them. */
+    CRASHES,
     /** No request begins at the place. */
     NO_NEW_WORK,
     /** The configuration accepted last is in force at every entry VM within the limit. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
@@ -23,6 +23,14 @@
     CUT,
     /** No message passes from the first target to the others. */
     CUT_ONE_WAY,
+    /** The upstreams refuse new work because they leave; the VM list says so later. */
+    DRAIN,
+    /** The upstreams run requests much more slowly. */
+    SLOW,
+    /** Other users fill the slots of the upstreams, which shed what comes. */
+    FILL,
+    /** A caller sends a request, again and again, that crashes the upstream that runs it. */
+    POISON,
     /** Operators take the data centres out and bring them back at the end. */
     TAKE_OUT,
     /** Messages are lost, delayed, repeated and reordered. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioFaults.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioFaults.java
@@ -1,6 +1,7 @@
 package org.foxtailford.testkit.simulation;
 
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.testkit.scenario.ScenarioFault;
@@ -9,15 +10,25 @@
 final class ScenarioFaults {
 
   private static final String LEADER_OF = "leader of ";
+  private static final long VM_LIST_LAG_MS = 1500;
 
   private final OwnershipSystem system;
   private final FaultInjector injector;
   private final SimulatedOperators operators;
-
-  ScenarioFaults(OwnershipSystem system, FaultInjector injector, SimulatedOperators operators) {
+  private final SimulatedCallers callers;
+  private final Trace trace;
+
+  ScenarioFaults(
+      OwnershipSystem system,
+      FaultInjector injector,
+      SimulatedOperators operators,
+      SimulatedCallers callers,
+      Trace trace) {
     this.system = Assert.notNull(system, "system");
     this.injector = Assert.notNull(injector, "injector");
     this.operators = Assert.notNull(operators, "operators");
+    this.callers = Assert.notNull(callers, "callers");
+    this.trace = Assert.notNull(trace, "trace");
   }
 
   /** Enters a fault; its targets are found when it begins. */
@@ -39,6 +50,18 @@
       case CUT_ONE_WAY:
         injector.cut(first(fault), others(fault), fault.atMs(), fault.forMs());
         break;
+      case DRAIN:
+        upstreams(fault).forEach(upstream -> drain(upstream, fault));
+        break;
+      case SLOW:
+        upstreams(fault).forEach(u -> during(fault, u.name() + " slow", u.work()::setSlow));
+        break;
+      case FILL:
+        upstreams(fault).forEach(u -> during(fault, u.name() + " full", u.work()::setFull));
+        break;
+      case POISON:
+        callers.sendPoison(fault.atMs(), fault.atMs() + fault.forMs());
+        break;
       case TAKE_OUT:
         takeOut(fault);
         break;
@@ -50,6 +73,26 @@
     }
   }
 
+  private void drain(SimulatedUpstream upstream, ScenarioFault fault) {
+    during(fault, upstream.name() + " draining", upstream.work()::setDraining);
+    leaveListed(upstream, true, VM_LIST_LAG_MS);
+    leaveListed(upstream, false, fault.forMs() + VM_LIST_LAG_MS);
+  }
+
+  private void leaveListed(SimulatedUpstream upstream, boolean leaving, long delayMs) {
+    system.queue().schedule(delayMs, () -> system.table().setLeaving(upstream.name(), leaving));
+  }
+
+  private void during(ScenarioFault fault, String text, Consumer<Boolean> state) {
+    trace.add(system.queue().nowMs(), "%s for %d ms", text, fault.forMs());
+    state.accept(true);
+    system.queue().schedule(fault.forMs(), () -> state.accept(false));
+  }
+
+  private List<SimulatedUpstream> upstreams(ScenarioFault fault) {
+    return fault.targets().stream().map(system::upstream).toList();
+  }
+
   private void takeOut(ScenarioFault fault) {
     fault.targets().forEach(dataCentre -> operators.setOut(dataCentre, true));
     system
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioRunner.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioRunner.java
@@ -35,10 +35,10 @@
     system.begin();
     FaultInjector injector = new FaultInjector(system, random.split(), trace);
     SimulatedOperators operators = new SimulatedOperators(system, trace);
-    ScenarioFaults faults = new ScenarioFaults(system, injector, operators);
-    scenario.faults().forEach(faults::enter);
     RequestLedger ledger = new RequestLedger();
     SimulatedCallers callers = new SimulatedCallers(system, random.split(), ledger, trace);
+    ScenarioFaults faults = new ScenarioFaults(system, injector, operators, callers, trace);
+    scenario.faults().forEach(faults::enter);
     long loadEndsMs = scenario.lengthMs() - LOAD_ENDS_BEFORE_MS;
     scenario.loads().forEach(load -> callers.send(load, LOAD_STARTS_MS, loadEndsMs));
     ScenarioChecks checks = new ScenarioChecks(system, ledger);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -16,6 +16,7 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.OwnershipCheckpoint;
+import org.foxtailford.schema.PoisonReport;
 import org.jspecify.annotations.Nullable;
 
 /** An entry VM that may lead its data centre. */
@@ -33,6 +34,7 @@
   private OwnershipFeed feed;
   private Supplier<@Nullable SimulatedRequestPath> newPath = () -> null;
   private @Nullable SimulatedRequestPath path;
+  private @Nullable SimulatedClaims claims;
 
   SimulatedCandidate(String name, String dataCentre, OwnershipSystem system, MillisClock clock) {
     super(name);
@@ -80,7 +82,8 @@
     system.queue().schedule(system.variant().timing().renewIntervalMs(), () -> round(start));
   }
 
-  private Executor control() {
+  /** Returns the executor of this start of the process. */
+  Executor control() {
     int start = starts();
     return step -> system.queue().schedule(0, () -> runIfCurrent(start, step));
   }
@@ -182,7 +185,12 @@
   /** Lets callers send requests to this entry VM. */
   void serve(RequestLedger ledger, RandomGenerator random) {
     newPath = () -> new SimulatedRequestPath(this, system, ledger, random);
+    openPath();
+  }
+
+  private void openPath() {
     path = newPath.get();
+    claims = path == null ? null : new SimulatedClaims(this, system);
   }
 
   /** Returns the way of requests through this start of the entry VM. */
@@ -190,6 +198,16 @@
     return Assert.notNull(path, "path");
   }
 
+  /** Returns the records of request ids of this start of the entry VM. */
+  SimulatedClaims claims() {
+    return Assert.notNull(claims, "claims");
+  }
+
+  /** Takes another entry VM's report on a request that crashes upstreams. */
+  void receivePoison(PoisonReport report) {
+    path().guard().receive(report);
+  }
+
   /** Returns what this entry VM knows from the platform. */
   PlatformKnowledge knowledge() {
     return knowledge;
@@ -220,7 +238,7 @@
     election = newElection();
     leader = newLeader();
     mover = newMover();
-    path = newPath.get();
+    openPath();
     begin(0);
   }
 }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
@@ -1,6 +1,8 @@
 package org.foxtailford.testkit.simulation;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
@@ -18,6 +20,7 @@
   private final EventQueue queue;
   private final RandomGenerator random;
   private final Set<Link> cuts = new HashSet<>();
+  private final Map<Link, Long> arrivals = new HashMap<>();
   private int lossPercent;
   private int duplicatePercent;
   private int extraDelayMs;
@@ -71,7 +74,7 @@
       String from, SimulatedNode to, long timeoutMs, Supplier<CompletableFuture<R>> effect) {
     CompletableFuture<R> answer = new CompletableFuture<>();
     queue.schedule(timeoutMs, () -> answer.completeExceptionally(new TimeoutException(to.name())));
-    deliver(
+    sendOnce(
         from,
         to,
         () -> effect.get().thenAccept(result -> sendBack(to.name(), from, result, answer)));
@@ -84,6 +87,15 @@
     }
   }
 
+  /** Sends a message over a connection, which keeps the order of messages and repeats none. */
+  void sendOnce(String from, SimulatedNode to, Runnable effect) {
+    if (!lost(from, to.name())) {
+      long atMs = queue.nowMs() + delayMs();
+      long inOrderMs = arrivals.merge(new Link(from, to.name()), atMs, Math::max);
+      queue.schedule(inOrderMs - queue.nowMs(), () -> to.execute(effect));
+    }
+  }
+
   /** Sends a message that needs no answer. */
   void send(String from, SimulatedNode to, Runnable effect) {
     deliver(from, to, effect);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedServices.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedServices.java
@@ -13,6 +13,7 @@
 final class SimulatedServices {
 
   static final String KEYED = "menu-planning";
+  static final String UNKEYED = "pantry";
   static final String IDEMPOTENT_KIND = "lookup";
   static final String NON_IDEMPOTENT_KIND = "plan";
 
@@ -30,7 +31,14 @@
             .addKinds(RequestKind.newBuilder().setName(IDEMPOTENT_KIND).setIdempotent(true))
             .addKinds(RequestKind.newBuilder().setName(NON_IDEMPOTENT_KIND))
             .build();
-    return ConfigurationDocument.newBuilder().addServices(keyed).build();
+    ServiceDefinition unkeyed =
+        ServiceDefinition.newBuilder()
+            .setName(UNKEYED)
+            .setSelector("vm")
+            .setSlotsPerUpstream(SimulatedWork.SLOTS)
+            .addAllKinds(keyed.getKindsList())
+            .build();
+    return ConfigurationDocument.newBuilder().addServices(keyed).addServices(unkeyed).build();
   }
 
   /** Returns the VM list with every upstream live. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedTable.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedTable.java
@@ -15,6 +15,7 @@
 import org.foxtailford.schema.ConfigurationRecord;
 import org.foxtailford.schema.HomeRanges;
 import org.foxtailford.schema.VmList;
+import org.foxtailford.schema.VmState;
 import org.foxtailford.testkit.platform.InMemoryTable;
 
 /** The platform's table; an outage loses calls, and rows outlast it. */
@@ -59,6 +60,16 @@
     vms = list;
   }
 
+  /** Says in the VM list whether a VM is leaving. */
+  void setLeaving(String vm, boolean leaving) {
+    VmState state = leaving ? VmState.VM_STATE_LEAVING : VmState.VM_STATE_LIVE;
+    VmList.Builder changed = vms.toBuilder();
+    changed.getVmsBuilderList().stream()
+        .filter(entry -> entry.getName().equals(vm))
+        .forEach(entry -> entry.setState(state));
+    vms = changed.build();
+  }
+
   /** Reads the VM list. */
   CompletableFuture<VmList> vmList(String node) {
     return network.call(node, this, TIMEOUT_MS, () -> vms);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedUpstream.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedUpstream.java
@@ -19,6 +19,7 @@
   private final MillisClock clock;
   private final SimulationVariant variant;
   private @Nullable GrantHolder holder;
+  private @Nullable SimulatedWork work;
 
   SimulatedUpstream(
       String name, String dataCentre, int index, MillisClock clock, SimulationVariant variant) {
@@ -34,6 +35,22 @@
     return dataCentre;
   }
 
+  /** Gives this upstream work without keys. */
+  void setWork(SimulatedWork value) {
+    work = value;
+  }
+
+  SimulatedWork work() {
+    return Assert.notNull(work, "work");
+  }
+
+  /** Starts the process again unless it runs. */
+  void startIfLost() {
+    if (!running()) {
+      start();
+    }
+  }
+
   GrantReply status() {
     return present().status();
   }
@@ -59,6 +76,9 @@
   @Override
   void onLost() {
     holder = null;
+    if (work != null) {
+      work.lost();
+    }
   }
 
   @Override
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
@@ -3,6 +3,8 @@
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.UpstreamGrants;
+import org.foxtailford.core.poison.PoisonVerdict;
+import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.settings.SettingsDefaults;
 import org.foxtailford.schema.GrantRequest;
 import org.foxtailford.schema.OwnershipSettings;
@@ -44,4 +46,24 @@
   default ConfigurationView onConfiguration(ConfigurationView used, ConfigurationView next) {
     return next;
   }
+
+  /** Tells whether requests that are not idempotent run only under a claim. */
+  default boolean claimsRequests() {
+    return true;
+  }
+
+  /** Tells whether entry VMs see how long upstreams take. */
+  default boolean seesLatency() {
+    return true;
+  }
+
+  /** Returns what an entry VM takes for known of a request. */
+  default PoisonVerdict onVerdict(PoisonVerdict verdict) {
+    return verdict;
+  }
+
+  /** Returns the result of a request as its caller is told. */
+  default ResultCode onResult(ResultCode code) {
+    return code;
+  }
 }
