--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
@@ -1,6 +1,8 @@
 package org.foxtailford.testkit.simulation;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
@@ -18,6 +20,7 @@
   private final EventQueue queue;
   private final RandomGenerator random;
   private final Set<Link> cuts = new HashSet<>();
+  private final Map<Link, Long> arrivals = new HashMap<>();
   private int lossPercent;
   private int duplicatePercent;
   private int extraDelayMs;
@@ -66,6 +69,33 @@
     return answer;
   }
 
+  /** Calls a node, which answers later, over a connection, which never repeats a message. */
+  <R> CompletableFuture<R> callLater(
+      String from, SimulatedNode to, long timeoutMs, Supplier<CompletableFuture<R>> effect) {
+    CompletableFuture<R> answer = new CompletableFuture<>();
+    queue.schedule(timeoutMs, () -> answer.completeExceptionally(new TimeoutException(to.name())));
+    sendOnce(
+        from,
+        to,
+        () -> effect.get().thenAccept(result -> sendBack(to.name(), from, result, answer)));
+    return answer;
+  }
+
+  private <R> void sendBack(String from, String to, R result, CompletableFuture<R> answer) {
+    if (!lost(from, to)) {
+      queue.schedule(delayMs(), () -> answer.complete(result));
+    }
+  }
+
+  /** Sends a message over a connection, which keeps the order of messages and repeats none. */
+  void sendOnce(String from, SimulatedNode to, Runnable effect) {
+    if (!lost(from, to.name())) {
+      long atMs = queue.nowMs() + delayMs();
+      long inOrderMs = arrivals.merge(new Link(from, to.name()), atMs, Math::max);
+      queue.schedule(inOrderMs - queue.nowMs(), () -> to.execute(effect));
+    }
+  }
+
   /** Sends a message that needs no answer. */
   void send(String from, SimulatedNode to, Runnable effect) {
     deliver(from, to, effect);
@@ -87,10 +117,7 @@
 
   private <R> void answer(
       SimulatedNode from, String to, Supplier<R> effect, CompletableFuture<R> answer) {
-    R result = effect.get();
-    if (!lost(from.name(), to)) {
-      queue.schedule(delayMs(), () -> answer.complete(result));
-    }
+    sendBack(from.name(), to, effect.get(), answer);
   }
 
   private boolean lost(String from, String to) {
