Leader finds slices by owner

Change: SliceTable keeps slices by service, range and owner; slices of one service never overlap, an adopted one replaces free ones that were found nowhere. A slice whose home comes back while it is being released may be assigned again; before, it stayed without an owner for the rest of the term.

--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/CapacityPage.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/CapacityPage.java
@@ -187,7 +187,7 @@
   private void leader(Fleet fleet, List<String> lines) {
     double upstreams = fleet.upstreamsPerDataCentre();
     double slices = fleet.slicesPerDataCentre();
-    double round = renewalsPerS * leaderRound.at(upstreams * slices) / US_PER_S;
+    double round = renewalsPerS * leaderRound.at(slices) / US_PER_S;
     lines.add(
         row(
             "leader",
@@ -195,7 +195,7 @@
             round,
             BUDGET_CORE,
             100,
-            "`DataCentreLeader.tick`: each upstream looks at every slice"));
+            "`DataCentreLeader.tick`, with one placement round in each"));
     double placement = placementRound.at(upstreams) / US_PER_S;
     lines.add(
         row(
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
@@ -38,7 +38,7 @@
 final class Slopes {
 
   static final int SLICES_PER_UPSTREAM = 16;
-  private static final int[] UPSTREAMS = {50, 100, 200, 400};
+  private static final int[] UPSTREAMS = {50, 200, 400, 1500};
   private static final int[] FLEET = {20, 200, 750, 1500};
   private static final int[] SLICES = {1_000, 8_000, 24_000, 48_000};
   private static final int[] VMS = {500, 1_000, 2_000, 4_100};
@@ -92,15 +92,15 @@
     return runtime.totalMemory() - runtime.freeMemory();
   }
 
-  /** Returns the leader's round by upstreams times slices, which its loops are proportional to. */
+  /** Returns the leader's round by slices, at a fixed number of slices an upstream. */
   static Measurement leaderRoundUs() {
     List<Point> points = new ArrayList<>();
     for (int upstreams : UPSTREAMS) {
       int slices = upstreams * SLICES_PER_UPSTREAM;
       LeaderFixture fixture = new LeaderFixture(upstreams, slices);
-      points.add(new Point((double) upstreams * slices, medianNs(fixture::round) / NS_PER_US));
+      points.add(new Point(slices, medianNs(fixture::round) / NS_PER_US));
     }
-    return Measurement.of("leader's renewal round, us", "upstreams x slices", points);
+    return Measurement.of("leader's renewal round, us", "slices", points);
   }
 
   static Measurement grantBytes() {
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/CheckpointAssembler.java
@@ -0,0 +1,30 @@
+package org.foxtailford.core.ownership;
+
+import org.foxtailford.schema.OwnershipCheckpoint;
+import org.foxtailford.schema.ServiceAssignment;
+
+/** Makes the published form of a term's owners. */
+final class CheckpointAssembler {
+
+  private CheckpointAssembler() {}
+
+  /** Returns the owners of a term under a new version. */
+  static OwnershipCheckpoint assemble(String dataCentre, LeaderTerm term) {
+    Fence version = term.nextFence();
+    OwnershipCheckpoint.Builder checkpoint =
+        OwnershipCheckpoint.newBuilder()
+            .setDataCentre(dataCentre)
+            .setEpoch(version.epoch())
+            .setSequence(version.sequence());
+    term.slices().services().forEach(name -> checkpoint.addServices(assignments(term, name)));
+    return checkpoint.build();
+  }
+
+  private static ServiceAssignment assignments(LeaderTerm term, String service) {
+    ServiceAssignment.Builder builder = ServiceAssignment.newBuilder().setService(service);
+    term.slices().slices(service).stream()
+        .flatMap(state -> state.assignment().stream())
+        .forEach(assignment -> builder.addSlices(assignment.toValue()));
+    return builder.build();
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
@@ -0,0 +1,203 @@
+package org.foxtailford.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.GrantReply;
+import org.foxtailford.schema.GrantRequest;
+import org.foxtailford.schema.GrantedSlice;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends a term's orders to upstreams and takes their answers into the term.
+ *
+ * <p>An upstream that accepted the first fence of a term is read, and what it holds adopted. From
+ * then on each order repeats its slices. Not thread-safe: all calls and callbacks run on one
+ * executor.
+ */
+final class GrantExchange {
+
+  private final LeaderAuthority authority;
+  private final OwnershipTiming timing;
+  private final UpstreamGrants grants;
+  private final Supplier<Optional<LeaderTerm>> currentTerm;
+  private final MillisClock clock;
+  private final Executor control;
+
+  /**
+   * Creates an exchange.
+   *
+   * @param authority tells for how long orders count
+   * @param timing times to live
+   * @param grants grants of upstreams
+   * @param currentTerm gives the term whose answers still count
+   * @param clock clock of this VM
+   * @param control executor of all callbacks
+   */
+  GrantExchange(
+      LeaderAuthority authority,
+      OwnershipTiming timing,
+      UpstreamGrants grants,
+      Supplier<Optional<LeaderTerm>> currentTerm,
+      MillisClock clock,
+      Executor control) {
+    this.authority = Assert.notNull(authority, "authority");
+    this.timing = Assert.notNull(timing, "timing");
+    this.grants = Assert.notNull(grants, "grants");
+    this.currentTerm = Assert.notNull(currentTerm, "currentTerm");
+    this.clock = Assert.notNull(clock, "clock");
+    this.control = Assert.notNull(control, "control");
+  }
+
+  /** Sends the next order to an upstream unless an answer of it is awaited. */
+  void exchange(LeaderTerm term, UpstreamSession session) {
+    if (session.inFlight() || !isCurrent(term) || !authority.unsuperseded(term)) {
+      return;
+    }
+    session.setInFlight(true);
+    if (session.bootId() == 0) {
+      grants
+          .status(session.upstream())
+          .whenCompleteAsync((reply, failure) -> onStatus(term, session, reply), control);
+      return;
+    }
+    GrantRequest request = request(term, session);
+    long sentMs = clock.nowMs();
+    grants
+        .grant(session.upstream(), request)
+        .whenCompleteAsync(
+            (reply, failure) -> onGrantReply(term, session, request, sentMs, reply), control);
+  }
+
+  private boolean isCurrent(LeaderTerm term) {
+    return currentTerm.get().filter(current -> current == term).isPresent();
+  }
+
+  private GrantRequest request(LeaderTerm term, UpstreamSession session) {
+    long ttlMs = grantTtlMs(term, session);
+    boolean fenceOnly = !session.fenced() || ttlMs <= 0;
+    GrantRequest.Builder request =
+        GrantRequest.newBuilder()
+            .setBootId(session.bootId())
+            .setFence(term.nextFence().toValue())
+            .setAsOfMs(session.asOfMs())
+            .setFenceOnly(fenceOnly);
+    if (!fenceOnly) {
+      request.setTtlMs((int) ttlMs).addAllSlices(wantedSlices(term, session));
+    }
+    return request.build();
+  }
+
+  /** Returns the time to live that ends a grant with the authority behind it, or less than one. */
+  private long grantTtlMs(LeaderTerm term, UpstreamSession session) {
+    OptionalLong provenMs = authority.provenMs(term);
+    if (provenMs.isEmpty()) {
+      return 0;
+    }
+    long sinceProofMs = Math.max(0, session.lastReplyMs() - provenMs.getAsLong());
+    return timing.grantTtlMs() - sinceProofMs;
+  }
+
+  private List<GrantedSlice> wantedSlices(LeaderTerm term, UpstreamSession session) {
+    long provenMs = authority.provenMs(term).orElseThrow();
+    return term.slices().ownedBy(session.upstream().name()).stream()
+        .filter(state -> !state.leaving())
+        .filter(state -> state.freedMs() <= provenMs)
+        .map(GrantExchange::granted)
+        .toList();
+  }
+
+  private static GrantedSlice granted(SliceState state) {
+    return GrantedSlice.newBuilder()
+        .setService(state.key().service())
+        .setRange(state.key().range().toValue())
+        .setFence(state.assignment().orElseThrow().fence().toValue())
+        .build();
+  }
+
+  private void onStatus(LeaderTerm term, UpstreamSession session, @Nullable GrantReply reply) {
+    session.setInFlight(false);
+    if (reply != null && isCurrent(term)) {
+      session.noteBoot(reply, clock.nowMs());
+      exchange(term, session);
+    }
+  }
+
+  private void onGrantReply(
+      LeaderTerm term,
+      UpstreamSession session,
+      GrantRequest request,
+      long sentMs,
+      @Nullable GrantReply reply) {
+    session.setInFlight(false);
+    if (reply == null || !isCurrent(term)) {
+      return;
+    }
+    boolean restarted = reply.getBootId() != request.getBootId();
+    session.noteBoot(reply, clock.nowMs());
+    if (restarted) {
+      term.releaseAll(session.upstream().name(), clock.nowMs());
+    }
+    if (!reply.getAccepted()) {
+      return;
+    }
+    session.noteOrderAccepted(sentMs);
+    boolean readAfterClosing = term.closedMs().isPresent() && sentMs >= term.closedMs().getAsLong();
+    if (!readAfterClosing) {
+      continueClosing(term);
+      return;
+    }
+    session.noteAccepted(
+        reply.getSlicesList().stream().map(SliceKey::of).collect(Collectors.toSet()));
+    if (request.getFenceOnly()) {
+      adopt(term, session, reply);
+    } else {
+      finishReleases(term, session);
+    }
+  }
+
+  /** Sends the next orders at once, since the grants of an earlier leader run out meanwhile. */
+  private void continueClosing(LeaderTerm term) {
+    authority.closeIfExcluded(term);
+    if (term.closedMs().isPresent()) {
+      term.sessions().values().stream()
+          .filter(session -> !session.fenced())
+          .forEach(session -> exchange(term, session));
+    }
+  }
+
+  private void adopt(LeaderTerm term, UpstreamSession session, GrantReply reply) {
+    if (reply.getRemainingMs() == 0) {
+      return;
+    }
+    for (GrantedSlice slice : reply.getSlicesList()) {
+      adopt(term, session.upstream().name(), SliceKey.of(slice), Fence.of(slice.getFence()));
+    }
+    exchange(term, session);
+  }
+
+  /** Adopts a slice in place of those that were found nowhere; any other owner goes first. */
+  private void adopt(LeaderTerm term, String upstream, SliceKey key, Fence fence) {
+    List<SliceState> others = term.slices().overlapping(key.service(), key.range());
+    if (others.stream().anyMatch(SliceState::found)) {
+      return;
+    }
+    others.forEach(term.slices()::remove);
+    term.assign(term.slices().add(key, 0), upstream, fence);
+  }
+
+  private void finishReleases(LeaderTerm term, UpstreamSession session) {
+    for (SliceState state : term.slices().ownedBy(session.upstream().name())) {
+      if (state.leaving() && !session.holds(state.key())) {
+        Optional<String> target = state.nextOwner().filter(term::usable);
+        term.release(state, clock.nowMs());
+        target.ifPresent(next -> term.assign(state, next));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderAuthority.java
@@ -0,0 +1,99 @@
+package org.foxtailford.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.Arbiter;
+
+/**
+ * Tells for how long a leader's orders count.
+ *
+ * <p>With the lease they count until now. Without it they count until the latest time since which a
+ * majority of the arbiters accepted them, and only for as long as the hold lasts. Not thread-safe.
+ */
+final class LeaderAuthority {
+
+  private static final int MAX_ARBITERS = 5;
+
+  private final LeaseElection election;
+  private final OwnershipTiming timing;
+  private final MillisClock clock;
+
+  LeaderAuthority(LeaseElection election, OwnershipTiming timing, MillisClock clock) {
+    this.election = Assert.notNull(election, "election");
+    this.timing = Assert.notNull(timing, "timing");
+    this.clock = Assert.notNull(clock, "clock");
+  }
+
+  /** Returns the lease that the leader may go on under, even if it lapsed. */
+  Optional<HeldLease> lease() {
+    return election.unsuperseded().filter(this::mayContinue);
+  }
+
+  /** Tells whether no later leader is known to have taken over from a term. */
+  boolean unsuperseded(LeaderTerm term) {
+    return election.unsuperseded().filter(lease -> lease.epoch() == term.epoch()).isPresent();
+  }
+
+  /** Tells whether the lease of a term is held at this moment. */
+  boolean holdsLease(LeaderTerm term) {
+    return election.lease().filter(lease -> lease.epoch() == term.epoch()).isPresent();
+  }
+
+  private boolean mayContinue(HeldLease lease) {
+    long lapsedMs = clock.nowMs() - lease.validUntilMs();
+    return lapsedMs < 0 || lapsedMs < timing.holdWithoutTableMs();
+  }
+
+  /** Returns a time at which no later leader had taken over; grants count from it. */
+  OptionalLong provenMs(LeaderTerm term) {
+    long nowMs = clock.nowMs();
+    if (election.lease().isPresent()) {
+      return OptionalLong.of(nowMs);
+    }
+    if (lease().isEmpty()) {
+      return OptionalLong.empty();
+    }
+    OptionalLong since = ArbiterQuorum.acceptedSince(election.possibleArbiters(), term.sessions());
+    boolean recent = since.isPresent() && nowMs - since.getAsLong() < timing.grantTtlMs();
+    return recent ? since : OptionalLong.empty();
+  }
+
+  /** Closes a term once every earlier leader is excluded. */
+  void closeIfExcluded(LeaderTerm term) {
+    boolean holdOver = clock.nowMs() - term.acquiredMs() >= timing.lapsedHoldMs();
+    boolean excluded =
+        timing.holdWithoutTableMs() == 0
+            || holdOver
+            || ArbiterQuorum.closed(election.inheritedArbiters(), term.sessions());
+    if (term.closedMs().isEmpty() && excluded) {
+      term.close(clock.nowMs());
+    }
+  }
+
+  /** Proposes other arbiters if too few of the present ones know the term. */
+  void proposeArbiters(LeaderTerm term) {
+    List<Arbiter> proposed = election.proposedArbiters();
+    List<UpstreamSession> fenced =
+        term.sessions().values().stream().filter(UpstreamSession::fenced).toList();
+    boolean whole = proposed.size() >= Math.min(MAX_ARBITERS, fenced.size());
+    if (!whole || !proposed.stream().allMatch(arbiter -> isFenced(term, arbiter))) {
+      election.proposeArbiters(
+          fenced.stream().limit(MAX_ARBITERS).map(LeaderAuthority::arbiter).toList());
+    }
+  }
+
+  private static boolean isFenced(LeaderTerm term, Arbiter arbiter) {
+    UpstreamSession session = term.sessions().get(arbiter.getUpstream());
+    return session != null && session.fenced() && session.bootId() == arbiter.getBootId();
+  }
+
+  private static Arbiter arbiter(UpstreamSession session) {
+    return Arbiter.newBuilder()
+        .setUpstream(session.upstream().name())
+        .setBootId(session.bootId())
+        .build();
+  }
+}
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
@@ -1,8 +1,6 @@
 package org.foxtailford.core.ownership;
 
-import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 
@@ -17,72 +15,11 @@
   private final long epoch;
   private final long acquiredMs;
   private final Map<String, UpstreamSession> sessions = new TreeMap<>();
-  private final Map<SliceKey, SliceState> slices = new HashMap<>();
+  private final SliceTable slices = new SliceTable();
   private OptionalLong closedMs = OptionalLong.empty();
   private long sequence;
   private boolean changed = true;
 
-  /** Owner of a slice, or the reading of the clock from which it may be granted. */
-  static final class SliceState {
-    private Optional<SliceAssignment> assignment = Optional.empty();
-    private Optional<String> nextOwner = Optional.empty();
-    private boolean found;
-    private boolean retiring;
-    private long freedMs;
-
-    Optional<SliceAssignment> assignment() {
-      return assignment;
-    }
-
-    Optional<String> nextOwner() {
-      return nextOwner;
-    }
-
-    void setNextOwner(String target) {
-      nextOwner = Optional.of(target);
-    }
-
-    void assign(SliceAssignment value) {
-      assignment = Optional.of(value);
-      nextOwner = Optional.empty();
-      found = true;
-    }
-
-    void free(long nowMs) {
-      assignment = Optional.empty();
-      nextOwner = Optional.empty();
-      freedMs = nowMs;
-    }
-
-    /** Ends the assignment with the next grant of its owner. */
-    void retire() {
-      retiring = true;
-    }
-
-    /** Tells whether the owner is to give the slice up. */
-    boolean leaving() {
-      return retiring || nextOwner.isPresent();
-    }
-
-    /** Tells whether this leader had assigned or adopted the slice before. */
-    boolean found() {
-      return found;
-    }
-
-    /** Returns the reading of the clock at which the last owner was known to hold it no more. */
-    long freedMs() {
-      return freedMs;
-    }
-
-    Optional<String> effectiveOwner() {
-      return nextOwner.or(() -> assignment.map(SliceAssignment::upstream));
-    }
-
-    boolean ownedBy(String upstream) {
-      return assignment.filter(a -> a.upstream().equals(upstream)).isPresent();
-    }
-  }
-
   LeaderTerm(long epoch, long acquiredMs) {
     this.epoch = epoch;
     this.acquiredMs = acquiredMs;
@@ -100,7 +37,8 @@
     return sessions;
   }
 
-  Map<SliceKey, SliceState> slices() {
+  /** Returns the slices; owners change through {@link #assign} and {@link #release} alone. */
+  SliceTable slices() {
     return slices;
   }
 
@@ -108,6 +46,34 @@
     return new Fence(epoch, ++sequence);
   }
 
+  /** Gives a slice to an upstream under a new fence. */
+  void assign(SliceState state, String upstream) {
+    assign(state, upstream, nextFence());
+  }
+
+  /** Gives a slice to an upstream under a fence that it already has. */
+  void assign(SliceState state, String upstream, Fence fence) {
+    slices.assign(state, new SliceAssignment(state.key().range(), upstream, fence));
+    markChanged();
+  }
+
+  /** Takes a slice from its owner, who is known to hold it no more. */
+  void release(SliceState state, long nowMs) {
+    slices.free(state, nowMs);
+    markChanged();
+  }
+
+  /** Takes all slices of an upstream that is known to hold none. */
+  void releaseAll(String upstream, long nowMs) {
+    slices.ownedBy(upstream).forEach(state -> release(state, nowMs));
+  }
+
+  /** Tells whether an upstream may receive slices: what it holds is known. */
+  boolean usable(String upstream) {
+    UpstreamSession session = sessions.get(upstream);
+    return session != null && session.fenced();
+  }
+
   /** Returns when every earlier leader was excluded; empty before that. */
   OptionalLong closedMs() {
     return closedMs;
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceTable.java
@@ -0,0 +1,113 @@
+package org.foxtailford.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * The slices of one term, found by service, by range and by owner.
+ *
+ * <p>Slices of one service never overlap. Looking at one upstream's slices costs their number,
+ * however many there are in all. Not thread-safe.
+ */
+final class SliceTable {
+
+  private final Map<String, NavigableMap<SliceRange, SliceState>> services = new TreeMap<>();
+  private final Map<String, Map<SliceKey, SliceState>> byOwner = new HashMap<>();
+
+  /**
+   * Adds a slice without an owner.
+   *
+   * @param nowMs reading of the clock from which it may be granted
+   * @throws IllegalArgumentException if it overlaps another one
+   */
+  SliceState add(SliceKey key, long nowMs) {
+    boolean disjoint = overlapping(key.service(), key.range()).isEmpty();
+    Assert.isTrue(disjoint, "slices must not overlap");
+    SliceState state = new SliceState(key);
+    state.free(nowMs);
+    services.computeIfAbsent(key.service(), name -> new TreeMap<>()).put(key.range(), state);
+    return state;
+  }
+
+  /** Removes a slice that has no owner. */
+  void remove(SliceState state) {
+    Assert.isTrue(state.assignment().isEmpty(), "a slice with an owner can't be removed");
+    ofService(state.key().service()).remove(state.key().range());
+  }
+
+  /** Gives a slice to an upstream, whoever owned it before. */
+  void assign(SliceState state, SliceAssignment assignment) {
+    forgetOwner(state);
+    state.assign(assignment);
+    byOwner
+        .computeIfAbsent(assignment.upstream(), name -> new LinkedHashMap<>())
+        .put(state.key(), state);
+  }
+
+  /** Takes a slice from its owner, who is known to hold it no more. */
+  void free(SliceState state, long nowMs) {
+    forgetOwner(state);
+    state.free(nowMs);
+  }
+
+  private void forgetOwner(SliceState state) {
+    state
+        .owner()
+        .ifPresent(
+            owner ->
+                byOwner.computeIfPresent(
+                    owner,
+                    (name, owned) -> {
+                      owned.remove(state.key());
+                      return owned.isEmpty() ? null : owned;
+                    }));
+  }
+
+  Optional<SliceState> find(SliceKey key) {
+    return Optional.ofNullable(ofService(key.service()).get(key.range()))
+        .filter(state -> state.key().equals(key));
+  }
+
+  /** Returns the slices that an upstream owns, at this moment. */
+  List<SliceState> ownedBy(String upstream) {
+    Map<SliceKey, SliceState> owned = byOwner.get(upstream);
+    return owned == null ? List.of() : List.copyOf(owned.values());
+  }
+
+  /** Returns the slices of a service, in the order of their ranges, at this moment. */
+  List<SliceState> slices(String service) {
+    return List.copyOf(ofService(service).values());
+  }
+
+  /** Returns the services that have slices, in order. */
+  Set<String> services() {
+    return services.keySet();
+  }
+
+  /** Returns the slices of a service that have a hash in common with a range, in order. */
+  List<SliceState> overlapping(String service, SliceRange range) {
+    NavigableMap<SliceRange, SliceState> slices = ofService(service);
+    List<SliceState> found = new ArrayList<>();
+    SliceRange before = slices.lowerKey(range);
+    if (before != null && before.overlaps(range)) {
+      found.add(slices.get(before));
+    }
+    SliceRange end = new SliceRange(range.last(), range.last());
+    Collection<SliceState> within = slices.subMap(range, true, end, true).values();
+    found.addAll(within);
+    return found;
+  }
+
+  private NavigableMap<SliceRange, SliceState> ofService(String service) {
+    return services.getOrDefault(service, new TreeMap<>());
+  }
+}
