Entry VMs report load by slice to the leader

Cause: the leader placed slices without knowing what they carry. Change: each entry VM counts the attempts that it sends to owners and reports them every 2 s over the peer link (LoadReporting); the leader takes them into its book, gives each slice its rate, and plans at most once a second. Slices without an owner wait for no round. Reports that come at once over a slow link, that claim many times what other entry VMs send, or that are malformed are dropped. The daemon still places by count.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/load/SliceLoadBook.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/load/SliceLoadBook.java
@@ -17,8 +17,10 @@
  * Merges the reports of a data centre's entry VMs into a decayed load by slice.
  *
  * <p>There is no state by entry VM but the number of its last report, so memory depends on the
- * number of slices alone. A late report counts when it arrives; a repeated one and one whose slices
- * are no longer remembered are dropped. Not thread-safe.
+ * number of slices alone. A late report counts when it arrives. Dropped are repeated ones, all but
+ * the first of those that a slow link delivers at once, ones that claim many times what the other
+ * entry VMs send, malformed ones, and counts of slices that are no longer remembered. Not
+ * thread-safe.
  */
 public final class SliceLoadBook {
 
@@ -28,13 +30,17 @@
   private static final int REMEMBERED_LAYOUTS = 8;
   private static final int HOT_KEYS = 1024;
   private static final double MS_PER_S = 1000;
+  private static final long MIN_GAP_MS = 900;
+  private static final int MIN_OTHER_REPORTERS = 3;
+  private static final int MAX_TIMES_OTHERS = 8;
+  private static final long UNDOUBTED_REQUESTS = 10_000;
 
   private final MillisClock clock;
   private final long halfLifeMs;
   private final Map<String, LastReport> lastReports = new HashMap<>();
   private final Map<String, ServiceBook> services = new HashMap<>();
 
-  private record LastReport(long bootId, long sequence) {}
+  private record LastReport(long bootId, long sequence, long acceptedMs, long requests) {}
 
   /** Decayed counts of one service. */
   private final class ServiceBook {
@@ -79,27 +85,75 @@
     }
     List<KeyLoad> hot = scaled(book.hotKeys.hottest(HOT_KEYS, clock.nowMs()), 1 / rateFactor());
     book.totals = book.layout.project(book.totals, layout, hot);
-    book.earlier.addFirst(book.layout);
+    remember(book, book.layout);
+    book.layout = layout;
+  }
+
+  /** Takes counts of other slices of a service too, from reports that are made under them. */
+  public void rememberLayout(String service, SliceLayout layout) {
+    remember(services.computeIfAbsent(service, name -> new ServiceBook(layout)), layout);
+  }
+
+  private static void remember(ServiceBook book, SliceLayout layout) {
+    book.earlier.removeIf(earlier -> earlier.fingerprint() == layout.fingerprint());
+    book.earlier.addFirst(layout);
     if (book.earlier.size() > REMEMBERED_LAYOUTS) {
       book.earlier.removeLast();
     }
-    book.layout = layout;
   }
 
   /**
    * Takes a report.
    *
-   * @return whether it was new
+   * @return whether it was counted
    */
   public boolean accept(LoadReport report) {
+    long nowMs = clock.nowMs();
     LastReport last = lastReports.get(report.getVm());
     boolean sameStart = last != null && last.bootId() == report.getBootId();
     if (sameStart && report.getSequence() <= last.sequence()) {
       return false;
     }
-    lastReports.put(report.getVm(), new LastReport(report.getBootId(), report.getSequence()));
-    report.getServicesList().forEach(this::add);
-    return true;
+    boolean atOnce = sameStart && nowMs - last.acceptedMs() < MIN_GAP_MS;
+    if (atOnce || !isWellFormed(report)) {
+      return false;
+    }
+    long requests = requests(report);
+    boolean credible = isCredible(report.getVm(), requests);
+    lastReports.put(
+        report.getVm(), new LastReport(report.getBootId(), report.getSequence(), nowMs, requests));
+    if (credible) {
+      report.getServicesList().forEach(this::add);
+    }
+    return credible;
+  }
+
+  private static boolean isWellFormed(LoadReport report) {
+    return report.getServicesList().stream()
+        .allMatch(
+            service ->
+                service.getRequestsList().stream().allMatch(count -> count >= 0)
+                    && service.getHotKeysList().stream().allMatch(key -> key.getRequests() >= 0));
+  }
+
+  private static long requests(LoadReport report) {
+    return report.getServicesList().stream()
+        .flatMap(service -> service.getRequestsList().stream())
+        .mapToLong(Integer::longValue)
+        .sum();
+  }
+
+  /** Compares with the median of the others, since the balancer spreads callers over all VMs. */
+  private boolean isCredible(String vm, long requests) {
+    long[] others =
+        lastReports.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(vm))
+            .mapToLong(entry -> entry.getValue().requests())
+            .sorted()
+            .toArray();
+    return requests <= UNDOUBTED_REQUESTS
+        || others.length < MIN_OTHER_REPORTERS
+        || requests <= MAX_TIMES_OTHERS * others[others.length / 2];
   }
 
   /** Forgets the entry VMs that are not in the list any more. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/load/SliceLoadRecorder.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/load/SliceLoadRecorder.java
@@ -74,10 +74,15 @@
     LoadReport.Builder report =
         LoadReport.newBuilder().setVm(vm).setBootId(bootId).setSequence(++sequence);
     services.forEach((service, counts) -> report.addServices(value(service, counts)));
-    services.replaceAll((service, counts) -> new ServiceCounts(counts.layout));
+    discard();
     return report.build();
   }
 
+  /** Drops the counts since the last report, because they cover too long a time. */
+  public synchronized void discard() {
+    services.replaceAll((service, counts) -> new ServiceCounts(counts.layout));
+  }
+
   private static ServiceLoadValue value(String service, ServiceCounts counts) {
     ServiceLoadValue.Builder value =
         ServiceLoadValue.newBuilder().setService(service).setLayout(counts.layout.fingerprint());
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.foxtailford.core.configuration.ConfigurationView;
+import org.foxtailford.core.load.SliceLoadBook;
 import org.foxtailford.core.placement.PlacementPolicy;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
@@ -38,6 +39,7 @@
 
   private @Nullable LeaderTerm term;
 
+  /** Creates a leader that places without loads, in every round. */
   public DataCentreLeader(
       String dataCentre,
       LeaseElection election,
@@ -49,6 +51,44 @@
       Supplier<HomesReading> homes,
       MillisClock clock,
       Executor control) {
+    this(
+        dataCentre,
+        election,
+        timing,
+        grants,
+        new PlacementSetup(policy, new SliceLoadBook(clock, SliceLoadBook.HALF_LIFE_MS), 0),
+        publisher,
+        configuration,
+        homes,
+        clock,
+        control);
+  }
+
+  /**
+   * Creates a leader.
+   *
+   * @param dataCentre the data centre
+   * @param election the lease
+   * @param timing times to live
+   * @param grants grants of upstreams
+   * @param placement decides which upstream receives which slice
+   * @param publisher receives new owners
+   * @param configuration gives the configuration in force
+   * @param homes gives the homes of ranges
+   * @param clock clock of this VM
+   * @param control executor of all callbacks
+   */
+  public DataCentreLeader(
+      String dataCentre,
+      LeaseElection election,
+      OwnershipTiming timing,
+      UpstreamGrants grants,
+      PlacementSetup placement,
+      OwnershipPublisher publisher,
+      Supplier<ConfigurationView> configuration,
+      Supplier<HomesReading> homes,
+      MillisClock clock,
+      Executor control) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.timing = Assert.notNull(timing, "timing");
     this.publisher = Assert.notNull(publisher, "publisher");
@@ -56,7 +96,7 @@
     this.homes = Assert.notNull(homes, "homes");
     this.clock = Assert.notNull(clock, "clock");
     authority = new LeaderAuthority(election, timing, clock);
-    placer = new SlicePlacer(dataCentre, timing, policy, configuration, homes, clock);
+    placer = new SlicePlacer(dataCentre, timing, placement, configuration, homes, clock);
     exchange =
         new GrantExchange(
             authority, timing, grants, () -> Optional.ofNullable(term), clock, control);
@@ -81,6 +121,7 @@
     current.sessions().values().forEach(session -> exchange.exchange(current, session));
     if (current.takeChanged()) {
       publisher.publish(CheckpointAssembler.assemble(dataCentre, current));
+      placer.notePublished(current);
     }
   }
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
@@ -1,16 +1,21 @@
 package org.foxtailford.core.ownership;
 
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.placement.PlacedSlice;
-import org.foxtailford.core.placement.PlacementPolicy;
+import org.foxtailford.core.placement.PlacementPlan;
+import org.foxtailford.core.placement.PlacementRound;
+import org.foxtailford.core.placement.SliceLayout;
 import org.foxtailford.core.placement.SliceMove;
+import org.foxtailford.core.placement.UpstreamCapacity;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 
@@ -24,21 +29,22 @@
 
   private final String dataCentre;
   private final OwnershipTiming timing;
-  private final PlacementPolicy policy;
+  private final PlacementSetup setup;
   private final Supplier<ConfigurationView> configuration;
   private final Supplier<HomesReading> homes;
   private final MillisClock clock;
+  private final Map<String, Long> lastRoundMs = new HashMap<>();
 
   SlicePlacer(
       String dataCentre,
       OwnershipTiming timing,
-      PlacementPolicy policy,
+      PlacementSetup setup,
       Supplier<ConfigurationView> configuration,
       Supplier<HomesReading> homes,
       MillisClock clock) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.timing = Assert.notNull(timing, "timing");
-    this.policy = Assert.notNull(policy, "policy");
+    this.setup = Assert.notNull(setup, "setup");
     this.configuration = Assert.notNull(configuration, "configuration");
     this.homes = Assert.notNull(homes, "homes");
     this.clock = Assert.notNull(clock, "clock");
@@ -66,17 +72,74 @@
     boolean mayTakeUnfound =
         clock.nowMs() >= term.closedMs().orElseThrow() + timing.lapsedGrantMs();
     Set<SliceKey> planned = new HashSet<>(local);
-    List<PlacedSlice> placed = new ArrayList<>();
-    for (SliceState state : term.slices().slices(name)) {
-      if (planned.contains(state.key()) && (state.found() || mayTakeUnfound)) {
-        placed.add(new PlacedSlice(state.key().range(), state.effectiveOwner(), 0));
+    List<SliceState> placeable =
+        term.slices().slices(name).stream()
+            .filter(state -> planned.contains(state.key()))
+            .filter(state -> state.found() || mayTakeUnfound)
+            .toList();
+    planRound(term, name, placeable, usableUpstreams(term, service));
+  }
+
+  private void planRound(
+      LeaderTerm term, String service, List<SliceState> placeable, List<String> usable) {
+    long nowMs = clock.nowMs();
+    Long last = lastRoundMs.get(service);
+    boolean due = last == null || nowMs - last >= setup.intervalMs();
+    Set<String> owners = new HashSet<>(usable);
+    Set<SliceRange> homeless =
+        placeable.stream()
+            .filter(state -> state.effectiveOwner().filter(owners::contains).isEmpty())
+            .map(state -> state.key().range())
+            .collect(Collectors.toSet());
+    if (!due && homeless.isEmpty()) {
+      return;
+    }
+    PlacementPlan plan = setup.policy().planRound(round(term, service, placeable, usable));
+    for (SliceMove move : plan.moves()) {
+      if (due || homeless.contains(move.range())) {
+        apply(term, new SliceKey(service, move.range()), move.target());
       }
     }
-    for (SliceMove move : policy.plan(placed, usableUpstreams(term, service))) {
-      apply(term, new SliceKey(name, move.range()), move.target());
+    if (due) {
+      lastRoundMs.put(service, nowMs);
+    }
+  }
+
+  private PlacementRound round(
+      LeaderTerm term, String service, List<SliceState> placeable, List<String> usable) {
+    SliceLayout layout = layout(term.slices().slices(service));
+    setup.loads().useLayout(service, layout);
+    double[] rates = setup.loads().rates(service);
+    List<PlacedSlice> slices =
+        placeable.stream()
+            .map(
+                state ->
+                    new PlacedSlice(
+                        state.key().range(),
+                        state.effectiveOwner(),
+                        rates[layout.indexOf(state.key().range().first())]))
+            .toList();
+    return new PlacementRound(
+        slices,
+        usable.stream().map(UpstreamCapacity::accepting).toList(),
+        setup.loads().hotKeys(service));
+  }
+
+  /** Notes that entry VMs will count by the slices that have owners now. */
+  void notePublished(LeaderTerm term) {
+    for (String service : term.slices().services()) {
+      List<SliceState> owned =
+          term.slices().slices(service).stream()
+              .filter(state -> state.assignment().isPresent())
+              .toList();
+      setup.loads().rememberLayout(service, layout(owned));
     }
   }
 
+  private static SliceLayout layout(List<SliceState> slices) {
+    return new SliceLayout(slices.stream().map(state -> state.key().range()).toList());
+  }
+
   private List<String> usableUpstreams(LeaderTerm term, ServiceView service) {
     return service.availableIn(dataCentre).stream()
         .map(Upstream::name)
--- a/foxtailford-core/src/test/java/org/foxtailford/core/load/SliceLoadBookTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/load/SliceLoadBookTests.java
@@ -94,4 +94,56 @@
     nowMs += HALF_LIFE_MS;
     assertThat(book.hotKeys(SERVICE)).containsExactly(new KeyLoad(42, 100));
   }
+
+  @Test
+  public void countsReportsUnderRememberedSlices() {
+    SliceLayout published = new SliceLayout(LAYOUT.ranges().subList(0, 3));
+    book.rememberLayout(SERVICE, published);
+    SliceLoadRecorder recorder = new SliceLoadRecorder("entry-a1", 1);
+    recorder.useLayout(SERVICE, published);
+    record(recorder, 0, 100);
+    assertThat(book.accept(recorder.report())).isTrue();
+    assertThat(book.rates(SERVICE)).hasSize(4);
+    assertThat(book.rates(SERVICE)[0]).isPositive();
+  }
+
+  @Test
+  public void countsOneOfTheReportsThatArriveAtOnce() {
+    SliceLoadRecorder recorder = recorder("entry-a1");
+    record(recorder, 0, 100);
+    assertThat(book.accept(recorder.report())).isTrue();
+    record(recorder, 0, 100);
+    assertThat(book.accept(recorder.report())).isFalse();
+    nowMs += 1000;
+    assertThat(book.accept(recorder.report())).isTrue();
+  }
+
+  @Test
+  public void dropsAReportOfManyTimesWhatOthersSent() {
+    for (String vm : List.of("entry-a1", "entry-a2", "entry-a3")) {
+      SliceLoadRecorder recorder = recorder(vm);
+      record(recorder, 0, 100);
+      book.accept(recorder.report());
+    }
+    double before = book.rates(SERVICE)[0];
+    SliceLoadRecorder broken = recorder("entry-a4");
+    record(broken, 0, 20_000);
+    assertThat(book.accept(broken.report())).isFalse();
+    assertThat(book.rates(SERVICE)[0]).isEqualTo(before);
+  }
+
+  @Test
+  public void countsASurgeThatAllSee() {
+    List<SliceLoadRecorder> recorders =
+        List.of(recorder("entry-a1"), recorder("entry-a2"), recorder("entry-a3"), recorder("a4"));
+    recorders.forEach(recorder -> book.accept(recorder.report()));
+    for (int i = 0; i < 2; i++) {
+      nowMs += 2000;
+      for (SliceLoadRecorder recorder : recorders) {
+        record(recorder, 0, 20_000);
+        book.accept(recorder.report());
+      }
+    }
+    assertThat(book.rates(SERVICE)[0]).isGreaterThan(4 * 20_000 / 10.0);
+  }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -23,6 +23,7 @@
 import org.foxtailford.core.configuration.ConfigurationStore;
 import org.foxtailford.core.configuration.PropagationTiming;
 import org.foxtailford.core.idempotency.RecordLimits;
+import org.foxtailford.core.load.SliceLoadRecorder;
 import org.foxtailford.core.membership.Member;
 import org.foxtailford.core.membership.MembershipTracker;
 import org.foxtailford.core.metrics.RouterMetrics;
@@ -49,6 +50,8 @@
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.idempotency.RequestGuard;
 import org.foxtailford.daemon.idempotency.RequestRecords;
+import org.foxtailford.daemon.load.LoadCountingGuard;
+import org.foxtailford.daemon.load.LoadReporting;
 import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.HeartbeatExchange;
@@ -134,6 +137,8 @@
   private final MembershipTracker tracker;
   private final OwnerSpread owners;
   private final HeartbeatExchange heartbeats;
+  private final SliceLoadRecorder sentLoad;
+  private final LoadReporting loadReports;
   private volatile boolean accepting = true;
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile int callerPort;
@@ -183,6 +188,7 @@
             peers,
             new SharedVersions(
                 settings.getDataCentre(), inForce, sightings, owners, this::leadingEpoch));
+    sentLoad = new SliceLoadRecorder(self.vm(), self.bootId());
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
     upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
@@ -196,13 +202,12 @@
     callers = new HttpServer(loops, callerLimits(), callerHandler);
     poller = newPoller(table);
     configurations = newConfigurationExchange(random);
-    peerServer = newPeerServer(self, maxFrameBytes, classifier);
     ObjectStore objects = newObjectStore();
     savedOwners = new CheckpointReader(table, objects);
-    checkpoints =
-        new CheckpointWriter(
-            settings.getDataCentre(), table, objects, clock, random::nextLong, control);
+    checkpoints = newCheckpointWriter(table, objects, random);
     leadership = newLeadership(self, table, random);
+    loadReports = newLoadReporting(self);
+    peerServer = newPeerServer(self, maxFrameBytes, classifier);
     operators = newOperatorServer(table);
   }
 
@@ -262,6 +267,24 @@
         control);
   }
 
+  private CheckpointWriter newCheckpointWriter(
+      TableService table, ObjectStore objects, RandomGenerator random) {
+    return new CheckpointWriter(
+        settings.getDataCentre(), table, objects, clock, random::nextLong, control);
+  }
+
+  private LoadReporting newLoadReporting(PeerIdentity self) {
+    return new LoadReporting(
+        self,
+        sentLoad,
+        leadership.loads(),
+        tracker,
+        peers,
+        () -> state.snapshot().owners(),
+        this::leadsNow,
+        clock);
+  }
+
   private PeerServer newPeerServer(
       PeerIdentity self, int maxFrameBytes, RequestClassifier classifier) {
     return new PeerServer(
@@ -270,7 +293,15 @@
         maxFrameBytes,
         LinkTimes.DEFAULT,
         new PeerDispatcher(
-            configurations, owners, heartbeats, records, poison, path, classifier, control),
+            configurations,
+            owners,
+            heartbeats,
+            loadReports,
+            records,
+            poison,
+            path,
+            classifier,
+            control),
         tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
   }
 
@@ -287,7 +318,9 @@
             router,
             state::snapshot,
             loads,
-            new GuardedSender(newRequestGuard(), new UpstreamSender(upstreamClient)),
+            new GuardedSender(
+                new LoadCountingGuard(newRequestGuard(), sentLoad),
+                new UpstreamSender(upstreamClient)),
             new RelaySender(peers::anyIn, metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
@@ -454,6 +487,7 @@
 
   private void tick() {
     leadership.tick();
+    loadReports.tick();
     checkpoints.tick();
     records.tick();
     configurations.tick(tracker.usableIn(settings.getDataCentre()), remotePeers());
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.foxtailford.core.load.SliceLoadBook;
 import org.foxtailford.core.membership.PauseDetector;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
@@ -15,6 +16,7 @@
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipPublisher;
 import org.foxtailford.core.ownership.OwnershipTiming;
+import org.foxtailford.core.ownership.PlacementSetup;
 import org.foxtailford.core.ownership.UpstreamGrants;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.platform.TableService;
@@ -35,10 +37,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MOVES_PER_ROUND = 1;
+  private static final long PLACEMENT_INTERVAL_MS = 1000;
 
   private final String dataCentre;
   private final LeaseElection election;
   private final DataCentreLeader leader;
+  private final SliceLoadBook loads;
   private final HomeMover homeMover;
   private final PauseDetector pauses;
   private final RouterMetrics metrics;
@@ -76,6 +80,7 @@
     this.dataCentre = self.dataCentre();
     this.metrics = Assert.notNull(metrics, "metrics");
     OwnershipTiming timing = OwnershipTiming.of(settings);
+    loads = new SliceLoadBook(clock, SliceLoadBook.HALF_LIFE_MS);
     election =
         new LeaseElection(
             "leader-" + dataCentre,
@@ -92,7 +97,7 @@
             election,
             timing,
             grants,
-            new EvenCountPolicy(MOVES_PER_ROUND),
+            new PlacementSetup(new EvenCountPolicy(MOVES_PER_ROUND), loads, PLACEMENT_INTERVAL_MS),
             publisher,
             () -> state.snapshot().configuration(),
             state::homes,
@@ -138,6 +143,11 @@
     }
   }
 
+  /** Returns where reports of load go while this VM leads. */
+  public SliceLoadBook loads() {
+    return loads;
+  }
+
   /** Tells whether this VM led its data centre at the last round. Thread-safe. */
   public boolean leads() {
     return leads;
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
@@ -7,6 +7,7 @@
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.idempotency.RequestRecords;
+import org.foxtailford.daemon.load.LoadReporting;
 import org.foxtailford.daemon.request.RequestClassifier;
 import org.foxtailford.daemon.request.RequestPath;
 import org.foxtailford.net.peer.PeerIdentity;
@@ -30,6 +31,7 @@
   private final ConfigurationExchange configurations;
   private final OwnerSpread owners;
   private final HeartbeatExchange heartbeats;
+  private final LoadReporting loadReports;
   private final RequestRecords records;
   private final PoisonTracker poison;
   private final RequestPath path;
@@ -40,6 +42,7 @@
       ConfigurationExchange configurations,
       OwnerSpread owners,
       HeartbeatExchange heartbeats,
+      LoadReporting loadReports,
       RequestRecords records,
       PoisonTracker poison,
       RequestPath path,
@@ -48,6 +51,7 @@
     this.configurations = Assert.notNull(configurations, "configurations");
     this.owners = Assert.notNull(owners, "owners");
     this.heartbeats = Assert.notNull(heartbeats, "heartbeats");
+    this.loadReports = Assert.notNull(loadReports, "loadReports");
     this.records = Assert.notNull(records, "records");
     this.poison = Assert.notNull(poison, "poison");
     this.path = Assert.notNull(path, "path");
@@ -71,6 +75,9 @@
     if (configurations.onFrame(sender.vm(), frame) || owners.onFrame(frame)) {
       return;
     }
+    if (loadReports.onFrame(sender, frame)) {
+      return;
+    }
     if (frame.hasHeartbeat()) {
       heartbeats.onHeartbeat(sender, frame.getHeartbeat());
     } else if (frame.hasMembership()) {
--- /dev/null
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/load/LoadReportingTests.java
@@ -0,0 +1,165 @@
+package org.foxtailford.daemon.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.foxtailford.core.load.SliceLoadBook;
+import org.foxtailford.core.load.SliceLoadRecorder;
+import org.foxtailford.core.membership.Member;
+import org.foxtailford.core.membership.MembershipTracker;
+import org.foxtailford.core.ownership.Fence;
+import org.foxtailford.core.ownership.OwnershipMap;
+import org.foxtailford.core.ownership.SliceAssignment;
+import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.placement.SliceLayout;
+import org.foxtailford.daemon.peer.PeerMessenger;
+import org.foxtailford.net.peer.PeerIdentity;
+import org.foxtailford.schema.LoadReport;
+import org.foxtailford.schema.MembershipUpdate;
+import org.foxtailford.schema.OwnershipCheckpoint;
+import org.foxtailford.schema.PeerFrame;
+import org.foxtailford.schema.ServiceAssignment;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class LoadReportingTests {
+
+  private static final String SERVICE = "menu-planning";
+  private static final List<SliceRange> SLICES = SliceRange.divide(4);
+  private static final PeerIdentity SELF = new PeerIdentity("system", "e-1", "dc-a", 7);
+  private static final PeerIdentity OTHER = new PeerIdentity("system", "e-2", "dc-a", 8);
+
+  private long nowMs;
+  private boolean leads;
+  private SliceLoadRecorder recorder;
+  private SliceLoadBook book;
+  private SentFrames sent;
+  private LoadReporting reporting;
+
+  @BeforeMethod
+  public void startReporting() {
+    nowMs = 1000;
+    leads = false;
+    recorder = new SliceLoadRecorder(SELF.vm(), SELF.bootId());
+    book = new SliceLoadBook(() -> nowMs, SliceLoadBook.HALF_LIFE_MS);
+    book.useLayout(SERVICE, new SliceLayout(SLICES));
+    sent = new SentFrames();
+    MembershipTracker tracker = new MembershipTracker(SELF.vm(), "dc-a", 1200, () -> nowMs);
+    tracker.onUpdate(
+        MembershipUpdate.newBuilder()
+            .setDataCentre("dc-a")
+            .setLeader("e-2")
+            .setVersion(new Fence(1, 1).toValue())
+            .build());
+    reporting =
+        new LoadReporting(
+            SELF,
+            recorder,
+            book,
+            tracker,
+            sent,
+            LoadReportingTests::owners,
+            () -> leads,
+            () -> nowMs);
+    reporting.tick();
+  }
+
+  private static OwnershipMap owners() {
+    ServiceAssignment.Builder service = ServiceAssignment.newBuilder().setService(SERVICE);
+    SLICES.forEach(
+        range -> service.addSlices(new SliceAssignment(range, "u-1", new Fence(1, 1)).toValue()));
+    return OwnershipMap.of(
+        OwnershipCheckpoint.newBuilder()
+            .setDataCentre("dc-a")
+            .setEpoch(1)
+            .setSequence(2)
+            .addServices(service)
+            .build());
+  }
+
+  private static PeerFrame reportOf(PeerIdentity sender) {
+    SliceLoadRecorder other = new SliceLoadRecorder(sender.vm(), sender.bootId());
+    other.useLayout(SERVICE, new SliceLayout(SLICES));
+    other.record(SERVICE, 0);
+    return PeerFrame.newBuilder().setLoadReport(other.report()).build();
+  }
+
+  @Test
+  public void whatThisVmSentGoesToTheLeaderEveryInterval() {
+    recorder.record(SERVICE, 0);
+    nowMs += LoadReporting.INTERVAL_MS - 1;
+    reporting.tick();
+    assertThat(sent.frames).isEmpty();
+    nowMs += 1;
+    reporting.tick();
+    assertThat(sent.receivers).containsExactly("e-2");
+    LoadReport report = sent.frames.get(0).getLoadReport();
+    assertThat(report.getServices(0).getRequestsList()).containsExactly(1, 0, 0, 0);
+  }
+
+  @Test
+  public void aLeaderTakesItsOwnReport() {
+    leads = true;
+    recorder.record(SERVICE, 0);
+    nowMs += LoadReporting.INTERVAL_MS;
+    reporting.tick();
+    assertThat(sent.frames).isEmpty();
+    assertThat(book.rates(SERVICE)[0]).isPositive();
+  }
+
+  @Test
+  public void countsOfAPauseAreDropped() {
+    recorder.record(SERVICE, 0);
+    nowMs += 10 * LoadReporting.INTERVAL_MS;
+    reporting.tick();
+    assertThat(sent.frames).isEmpty();
+    nowMs += LoadReporting.INTERVAL_MS;
+    reporting.tick();
+    assertThat(sent.frames.get(0).getLoadReport().getServices(0).getRequestsList()).containsOnly(0);
+  }
+
+  @Test
+  public void aLeaderTakesReportsOfItsDataCentreOnly() {
+    leads = true;
+    PeerIdentity remote = new PeerIdentity("system", "e-9", "dc-b", 9);
+    assertThat(reporting.onFrame(remote, reportOf(remote))).isTrue();
+    assertThat(book.rates(SERVICE)).containsOnly(0);
+    assertThat(reporting.onFrame(OTHER, reportOf(OTHER))).isTrue();
+    assertThat(book.rates(SERVICE)[0]).isPositive();
+  }
+
+  @Test
+  public void aReportUnderAnotherNameThanItsSendersIsDropped() {
+    leads = true;
+    reporting.onFrame(OTHER, reportOf(SELF));
+    assertThat(book.rates(SERVICE)).containsOnly(0);
+  }
+
+  @Test
+  public void aVmThatDoesNotLeadTakesNoReport() {
+    reporting.onFrame(OTHER, reportOf(OTHER));
+    assertThat(book.rates(SERVICE)).containsOnly(0);
+    assertThat(reporting.onFrame(OTHER, PeerFrame.getDefaultInstance())).isFalse();
+  }
+
+  private static final class SentFrames implements PeerMessenger {
+    private final List<String> receivers = new ArrayList<>();
+    private final List<PeerFrame> frames = new ArrayList<>();
+
+    @Override
+    public void update(List<Member> members, Collection<String> neighbours) {}
+
+    @Override
+    public void send(String vm, PeerFrame frame) {
+      receivers.add(vm);
+      frames.add(frame);
+    }
+
+    @Override
+    public List<String> openIn(String dataCentre) {
+      return List.of();
+    }
+  }
+}
