Each connection to an upstream is tied to the boot id of its process

Slow start can be exact only if work goes out on connections whose boot id is known, but nothing read it. Answers now carry Foxtail-Boot-Id; EndpointSender reads it by a probe before the first work that needs it, or from any answer, and sends such work only to the wanted start. A mismatch is UPSTREAM_UNREACHABLE and no byte has left. The timeout of such work counts from before the wait for a connection.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationChecker.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationChecker.java
@@ -117,6 +117,12 @@
             "keys of upstreams that do not check fences would have no sole owner",
             "set it to true if the upstreams take fenced grants; otherwise leave keyed out");
       }
+      if (service.getColdSlots() > service.getSlotsPerUpstream()) {
+        error(
+            path + ".coldSlots",
+            "an upstream would run more requests in a cold start than when it is warm",
+            "at most slotsPerUpstream, which is " + service.getSlotsPerUpstream());
+      }
       try {
         LabelSelector.parse(service.getSelector());
       } catch (IllegalArgumentException e) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationCheckerTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/configuration/ConfigurationCheckerTests.java
@@ -58,6 +58,16 @@
         .containsExactly(tuple("$.services[0].upstreamsCheckFences", FindingSeverity.ERROR));
   }
 
+  @Test
+  public void moreSlotsInAColdStartThanWhenWarmAreAnError() {
+    String text =
+        "{\"services\": [{\"name\": \"menu\", \"selector\": \"vm\", \"coldSlots\": 5,"
+            + " \"kinds\": [{\"name\": \"get\", \"idempotent\": true}]}]}";
+    assertThat(checker.check(text, VMS).findings())
+        .extracting(ConfigurationFinding::path, ConfigurationFinding::severity)
+        .containsExactly(tuple("$.services[0].coldSlots", FindingSeverity.ERROR));
+  }
+
   @Test
   public void kindThatStandsTwiceIsAnError() {
     String kind = "{\"name\": \"get\", \"idempotent\": true}";
--- /dev/null
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/BootIds.java
@@ -0,0 +1,33 @@
+package org.foxtailford.net.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.OptionalLong;
+
+/** Boot ids in answers of upstreams. */
+final class BootIds {
+
+  /** Asks an upstream for an answer, which carries its boot id. */
+  private static final String PROBE_PATH = "/control/health";
+
+  private BootIds() {}
+
+  /** Returns the boot id of an answer; empty if it has none or no valid one. */
+  static OptionalLong of(HttpAnswer answer) {
+    String value = answer.headers().get(FoxtailHeaders.BOOT_ID);
+    if (value == null) {
+      return OptionalLong.empty();
+    }
+    try {
+      long bootId = Long.parseUnsignedLong(value);
+      return bootId == 0 ? OptionalLong.empty() : OptionalLong.of(bootId);
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
+  /** Returns a request whose answer carries the boot id. */
+  static HttpExchange probe() {
+    return new HttpExchange(HttpMethod.GET, PROBE_PATH, new DefaultHttpHeaders(), new byte[0]);
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/ConnectionPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/ConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -40,10 +41,11 @@
   private long events;
   private boolean closed;
 
-  /** A connection, with the order of its last request and its last answer. */
+  /** A connection, with its boot id and the order of its last request and its last answer. */
   static final class PooledConnection {
 
     private final Channel channel;
+    private volatile OptionalLong bootId = OptionalLong.empty();
     private long sentAt;
     private long answeredAt;
 
@@ -54,6 +56,15 @@
     Channel channel() {
       return channel;
     }
+
+    /** Returns which start of the process the connection leads to, if that is known. */
+    OptionalLong bootId() {
+      return bootId;
+    }
+
+    void setBootId(long value) {
+      bootId = OptionalLong.of(value);
+    }
   }
 
   ConnectionPool(Supplier<ChannelFuture> connector, EventExecutor timers, int maxConnections) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
@@ -42,5 +42,8 @@
   /** Time after which a refused request may be sent again, in milliseconds. */
   public static final String RETRY_AFTER_MS = "Foxtail-Retry-After-Ms";
 
+  /** Number of an upstream's present start, in each of its answers; unsigned decimal, not 0. */
+  public static final String BOOT_ID = "Foxtail-Boot-Id";
+
   private FoxtailHeaders() {}
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
@@ -8,13 +8,14 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.foxtailford.core.result.ResultCode;
-import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.net.http.ConnectionPool.PooledConnection;
 import org.foxtailford.schema.Endpoint;
 
 /**
@@ -24,25 +25,41 @@
  * never meets another request. An answer that repeats another attempt's number in {@link
  * FoxtailHeaders#ATTEMPT} fails with {@link ResultCode#CROSSED_ANSWER}. Thread-safe.
  */
-public final class PooledHttpClient implements HttpClient, AutoCloseable {
+public final class PooledHttpClient implements HttpClient, UpstreamClient, AutoCloseable {
 
   private static final int CONNECT_TIMEOUT_MS = 1000;
 
   private final int maxConnections;
   private final int maxAnswerBytes;
   private final EventLoopGroup loops;
+  private final BootIdListener bootIds;
+  private final MillisClock clock = new SystemMillisClock();
   private final Bootstrap bootstrap;
-  private final ConcurrentMap<Endpoint, ConnectionPool> pools = new ConcurrentHashMap<>();
+  private final ConcurrentMap<Endpoint, EndpointSender> senders = new ConcurrentHashMap<>();
 
   /**
-   * Creates a client.
+   * Creates a client that tells nobody of boot ids.
    *
    * @param loops event loops of the connections
    * @param maxConnections most connections to one address
    * @param maxAnswerBytes largest body of an answer, in bytes
    */
   public PooledHttpClient(EventLoopGroup loops, int maxConnections, int maxAnswerBytes) {
+    this(loops, maxConnections, maxAnswerBytes, (endpoint, bootId) -> {});
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param loops event loops of the connections
+   * @param maxConnections most connections to one address
+   * @param maxAnswerBytes largest body of an answer, in bytes
+   * @param bootIds told of the boot id of each connection that gives one
+   */
+  public PooledHttpClient(
+      EventLoopGroup loops, int maxConnections, int maxAnswerBytes, BootIdListener bootIds) {
     this.loops = Assert.notNull(loops, "loops");
+    this.bootIds = Assert.notNull(bootIds, "bootIds");
     this.maxConnections = maxConnections;
     this.maxAnswerBytes = maxAnswerBytes;
     this.bootstrap =
@@ -60,11 +77,17 @@
                 });
   }
 
-  private ConnectionPool createPool(Endpoint endpoint) {
-    return new ConnectionPool(
-        () -> bootstrap.connect(endpoint.getHost(), endpoint.getPort()),
-        loops.next(),
-        maxConnections);
+  private EndpointSender newSender(Endpoint endpoint) {
+    ConnectionPool pool =
+        new ConnectionPool(
+            () -> bootstrap.connect(endpoint.getHost(), endpoint.getPort()),
+            loops.next(),
+            maxConnections);
+    return new EndpointSender(endpoint, pool, bootIds, clock);
+  }
+
+  private EndpointSender sender(Endpoint endpoint) {
+    return senders.computeIfAbsent(endpoint, this::newSender);
   }
 
   private void addHandlers(Channel channel) {
@@ -87,50 +110,28 @@
   @Override
   public CompletableFuture<HttpAnswer> send(
       Endpoint endpoint, HttpExchange exchange, long timeoutMs) {
-    CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
-    ConnectionPool pool = pools.computeIfAbsent(endpoint, this::createPool);
-    CompletableFuture<PooledConnection> acquired = pool.acquire(timeoutMs);
-    acquired.whenComplete(
-        (connection, failure) -> {
-          if (failure != null) {
-            answer.completeExceptionally(failure);
-          } else if (answer.isDone()) {
-            pool.release(connection);
-          } else {
-            start(pool, connection, endpoint, exchange, timeoutMs, answer);
-          }
-        });
-    return answer;
+    return sender(endpoint).send(exchange, timeoutMs);
   }
 
-  private static void start(
-      ConnectionPool pool,
-      PooledConnection connection,
-      Endpoint endpoint,
-      HttpExchange exchange,
-      long timeoutMs,
-      CompletableFuture<HttpAnswer> answer) {
-    Channel channel = connection.channel();
-    HttpClientHandler handler = channel.pipeline().get(HttpClientHandler.class);
-    String host = endpoint.getHost() + ":" + endpoint.getPort();
-    CompletableFuture<HttpAnswer> exchanged =
-        handler.exchange(channel, HttpMessages.toRequest(exchange, host), timeoutMs);
-    exchanged.whenComplete(
-        (received, failure) -> {
-          if (failure == null) {
-            pool.release(connection);
-            answer.complete(received);
-          } else {
-            boolean timedOut = ResultCodeException.codeOf(failure) == ResultCode.ANSWER_TIMEOUT;
-            pool.discard(connection, timedOut);
-            answer.completeExceptionally(failure);
-          }
-        });
-    answer.whenComplete((received, failure) -> handler.abandon(channel, exchanged));
+  @Override
+  public CompletableFuture<HttpAnswer> send(
+      Endpoint endpoint, HttpExchange exchange, OptionalLong bootId, long timeoutMs) {
+    return bootId.isEmpty()
+        ? send(endpoint, exchange, timeoutMs)
+        : sender(endpoint).send(exchange, bootId.getAsLong(), timeoutMs);
+  }
+
+  /**
+   * Reads the boot id of the process at an address.
+   *
+   * @return fails with {@link ResultCode#UPSTREAM_UNREACHABLE} if it gives none in time
+   */
+  public CompletableFuture<Long> readBootId(Endpoint endpoint, long timeoutMs) {
+    return sender(endpoint).readBootId(timeoutMs);
   }
 
   @Override
   public void close() {
-    pools.values().forEach(ConnectionPool::close);
+    senders.values().forEach(EndpointSender::close);
   }
 }
--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/BootIdTests.java
@@ -0,0 +1,125 @@
+package org.foxtailford.net.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.schema.Endpoint;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class BootIdTests {
+
+  private static final int TIMEOUT_MS = 20_000;
+  private static final HttpLimits LIMITS = new HttpLimits(4096, 1000);
+
+  private final List<Long> learned = new CopyOnWriteArrayList<>();
+  private final List<String> worked = new CopyOnWriteArrayList<>();
+  private EventLoopGroup loops;
+  private HttpServer server;
+  private PooledHttpClient client;
+  private Endpoint endpoint;
+
+  @BeforeMethod
+  public void start() {
+    learned.clear();
+    worked.clear();
+    loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    client = new PooledHttpClient(loops, 2, 1000, (address, bootId) -> learned.add(bootId));
+    endpoint = Endpoint.newBuilder().setHost("127.0.0.1").build();
+    startServer("7");
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    client.close();
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private void startServer(String bootId) {
+    server = new HttpServer(loops, LIMITS, new BootedHandler(bootId));
+    endpoint = endpoint.toBuilder().setPort(server.bind(endpoint)).build();
+  }
+
+  private CompletableFuture<HttpAnswer> send(long bootId) {
+    HttpExchange work =
+        new HttpExchange(HttpMethod.GET, "/menu/get", new DefaultHttpHeaders(), new byte[0]);
+    return client.send(endpoint, work, OptionalLong.of(bootId), TIMEOUT_MS);
+  }
+
+  @Test
+  public void workGoesOutOnAConnectionToTheWantedStart() {
+    assertThat(send(7).join().status()).isEqualTo(200);
+    assertThat(learned).containsExactly(7L);
+    assertThat(worked).hasSize(1);
+    assertThat(Integer.parseInt(worked.get(0))).isBetween(1, TIMEOUT_MS);
+  }
+
+  @Test
+  public void workForAnotherStartIsNotSent() {
+    assertNotRun(send(8));
+    assertThat(learned).containsExactly(7L);
+  }
+
+  @Test
+  public void restartIsNoticedBeforeWorkIsSent() {
+    send(7).join();
+    server.close();
+    startServer("9");
+    assertThatThrownBy(() -> send(7).join()).hasCauseInstanceOf(ResultCodeException.class);
+    assertThat(worked).hasSize(1);
+  }
+
+  @Test
+  public void upstreamWithoutBootIdGetsNoWorkThatNeedsOne() {
+    server.close();
+    startServer("");
+    assertNotRun(send(7));
+  }
+
+  private void assertNotRun(CompletableFuture<HttpAnswer> answer) {
+    assertThatThrownBy(answer::join)
+        .satisfies(
+            failure ->
+                assertThat(ResultCodeException.codeOf(failure))
+                    .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE));
+    assertThat(worked).isEmpty();
+  }
+
+  private final class BootedHandler implements HttpExchangeHandler {
+
+    private final String bootId;
+
+    BootedHandler(String bootId) {
+      this.bootId = bootId;
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
+      if (exchange.path().startsWith("/menu")) {
+        worked.add(exchange.headers().get(FoxtailHeaders.TIMEOUT_MS));
+      }
+      HttpAnswer answer = HttpAnswer.text(200, "text/plain", "done");
+      answer.headers().set(FoxtailHeaders.BOOT_ID, bootId);
+      return CompletableFuture.completedFuture(answer);
+    }
+
+    @Override
+    public HttpAnswer refuse(ResultCode code, String message) {
+      return HttpAnswer.text(code.httpStatus(), "text/plain", code.name());
+    }
+  }
+}
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/UpstreamStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/UpstreamStandIn.java
@@ -28,6 +28,7 @@
   private static final String GRANT_PATH = "/control/grant";
 
   private final UpstreamProfile profile;
+  private final String bootId;
   private final GrantHolder grants;
   private final MillisClock clock;
   private final ScheduledExecutorService timer;
@@ -49,6 +50,7 @@
     this.profile = Assert.notNull(profile, "profile");
     this.clock = Assert.notNull(clock, "clock");
     this.timer = Assert.notNull(timer, "timer");
+    this.bootId = Long.toUnsignedString(bootId);
     this.grants = new GrantHolder(bootId, clock);
     this.startedMs = clock.nowMs();
   }
@@ -65,6 +67,15 @@
 
   @Override
   public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
+    return answer(exchange).thenApply(this::withBootId);
+  }
+
+  private HttpAnswer withBootId(HttpAnswer answer) {
+    answer.headers().set(FoxtailHeaders.BOOT_ID, bootId);
+    return answer;
+  }
+
+  private CompletableFuture<HttpAnswer> answer(HttpExchange exchange) {
     switch (exchange.path()) {
       case GRANT_PATH:
         return CompletableFuture.completedFuture(grant(exchange));
