Entry VMs admit work to upstreams in slow start by a leased gate

The daemon ran UnguardedAdmission, so every entry VM sent to an upstream that had just started. SlowStart asks ColdGate before each attempt and hedge, reads unknown boot ids, and takes the refusal of a cold upstream. Evidence of warmth is broadcast, and repeated between VM and leader.

ColdGate takes limits by upstream, counts places by boot id (the ids of two connections may be learned out of order), keeps uncertain places for the transit as well, and doesn't take evidence back from others that the upstream has just denied. The time of a cold request counts from its ticket, not from its send.

--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/requests/RequestPathPolicy.java
@@ -63,7 +63,7 @@
             new GuardedSender(
                 (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
                 new UpstreamSender(
-                    (endpoint, exchange, timeoutMs) ->
+                    (endpoint, exchange, bootId, timeoutMs) ->
                         fleet.send(endpoint.getPort() - 1, entryVm))),
             new RelaySender(home -> Optional.empty(), metrics, events),
             new RetryPolicy(MAX_ATTEMPTS, MIN_REMAINING_MS, budget),
--- a/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/ColdGate.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/ColdGate.java
@@ -1,10 +1,10 @@
 package org.foxtailford.core.coldstart;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Queue;
+import java.util.TreeMap;
+import java.util.function.Function;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -19,25 +19,18 @@
 
   private static final long NONE = Long.MIN_VALUE;
 
-  private final int allowance;
-  private final long warmUpMs;
-  private final long requestTimeoutMs;
+  private final Function<String, Optional<ColdStartLimits>> limits;
   private final WarmthPublisher publisher;
   private final Map<String, State> states = new HashMap<>();
 
   /**
    * Creates a gate that knows of no warm upstream.
    *
-   * @param allowance requests that a cold upstream bears at once
-   * @param warmUpMs time for which an upstream stays cold under work, in milliseconds
-   * @param requestTimeoutMs longest time of a request to a cold upstream, in milliseconds
+   * @param limits gives what an upstream bears in a cold start; empty if it has none
    * @param publisher tells other entry VMs of a warm upstream
    */
-  public ColdGate(int allowance, long warmUpMs, long requestTimeoutMs, WarmthPublisher publisher) {
-    Assert.isTrue(allowance > 0, "allowance must be positive");
-    this.allowance = allowance;
-    this.warmUpMs = warmUpMs;
-    this.requestTimeoutMs = requestTimeoutMs;
+  public ColdGate(Function<String, Optional<ColdStartLimits>> limits, WarmthPublisher publisher) {
+    this.limits = Assert.notNull(limits, "limits");
     this.publisher = Assert.notNull(publisher, "publisher");
   }
 
@@ -45,15 +38,19 @@
     private boolean connected;
     private long bootId;
     private long coldSinceMs = NONE;
+    private long refusedMs = NONE;
     private long warmBootId;
     private boolean warmKnown;
     private long leaseUntilMs = NONE;
-    private int coldInFlight;
-    private final Queue<Long> lingeringUntilMs = new ArrayDeque<>();
+    private final Map<Long, ColdPlaces> places = new HashMap<>();
 
     private boolean isWarm() {
       return warmKnown && warmBootId == bootId;
     }
+
+    private ColdPlaces places(long ofBootId) {
+      return places.computeIfAbsent(ofBootId, id -> new ColdPlaces());
+    }
   }
 
   private State state(String upstream) {
@@ -69,26 +66,44 @@
     }
   }
 
-  /** Notes that another entry VM saw one start of an upstream warm up. */
-  public synchronized void onWarm(String upstream, long bootId) {
+  /**
+   * Notes that another entry VM saw one start of an upstream warm up.
+   *
+   * @return whether this was news
+   */
+  public synchronized boolean onWarm(String upstream, long bootId, long nowMs) {
     State state = state(upstream);
+    boolean known = state.warmKnown && state.warmBootId == bootId;
+    boolean current = state.connected && state.isWarm();
+    if (known || current || refusedLately(upstream, state, nowMs)) {
+      return false;
+    }
     state.warmBootId = bootId;
     state.warmKnown = true;
+    return true;
+  }
+
+  private boolean refusedLately(String upstream, State state, long nowMs) {
+    long warmUpMs = limits.apply(upstream).map(ColdStartLimits::warmUpMs).orElse(0L);
+    return state.refusedMs != NONE && nowMs - state.refusedMs < warmUpMs;
   }
 
-  /** Notes the boot id that the upstream gave on its connections. */
-  public synchronized void onConnected(String upstream, long bootId, long nowMs) {
+  /**
+   * Notes the boot id that the upstream gave on one of its connections.
+   *
+   * @return whether an earlier connection had another boot id
+   */
+  public synchronized boolean onConnected(String upstream, long bootId, long nowMs) {
     State state = state(upstream);
+    boolean restarted = state.coldSinceMs != NONE && state.bootId != bootId;
     if (!state.connected || state.bootId != bootId) {
-      boolean restarted = state.bootId != bootId;
       state.connected = true;
       state.bootId = bootId;
       state.coldSinceMs = nowMs;
-      if (restarted) {
-        state.coldInFlight = 0;
-        state.lingeringUntilMs.clear();
-      }
+      state.refusedMs = NONE;
+      state.places.values().removeIf(places -> places.isFree(nowMs));
     }
+    return restarted;
   }
 
   /** Notes that the connections to an upstream were reset or closed. */
@@ -96,11 +111,12 @@
     state(upstream).connected = false;
   }
 
-  /** Notes that an upstream refused a request because it is cold. */
+  @Override
   public synchronized void onColdRefusal(String upstream, long nowMs) {
     State state = state(upstream);
     state.warmKnown = false;
     state.coldSinceMs = nowMs;
+    state.refusedMs = nowMs;
   }
 
   /**
@@ -109,12 +125,16 @@
    */
   @Override
   public synchronized Optional<ColdTicket> tryStart(String upstream, long nowMs) {
+    Optional<ColdStartLimits> guarded = limits.apply(upstream);
+    if (guarded.isEmpty()) {
+      return Optional.of(ColdTicket.unguarded(upstream, nowMs));
+    }
     State state = state(upstream);
     if (!state.connected) {
       return Optional.empty();
     }
     boolean holder = nowMs < state.leaseUntilMs;
-    if (!state.isWarm() && holder && nowMs - state.coldSinceMs >= warmUpMs) {
+    if (!state.isWarm() && holder && nowMs - state.coldSinceMs >= guarded.get().warmUpMs()) {
       state.warmBootId = state.bootId;
       state.warmKnown = true;
       publisher.warm(upstream, state.bootId);
@@ -122,31 +142,44 @@
     if (state.isWarm()) {
       return Optional.of(new ColdTicket(upstream, state.bootId, false, nowMs, Long.MAX_VALUE));
     }
-    while (!state.lingeringUntilMs.isEmpty() && nowMs >= state.lingeringUntilMs.element()) {
-      state.lingeringUntilMs.remove();
-      state.coldInFlight--;
-    }
-    if (!holder || state.coldInFlight >= allowance) {
+    if (!holder || !state.places(state.bootId).tryTake(guarded.get().allowance(), nowMs)) {
       return Optional.empty();
     }
-    state.coldInFlight++;
-    return Optional.of(new ColdTicket(upstream, state.bootId, true, nowMs, requestTimeoutMs));
+    long timeoutMs = guarded.get().requestTimeoutMs();
+    return Optional.of(new ColdTicket(upstream, state.bootId, true, nowMs, timeoutMs));
   }
 
   /** Notes the end of a request; an uncertain one keeps its place until its timeout. */
   @Override
   public synchronized void ended(ColdTicket ticket, boolean certain) {
-    State state = state(ticket.upstream());
-    if (!ticket.cold() || ticket.bootId() != state.bootId) {
+    if (!ticket.cold()) {
       return;
     }
+    ColdPlaces places = state(ticket.upstream()).places(ticket.bootId());
     if (certain) {
-      state.coldInFlight--;
+      places.free();
     } else {
-      state.lingeringUntilMs.add(ticket.startedMs() + ticket.maxTimeoutMs());
+      places.freeAt(ticket.endsByMs() + GateTiming.TRANSIT_MS);
     }
   }
 
+  /** Tells whether the boot id of an upstream is known. */
+  public synchronized boolean isIdentified(String upstream) {
+    return state(upstream).connected;
+  }
+
+  /** Returns the boot ids of the upstreams that are known to be warm. */
+  public synchronized Map<String, Long> warmStarts() {
+    Map<String, Long> warm = new TreeMap<>();
+    states.forEach(
+        (upstream, state) -> {
+          if (state.warmKnown) {
+            warm.put(upstream, state.warmBootId);
+          }
+        });
+    return warm;
+  }
+
   /** Tells whether there is evidence that an upstream is warm. */
   public synchronized boolean isWarm(String upstream) {
     State state = state(upstream);
--- a/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/ColdStartAdmission.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/ColdStartAdmission.java
@@ -23,4 +23,7 @@
    * @param certain whether the upstream surely no longer runs it
    */
   void ended(ColdTicket ticket, boolean certain);
+
+  /** Notes that an upstream refused a request because it is cold. */
+  void onColdRefusal(String upstream, long nowMs);
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/GateTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/GateTiming.java
@@ -13,6 +13,13 @@
 public record GateTiming(
     long ttlMs, long requestTimeoutMs, long transitMs, int clockRateMarginPpm) {
 
+  /** Longest time that a request to a cold upstream may take, in milliseconds. */
+  public static final long MAX_REQUEST_TIMEOUT_MS = 2000;
+
+  /** Longest time that a sent request is under way, in milliseconds. */
+  public static final long TRANSIT_MS = 200;
+
+  private static final long TTL_MS = 600;
   private static final long PPM = 1_000_000;
 
   public GateTiming {
@@ -20,6 +27,14 @@
     Assert.isTrue(requestTimeoutMs > 0, "requestTimeoutMs must be positive");
   }
 
+  /**
+   * Returns the timing that covers every configuration, so that a new leader need not know which
+   * one its predecessor had.
+   */
+  public static GateTiming of(int clockRateMarginPpm) {
+    return new GateTiming(TTL_MS, MAX_REQUEST_TIMEOUT_MS, TRANSIT_MS, clockRateMarginPpm);
+  }
+
   /** Returns how long after a renewal the last request under the lease may still be running. */
   public long handoverMs() {
     long busyMs = ttlMs + requestTimeoutMs + transitMs;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/UnguardedAdmission.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/UnguardedAdmission.java
@@ -7,9 +7,12 @@
 
   @Override
   public Optional<ColdTicket> tryStart(String upstream, long nowMs) {
-    return Optional.of(new ColdTicket(upstream, 0, false, nowMs, Long.MAX_VALUE));
+    return Optional.of(ColdTicket.unguarded(upstream, nowMs));
   }
 
   @Override
   public void ended(ColdTicket ticket, boolean certain) {}
+
+  @Override
+  public void onColdRefusal(String upstream, long nowMs) {}
 }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/coldstart/ColdGateTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/coldstart/ColdGateTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -12,13 +13,18 @@
   private static final GateTiming TIMING = new GateTiming(200, 100, 50, 0);
   private static final GateMember FIRST = new GateMember("e1", 1);
 
+  private static final ColdStartLimits LIMITS = new ColdStartLimits(2, 400, 100);
+
   private ColdGate gate;
   private int published;
 
   @BeforeMethod
   public void setUp() {
     published = 0;
-    gate = new ColdGate(2, 400, 100, (upstream, bootId) -> published++);
+    gate =
+        new ColdGate(
+            name -> name.equals("u1") ? Optional.of(LIMITS) : Optional.empty(),
+            (upstream, bootId) -> published++);
   }
 
   private void lease(long asOfMs) {
@@ -54,7 +60,7 @@
   @Test
   public void evidenceOfWarmthEndsWithTheBootId() {
     gate.onConnected("u1", 9, 0);
-    gate.onWarm("u1", 9);
+    gate.onWarm("u1", 9, 0);
     assertThat(gate.isWarm("u1")).isTrue();
     gate.onConnected("u1", 10, 1);
     assertThat(gate.tryStart("u1", 1)).isEmpty();
@@ -63,11 +69,41 @@
   @Test
   public void refusalAsColdEndsTheEvidence() {
     gate.onConnected("u1", 9, 0);
-    gate.onWarm("u1", 9);
+    gate.onWarm("u1", 9, 0);
     gate.onColdRefusal("u1", 5);
     assertThat(gate.tryStart("u1", 5)).isEmpty();
   }
 
+  @Test
+  public void warmthThatTheUpstreamDeniedIsNotTakenFromOthersUntilItsWarmUpIsOver() {
+    gate.onConnected("u1", 9, 0);
+    gate.onColdRefusal("u1", 5);
+    assertThat(gate.onWarm("u1", 9, 404)).isFalse();
+    assertThat(gate.tryStart("u1", 404)).isEmpty();
+    assertThat(gate.onWarm("u1", 9, 405)).isTrue();
+    assertThat(gate.tryStart("u1", 405)).isPresent();
+  }
+
+  @Test
+  public void placesStayTakenWhenTheBootIdGoesBackAndForth() {
+    gate.onConnected("u1", 9, 0);
+    lease(0);
+    ColdTicket first = gate.tryStart("u1", 0).orElseThrow();
+    assertThat(gate.tryStart("u1", 0)).isPresent();
+    assertThat(gate.onConnected("u1", 8, 1)).isTrue();
+    assertThat(gate.onConnected("u1", 9, 2)).isTrue();
+    assertThat(gate.tryStart("u1", 3)).isEmpty();
+    gate.ended(first, true);
+    assertThat(gate.tryStart("u1", 4)).isPresent();
+  }
+
+  @Test
+  public void upstreamWithoutAColdStartIsNotGuarded() {
+    ColdTicket ticket = gate.tryStart("u2", 0).orElseThrow();
+    assertThat(ticket.requiredBootId()).isEmpty();
+    assertThat(ticket.cold()).isFalse();
+  }
+
   @Test
   public void newHolderGetsTheGateAfterTheLastRequestOfTheOldOne() {
     GateKeeper keeper = new GateKeeper(TIMING, 0);
--- a/foxtailford-core/src/test/java/org/foxtailford/core/coldstart/ColdStartWorld.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/coldstart/ColdStartWorld.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -16,6 +17,9 @@
   private static final int MAX_DELAY_MS = 40;
   private static final GateTiming TIMING = new GateTiming(200, 100, 0, 0);
 
+  private static final ColdStartLimits LIMITS =
+      new ColdStartLimits(ALLOWANCE, WARM_UP_MS, TIMING.requestTimeoutMs());
+
   private final Random random;
   private final List<Vm> vms = new ArrayList<>();
   private final List<Event> events = new ArrayList<>();
@@ -59,13 +63,13 @@
 
     void replace() {
       member = new GateMember(name, nextBootId++);
-      gate = new ColdGate(ALLOWANCE, WARM_UP_MS, TIMING.requestTimeoutMs(), this::announce);
+      gate = new ColdGate(name -> Optional.of(LIMITS), this::announce);
       connect();
     }
 
     private void announce(String upstream, long boot) {
       for (Vm other : vms) {
-        later(() -> other.gate.onWarm(upstream, boot));
+        later(() -> other.gate.onWarm(upstream, boot, nowMs));
       }
     }
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -17,7 +17,7 @@
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
-import org.foxtailford.core.coldstart.UnguardedAdmission;
+import org.foxtailford.core.coldstart.GateTiming;
 import org.foxtailford.core.configuration.ConfigurationInForce;
 import org.foxtailford.core.configuration.ConfigurationPropagation;
 import org.foxtailford.core.configuration.ConfigurationStore;
@@ -42,6 +42,8 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.daemon.coldstart.ColdStarts;
+import org.foxtailford.daemon.coldstart.TrackedMembership;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
@@ -80,6 +82,7 @@
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
 import org.foxtailford.schema.DaemonSettings;
+import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.OwnershipSettings;
 import org.foxtailford.schema.PeerFrame;
@@ -102,6 +105,7 @@
   private static final double RETRIES_PER_SECOND = 1.0;
   private static final double RETRY_BURST = 20.0;
   private static final long MIN_ATTEMPT_MS = 2;
+  private static final long BOOT_ID_TIMEOUT_MS = 1000;
 
   private final DaemonSettings settings;
   private final MillisClock clock = new SystemMillisClock();
@@ -125,6 +129,7 @@
   private final PeerServer peerServer;
   private final PooledHttpClient controlClient;
   private final PooledHttpClient upstreamClient;
+  private final ColdStarts coldStarts;
   private final Leadership leadership;
   private final CheckpointWriter checkpoints;
   private final CheckpointReader savedOwners;
@@ -184,7 +189,8 @@
             new SharedVersions(
                 settings.getDataCentre(), inForce, sightings, owners, this::leadingEpoch));
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
-    upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
+    upstreamClient = newUpstreamClient(maxAnswerBytes);
+    coldStarts = newColdStarts(self);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
     TableService table = newTable(settings.getPlatform().getTimeoutMs());
@@ -270,10 +276,40 @@
         maxFrameBytes,
         LinkTimes.DEFAULT,
         new PeerDispatcher(
-            configurations, owners, heartbeats, records, poison, path, classifier, control),
+            configurations,
+            owners,
+            heartbeats,
+            coldStarts.gates(),
+            records,
+            poison,
+            path,
+            classifier,
+            control),
         tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
   }
 
+  private PooledHttpClient newUpstreamClient(int maxAnswerBytes) {
+    return new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes, this::onBootId);
+  }
+
+  private ColdStarts newColdStarts(PeerIdentity self) {
+    return new ColdStarts(
+        self,
+        new TrackedMembership(self.dataCentre(), tracker, () -> leadership.lease()),
+        peers,
+        peers::broadcast,
+        () -> state.snapshot().configuration(),
+        GateTiming.of(settings.getOwnership().getClockRateMarginPpm()),
+        address -> upstreamClient.readBootId(address, BOOT_ID_TIMEOUT_MS),
+        upstream -> {},
+        clock,
+        control);
+  }
+
+  private void onBootId(Endpoint address, long bootId) {
+    coldStarts.admission().onBootId(address, bootId);
+  }
+
   private RequestPath newRequestPath(RandomGenerator random) {
     RequestSettings limits = settings.getRequests();
     RetryBudget budget =
@@ -294,7 +330,7 @@
             metrics,
             clock,
             this::schedule,
-            new UnguardedAdmission(),
+            coldStarts.admission(),
             new QueueLimits(limits.getQueueCapacity(), limits.getQueueTimeMs()));
     return new RequestPath(
         attempts,
@@ -455,6 +491,7 @@
   private void tick() {
     leadership.tick();
     checkpoints.tick();
+    coldStarts.tick();
     records.tick();
     configurations.tick(tracker.usableIn(settings.getDataCentre()), remotePeers());
   }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -145,6 +145,11 @@
 
   /** Returns the epoch under which this VM holds the lease at this moment. */
   public Optional<Long> leadingEpoch() {
-    return election.lease().map(HeldLease::epoch);
+    return lease().map(HeldLease::epoch);
+  }
+
+  /** Returns the lease if this VM holds it at this moment. */
+  public Optional<HeldLease> lease() {
+    return election.lease();
   }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.daemon.coldstart.GateExchange;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.idempotency.RequestRecords;
 import org.foxtailford.daemon.request.RequestClassifier;
@@ -30,6 +31,7 @@
   private final ConfigurationExchange configurations;
   private final OwnerSpread owners;
   private final HeartbeatExchange heartbeats;
+  private final GateExchange gates;
   private final RequestRecords records;
   private final PoisonTracker poison;
   private final RequestPath path;
@@ -40,6 +42,7 @@
       ConfigurationExchange configurations,
       OwnerSpread owners,
       HeartbeatExchange heartbeats,
+      GateExchange gates,
       RequestRecords records,
       PoisonTracker poison,
       RequestPath path,
@@ -48,6 +51,7 @@
     this.configurations = Assert.notNull(configurations, "configurations");
     this.owners = Assert.notNull(owners, "owners");
     this.heartbeats = Assert.notNull(heartbeats, "heartbeats");
+    this.gates = Assert.notNull(gates, "gates");
     this.records = Assert.notNull(records, "records");
     this.poison = Assert.notNull(poison, "poison");
     this.path = Assert.notNull(path, "path");
@@ -68,7 +72,9 @@
   }
 
   private void dispatch(PeerIdentity sender, PeerFrame frame) {
-    if (configurations.onFrame(sender.vm(), frame) || owners.onFrame(frame)) {
+    if (configurations.onFrame(sender.vm(), frame)
+        || owners.onFrame(frame)
+        || gates.onFrame(sender, frame)) {
       return;
     }
     if (frame.hasHeartbeat()) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -243,7 +243,7 @@
         (received, failure) -> {
           cancelOverdue.run();
           long nowMs = clock.nowMs();
-          coldStarts.ended(ticket, isOver(failure));
+          endTicket(ticket, failure, nowMs);
           load.ended(name, outcomeOf(failure), nowMs - startedMs, nowMs);
           queues.slotReleased(target.queueName());
           onEnd(call, target, sent, number, received, failure);
@@ -258,8 +258,27 @@
       return CompletableFuture.failedFuture(
           new ResultCodeException(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
     }
-    long timeoutMs = Math.min(remainingMs, ticket.maxTimeoutMs());
-    return sender.sender().send(target.upstream(), call.exchange(), target.ownership(), timeoutMs);
+    long timeoutMs = Math.min(remainingMs, ticket.endsByMs() - clock.nowMs());
+    if (timeoutMs <= 0) {
+      return CompletableFuture.failedFuture(
+          new ResultCodeException(
+              ResultCode.UPSTREAM_UNREACHABLE, "the time of a request in slow start is over"));
+    }
+    return sender
+        .sender()
+        .send(
+            target.upstream(),
+            call.exchange(),
+            target.ownership(),
+            ticket.requiredBootId(),
+            timeoutMs);
+  }
+
+  private void endTicket(ColdTicket ticket, Throwable failure, long nowMs) {
+    coldStarts.ended(ticket, isOver(failure));
+    if (failure != null && ResultCodeException.codeOf(failure) == ResultCode.UPSTREAM_COLD) {
+      coldStarts.onColdRefusal(ticket.upstream(), nowMs);
+    }
   }
 
   private static boolean isOver(Throwable failure) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.foxtailford.core.configuration.Upstream;
@@ -10,17 +11,17 @@
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.FoxtailHeaders;
 import org.foxtailford.net.http.HttpAnswer;
-import org.foxtailford.net.http.HttpClient;
 import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.UpstreamClient;
 import org.foxtailford.net.http.UpstreamRefusal;
 
 /** Sends one attempt of a request to an upstream and checks its answer. Thread-safe. */
 public final class UpstreamSender {
 
-  private final HttpClient client;
+  private final UpstreamClient client;
   private final AtomicLong attempts = new AtomicLong();
 
-  public UpstreamSender(HttpClient client) {
+  public UpstreamSender(UpstreamClient client) {
     this.client = Assert.notNull(client, "client");
   }
 
@@ -33,12 +34,17 @@
    * @param upstream where to
    * @param exchange the caller's request
    * @param ownership present for keyed services
+   * @param bootId boot id that the upstream must have; empty for any
    * @param timeoutMs time left, in milliseconds
    * @return the upstream's whole answer; fails with a result code otherwise; to cancel it gives up
    *     the attempt and its connection
    */
   public CompletableFuture<HttpAnswer> send(
-      Upstream upstream, HttpExchange exchange, Optional<Ownership> ownership, long timeoutMs) {
+      Upstream upstream,
+      HttpExchange exchange,
+      Optional<Ownership> ownership,
+      OptionalLong bootId,
+      long timeoutMs) {
     String attempt = Long.toString(attempts.incrementAndGet());
     HttpHeaders headers = exchange.headers().copy();
     headers.set(FoxtailHeaders.ATTEMPT, attempt);
@@ -48,7 +54,8 @@
         o -> headers.set(FoxtailHeaders.KEY_HASH, String.format("%016x", o.keyHash())));
     HttpExchange outgoing =
         new HttpExchange(exchange.method(), exchange.uri(), headers, exchange.body());
-    CompletableFuture<HttpAnswer> sent = client.send(upstream.address(), outgoing, timeoutMs);
+    CompletableFuture<HttpAnswer> sent =
+        client.send(upstream.address(), outgoing, bootId, timeoutMs);
     CompletableFuture<HttpAnswer> checked = sent.thenApply(answer -> check(answer, upstream));
     checked.whenComplete((answer, failure) -> sent.cancel(false));
     return checked;
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +16,7 @@
 import org.foxtailford.core.admission.WorthThreshold;
 import org.foxtailford.core.coldstart.ColdGate;
 import org.foxtailford.core.coldstart.ColdStartAdmission;
+import org.foxtailford.core.coldstart.ColdStartLimits;
 import org.foxtailford.core.coldstart.GateLease;
 import org.foxtailford.core.coldstart.GateMember;
 import org.foxtailford.core.coldstart.UnguardedAdmission;
@@ -133,7 +135,7 @@
   }
 
   private CompletableFuture<HttpAnswer> send(
-      Endpoint endpoint, HttpExchange exchange, long timeoutMs) {
+      Endpoint endpoint, HttpExchange exchange, OptionalLong bootId, long timeoutMs) {
     Sent attempt = new Sent(endpoint.getPort(), timeoutMs, new CompletableFuture<>());
     sent.add(attempt);
     return attempt.answer();
@@ -295,7 +297,9 @@
 
   @Test
   public void coldUpstreamIsUsedOnlyByTheHolderOfItsGateWithAShortTimeout() {
-    ColdGate gate = new ColdGate(1, 400, 50, (upstream, bootId) -> {});
+    ColdGate gate =
+        new ColdGate(
+            name -> Optional.of(new ColdStartLimits(1, 400, 50)), (upstream, bootId) -> {});
     gate.onConnected("u1", 7, clock.nowMs());
     gate.onConnected("u2", 8, clock.nowMs());
     admission = gate;
