Keyed requests whose owner is cold go to the holder of its gate

A keyed request has one owner, so an entry VM without the owner's gate could only refuse it. A relayed failure no longer hides that an earlier attempt may have run, and giving a relayed request up is passed on to the other VM. foxtailford.cold.relays counts them.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -77,6 +77,11 @@
     registry.counter("foxtailford.cold.gate.closed", "service", service).increment();
   }
 
+  /** Counts a request passed to the entry VM that may send to a cold upstream. */
+  public void coldRelay(String service) {
+    registry.counter("foxtailford.cold.relays", "service", service).increment();
+  }
+
   /** Counts a request that its caller gave up. */
   public void abandoned(String service) {
     registry.counter("foxtailford.abandoned", "service", service).increment();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -43,6 +43,7 @@
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.daemon.coldstart.ColdStarts;
+import org.foxtailford.daemon.coldstart.PeerRelayRoutes;
 import org.foxtailford.daemon.coldstart.TrackedMembership;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
@@ -324,7 +325,7 @@
             state::snapshot,
             loads,
             new GuardedSender(newRequestGuard(), new UpstreamSender(upstreamClient)),
-            new RelaySender(peers::anyIn, metrics, clock),
+            new RelaySender(new PeerRelayRoutes(peers, coldStarts.gates()), metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
             metrics,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RelaySender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RelaySender.java
@@ -7,37 +7,43 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.Function;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.routing.RequestAttributes;
+import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
-import org.foxtailford.net.peer.PeerLink;
 import org.foxtailford.schema.HeaderField;
 import org.foxtailford.schema.RelayAnswer;
 import org.foxtailford.schema.RelayRequest;
 
-/** Passes requests to entry VMs of other data centres, and reads those passed here. Thread-safe. */
+/**
+ * Passes requests to other entry VMs, and reads those passed here.
+ *
+ * <p>A request is relayed at most once to the data centre that is home to its key, and after that
+ * at most once to the holder of a cold upstream's gate. Thread-safe.
+ */
 public final class RelaySender {
 
-  private final Function<String, Optional<PeerLink>> links;
+  /** Hops of a request that was relayed to the holder of a gate; it is never relayed again. */
+  static final int GATE_HOPS = RequestRouter.MAX_HOPS + 1;
+
+  private final RelayRoutes routes;
   private final RouterMetrics metrics;
   private final MillisClock clock;
 
   /**
    * Creates a sender.
    *
-   * @param links gives an open link to some entry VM of a data centre
+   * @param routes ways to other entry VMs
    * @param metrics counters
    * @param clock clock of this VM
    */
-  public RelaySender(
-      Function<String, Optional<PeerLink>> links, RouterMetrics metrics, MillisClock clock) {
-    this.links = Assert.notNull(links, "links");
+  public RelaySender(RelayRoutes routes, RouterMetrics metrics, MillisClock clock) {
+    this.routes = Assert.notNull(routes, "routes");
     this.metrics = Assert.notNull(metrics, "metrics");
     this.clock = Assert.notNull(clock, "clock");
   }
@@ -52,13 +58,36 @@
    */
   CompletableFuture<HttpAnswer> relay(
       HttpExchange exchange, RequestAttributes attributes, String dataCentre) {
-    Optional<PeerLink> link = links.apply(dataCentre);
-    if (link.isEmpty()) {
+    Optional<RelayPort> port = routes.toDataCentre(dataCentre);
+    if (port.isEmpty()) {
       return CompletableFuture.failedFuture(
           new ResultCodeException(
               ResultCode.HOME_UNREACHABLE, "no link to data centre " + dataCentre));
     }
     metrics.relay(dataCentre);
+    return relay(port.get(), exchange, attributes, attributes.hops() + 1);
+  }
+
+  /**
+   * Relays a request to the entry VM that may send to a cold upstream.
+   *
+   * @param exchange the caller's request
+   * @param attributes its attributes
+   * @param upstream owner of its key
+   * @return the whole answer; empty if it was relayed to a holder before, or none can be reached
+   */
+  Optional<CompletableFuture<HttpAnswer>> relayToGateHolder(
+      HttpExchange exchange, RequestAttributes attributes, String upstream) {
+    if (attributes.hops() >= GATE_HOPS) {
+      return Optional.empty();
+    }
+    Optional<RelayPort> port = routes.toGateHolder(upstream);
+    port.ifPresent(found -> metrics.coldRelay(attributes.service()));
+    return port.map(found -> relay(found, exchange, attributes, GATE_HOPS));
+  }
+
+  private CompletableFuture<HttpAnswer> relay(
+      RelayPort port, HttpExchange exchange, RequestAttributes attributes, int hops) {
     long remainingMs = attributes.deadlineMs() - clock.nowMs();
     RelayRequest.Builder request =
         RelayRequest.newBuilder()
@@ -66,9 +95,12 @@
             .setUri(exchange.uri())
             .setBody(ByteString.copyFrom(exchange.body()))
             .setRemainingMs((int) Math.max(0, remainingMs))
-            .setHops(attributes.hops() + 1);
+            .setHops(hops);
     exchange.headers().forEach(h -> request.addHeaders(field(h.getKey(), h.getValue())));
-    return link.get().relay(request.build(), remainingMs).thenApply(RelaySender::toAnswer);
+    CompletableFuture<RelayAnswer> relayed = port.relay(request.build(), remainingMs);
+    CompletableFuture<HttpAnswer> answer = relayed.thenApply(RelaySender::toAnswer);
+    answer.whenComplete((received, failure) -> relayed.cancel(false));
+    return answer;
   }
 
   private static HeaderField field(String name, String value) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -164,13 +164,26 @@
     String name = target.upstream().name();
     metrics.coldGateClosed(call.attributes().service());
     call.failed(new ResultCodeException(ResultCode.UPSTREAM_COLD, name + " is in slow start"));
-    if (target.keyed() || !call.excluded().add(name)) {
+    if (target.keyed()) {
+      relayToGateHolder(call, name);
+    } else if (!call.excluded().add(name)) {
       call.answer().completeExceptionally(call.lastFailure().orElseThrow());
     } else {
       attempt(call);
     }
   }
 
+  private void relayToGateHolder(RequestCall call, String upstream) {
+    Optional<CompletableFuture<HttpAnswer>> relayed =
+        relays.relayToGateHolder(call.exchange(), call.attributes(), upstream);
+    if (relayed.isEmpty()) {
+      call.answer().completeExceptionally(call.lastFailure().orElseThrow());
+      return;
+    }
+    call.started(relayed.get());
+    relayed.get().whenComplete((received, failure) -> complete(call, received, failure));
+  }
+
   private RouteDecision decide(RequestCall call) {
     return router.decide(call.attributes(), snapshots.get(), call.excluded(), clock.nowMs());
   }
@@ -198,7 +211,8 @@
     if (failure == null) {
       call.answer().complete(received);
     } else {
-      call.answer().completeExceptionally(failure);
+      call.failed(failure);
+      call.answer().completeExceptionally(call.lastFailure().orElse(failure));
     }
   }
 
--- /dev/null
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/coldstart/SimulatedTime.java
@@ -0,0 +1,43 @@
+package org.foxtailford.daemon.coldstart;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.daemon.request.DelayedTasks;
+import org.foxtailford.testkit.simulation.EventQueue;
+
+/** Time that a test moves, with clocks that differ by a constant. */
+final class SimulatedTime implements DelayedTasks {
+
+  private final EventQueue events = new EventQueue();
+
+  MillisClock clock(long offsetMs) {
+    return () -> events.nowMs() + offsetMs;
+  }
+
+  void after(long delayMs, Runnable action) {
+    events.schedule(delayMs, action);
+  }
+
+  /** Runs an action now and then at a fixed interval, for ever. */
+  void every(long intervalMs, Runnable action) {
+    action.run();
+    after(intervalMs, () -> every(intervalMs, action));
+  }
+
+  @Override
+  public Runnable schedule(Runnable task, long delayMs) {
+    AtomicBoolean cancelled = new AtomicBoolean();
+    after(
+        Math.max(0, delayMs),
+        () -> {
+          if (!cancelled.get()) {
+            task.run();
+          }
+        });
+    return () -> cancelled.set(true);
+  }
+
+  void advance(long ms) {
+    events.runUntil(events.nowMs() + ms);
+  }
+}
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/UpstreamStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/UpstreamStandIn.java
@@ -31,12 +31,21 @@
   private final String bootId;
   private final GrantHolder grants;
   private final MillisClock clock;
-  private final ScheduledExecutorService timer;
+  private final RunTimer timer;
   private final long startedMs;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicLong runs = new AtomicLong();
+  private final AtomicLong coldRefusals = new AtomicLong();
   private volatile boolean draining;
 
+  /** Runs the ends of requests. */
+  @FunctionalInterface
+  public interface RunTimer {
+
+    /** Runs an end after a time, in milliseconds. */
+    void schedule(Runnable end, long delayMs);
+  }
+
   /**
    * Creates an upstream that starts cold now.
    *
@@ -47,6 +56,22 @@
    */
   public UpstreamStandIn(
       UpstreamProfile profile, long bootId, MillisClock clock, ScheduledExecutorService timer) {
+    this(
+        profile,
+        bootId,
+        clock,
+        (end, delayMs) -> timer.schedule(end, delayMs, TimeUnit.MILLISECONDS));
+  }
+
+  /**
+   * Creates an upstream that starts cold now.
+   *
+   * @param profile how it behaves
+   * @param bootId number of this start
+   * @param clock its clock
+   * @param timer runs the ends of requests
+   */
+  public UpstreamStandIn(UpstreamProfile profile, long bootId, MillisClock clock, RunTimer timer) {
     this.profile = Assert.notNull(profile, "profile");
     this.clock = Assert.notNull(clock, "clock");
     this.timer = Assert.notNull(timer, "timer");
@@ -60,6 +85,16 @@
     return runs.get();
   }
 
+  /** Returns the number of requests that came during the cold start and were more than it bears. */
+  public long coldRefusals() {
+    return coldRefusals.get();
+  }
+
+  /** Tells whether it is in its cold start. */
+  public boolean isCold() {
+    return clock.nowMs() - startedMs < profile.coldMs();
+  }
+
   /** Starts or ends the refusal of new requests. */
   public void setDraining(boolean value) {
     draining = value;
@@ -125,8 +160,7 @@
           inFlight.decrementAndGet();
           answer.complete(ran(exchange, run));
         },
-        profile.serviceTimeMs(),
-        TimeUnit.MILLISECONDS);
+        profile.serviceTimeMs());
     return answer;
   }
 
@@ -137,10 +171,11 @@
     if (!owns(exchange)) {
       return Optional.of(UpstreamRefusal.NOT_OWNER);
     }
-    boolean cold = clock.nowMs() - startedMs < profile.coldMs();
+    boolean cold = isCold();
     int slots = cold ? profile.coldSlots() : profile.slots();
     if (inFlight.incrementAndGet() > slots) {
       inFlight.decrementAndGet();
+      coldRefusals.addAndGet(cold ? 1 : 0);
       return Optional.of(cold ? UpstreamRefusal.COLD : UpstreamRefusal.NO_SLOT);
     }
     return Optional.empty();
