--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -17,7 +17,7 @@
 import java.util.random.RandomGenerator;
 import org.foxtailford.core.admission.ByteBudget;
 import org.foxtailford.core.admission.WorthThreshold;
-import org.foxtailford.core.coldstart.UnguardedAdmission;
+import org.foxtailford.core.coldstart.GateTiming;
 import org.foxtailford.core.configuration.ConfigurationInForce;
 import org.foxtailford.core.configuration.ConfigurationPropagation;
 import org.foxtailford.core.configuration.ConfigurationStore;
@@ -43,6 +43,9 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.daemon.coldstart.ColdStarts;
+import org.foxtailford.daemon.coldstart.PeerRelayRoutes;
+import org.foxtailford.daemon.coldstart.TrackedMembership;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
@@ -83,6 +86,7 @@
 import org.foxtailford.platform.HttpUpstreamGrants;
 import org.foxtailford.platform.HttpVmListSource;
 import org.foxtailford.schema.DaemonSettings;
+import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.OwnershipSettings;
 import org.foxtailford.schema.PeerFrame;
@@ -105,6 +109,7 @@
   private static final double RETRIES_PER_SECOND = 1.0;
   private static final double RETRY_BURST = 20.0;
   private static final long MIN_ATTEMPT_MS = 2;
+  private static final long BOOT_ID_TIMEOUT_MS = 1000;
 
   private final DaemonSettings settings;
   private final MillisClock clock = new SystemMillisClock();
@@ -128,6 +133,7 @@
   private final PeerServer peerServer;
   private final PooledHttpClient controlClient;
   private final PooledHttpClient upstreamClient;
+  private final ColdStarts coldStarts;
   private final Leadership leadership;
   private final CheckpointWriter checkpoints;
   private final CheckpointReader savedOwners;
@@ -190,7 +196,8 @@
                 settings.getDataCentre(), inForce, sightings, owners, this::leadingEpoch));
     sentLoad = new SliceLoadRecorder(self.vm(), self.bootId());
     controlClient = new PooledHttpClient(loops, CONTROL_CONNECTIONS, maxAnswerBytes);
-    upstreamClient = new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes);
+    upstreamClient = newUpstreamClient(maxAnswerBytes);
+    coldStarts = newColdStarts(self);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
     TableService table = newTable(settings.getPlatform().getTimeoutMs());
@@ -298,6 +305,7 @@
             owners,
             heartbeats,
             loadReports,
+            coldStarts.gates(),
             records,
             poison,
             path,
@@ -306,6 +314,28 @@
         tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
   }
 
+  private PooledHttpClient newUpstreamClient(int maxAnswerBytes) {
+    return new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes, this::onBootId);
+  }
+
+  private ColdStarts newColdStarts(PeerIdentity self) {
+    return new ColdStarts(
+        self,
+        new TrackedMembership(self.dataCentre(), tracker, () -> leadership.lease()),
+        peers,
+        peers::broadcast,
+        () -> state.snapshot().configuration(),
+        GateTiming.of(settings.getOwnership().getClockRateMarginPpm()),
+        address -> upstreamClient.readBootId(address, BOOT_ID_TIMEOUT_MS),
+        upstream -> {},
+        clock,
+        control);
+  }
+
+  private void onBootId(Endpoint address, long bootId) {
+    coldStarts.admission().onBootId(address, bootId);
+  }
+
   private RequestPath newRequestPath(RandomGenerator random) {
     RequestSettings limits = settings.getRequests();
     RetryBudget budget =
@@ -322,13 +352,13 @@
             new GuardedSender(
                 new LoadCountingGuard(newRequestGuard(), sentLoad),
                 new UpstreamSender(upstreamClient)),
-            new RelaySender(peers::anyIn, metrics, clock),
+            new RelaySender(new PeerRelayRoutes(peers, coldStarts.gates()), metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
             metrics,
             clock,
             this::schedule,
-            new UnguardedAdmission(),
+            coldStarts.admission(),
             new QueueLimits(limits.getQueueCapacity(), limits.getQueueTimeMs()));
     return new RequestPath(
         attempts,
@@ -490,6 +520,7 @@
     leadership.tick();
     loadReports.tick();
     checkpoints.tick();
+    coldStarts.tick();
     records.tick();
     configurations.tick(heartbeats.tree(), peers.openIn(settings.getDataCentre()), remotePeers());
   }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.daemon.coldstart.GateExchange;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.idempotency.RequestRecords;
 import org.foxtailford.daemon.load.LoadReporting;
@@ -33,6 +34,7 @@
   private final OwnerSpread owners;
   private final HeartbeatExchange heartbeats;
   private final LoadReporting loadReports;
+  private final GateExchange gates;
   private final RequestRecords records;
   private final PoisonTracker poison;
   private final RequestPath path;
@@ -44,6 +46,7 @@
       OwnerSpread owners,
       HeartbeatExchange heartbeats,
       LoadReporting loadReports,
+      GateExchange gates,
       RequestRecords records,
       PoisonTracker poison,
       RequestPath path,
@@ -53,6 +56,7 @@
     this.owners = Assert.notNull(owners, "owners");
     this.heartbeats = Assert.notNull(heartbeats, "heartbeats");
     this.loadReports = Assert.notNull(loadReports, "loadReports");
+    this.gates = Assert.notNull(gates, "gates");
     this.records = Assert.notNull(records, "records");
     this.poison = Assert.notNull(poison, "poison");
     this.path = Assert.notNull(path, "path");
@@ -73,7 +77,9 @@
   }
 
   private void dispatch(PeerIdentity sender, PeerFrame frame) {
-    if (configurations.onFrame(sender.vm(), frame) || owners.onFrame(frame)) {
+    if (configurations.onFrame(sender.vm(), frame)
+        || owners.onFrame(frame)
+        || gates.onFrame(sender, frame)) {
       return;
     }
     if (loadReports.onFrame(sender, frame)) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -164,13 +164,26 @@
     String name = target.upstream().name();
     metrics.coldGateClosed(call.attributes().service());
     call.failed(new ResultCodeException(ResultCode.UPSTREAM_COLD, name + " is in slow start"));
-    if (target.keyed() || !call.excluded().add(name)) {
+    if (target.keyed()) {
+      relayToGateHolder(call, name);
+    } else if (!call.excluded().add(name)) {
       call.answer().completeExceptionally(call.lastFailure().orElseThrow());
     } else {
       attempt(call);
     }
   }
 
+  private void relayToGateHolder(RequestCall call, String upstream) {
+    Optional<CompletableFuture<HttpAnswer>> relayed =
+        relays.relayToGateHolder(call.exchange(), call.attributes(), upstream);
+    if (relayed.isEmpty()) {
+      call.answer().completeExceptionally(call.lastFailure().orElseThrow());
+      return;
+    }
+    call.started(relayed.get());
+    relayed.get().whenComplete((received, failure) -> complete(call, received, failure));
+  }
+
   private RouteDecision decide(RequestCall call) {
     return router.decide(call.attributes(), snapshots.get(), call.excluded(), clock.nowMs());
   }
@@ -198,7 +211,8 @@
     if (failure == null) {
       call.answer().complete(received);
     } else {
-      call.answer().completeExceptionally(failure);
+      call.failed(failure);
+      call.answer().completeExceptionally(call.lastFailure().orElse(failure));
     }
   }
 
@@ -243,7 +257,7 @@
         (received, failure) -> {
           cancelOverdue.run();
           long nowMs = clock.nowMs();
-          coldStarts.ended(ticket, isOver(failure));
+          endTicket(ticket, failure, nowMs);
           load.ended(name, outcomeOf(failure), nowMs - startedMs, nowMs);
           queues.slotReleased(target.queueName());
           onEnd(call, target, sent, number, received, failure);
@@ -258,8 +272,27 @@
       return CompletableFuture.failedFuture(
           new ResultCodeException(ResultCode.DEADLINE_EXPIRED, "the deadline has passed"));
     }
-    long timeoutMs = Math.min(remainingMs, ticket.maxTimeoutMs());
-    return sender.sender().send(target.upstream(), call.exchange(), target.ownership(), timeoutMs);
+    long timeoutMs = Math.min(remainingMs, ticket.endsByMs() - clock.nowMs());
+    if (timeoutMs <= 0) {
+      return CompletableFuture.failedFuture(
+          new ResultCodeException(
+              ResultCode.UPSTREAM_UNREACHABLE, "the time of a request in slow start is over"));
+    }
+    return sender
+        .sender()
+        .send(
+            target.upstream(),
+            call.exchange(),
+            target.ownership(),
+            ticket.requiredBootId(),
+            timeoutMs);
+  }
+
+  private void endTicket(ColdTicket ticket, Throwable failure, long nowMs) {
+    coldStarts.ended(ticket, isOver(failure));
+    if (failure != null && ResultCodeException.codeOf(failure) == ResultCode.UPSTREAM_COLD) {
+      coldStarts.onColdRefusal(ticket.upstream(), nowMs);
+    }
   }
 
   private static boolean isOver(Throwable failure) {
