--- /dev/null
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/experiment/package-info.java
@@ -0,0 +1,5 @@
+/** The command that runs experiments on whole entry VMs. */
+@NullMarked
+package org.foxtailford.benchmarks.experiment;
+
+import org.jspecify.annotations.NullMarked;
