Operators see since when a key has its owner and how far slices are handed over

Change: GrantTimes notes the leader's time of day beside each assignment when the leader publishes it, keyed by the fence, so an owner keeps its time under the next leader; DataCentreLeader and its clock stay as they are.

Conclusion: a leader that never heard of the time of an owner that it takes over shows none.

--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/FoxtailctlCommand.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/FoxtailctlCommand.java
@@ -60,7 +60,11 @@
         "entryVms",
         "upstreams",
         "availableUpstreams",
-        "slicesOwned");
+        "slicesOwned",
+        "homeSlices",
+        "leavingSlices",
+        "arrivingSlices",
+        "unownedSlices");
   }
 
   private static AbstractCommand vms() {
--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/StatusCommand.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/StatusCommand.java
@@ -8,12 +8,17 @@
 import org.foxtailford.core.result.ResultCodeException;
 import org.kohsuke.args4j.Option;
 
-/** Shows which configuration version is in force where, and waits until it is everywhere. */
+/**
+ * Shows which configuration version is in force where and how far slices have moved to the data
+ * centres where it wants them, and waits until both are done.
+ */
 final class StatusCommand extends AbstractCommand {
 
   private static final long UNREACHABLE = -1;
 
-  @Option(name = "--wait", usage = "wait until the stored version is in force everywhere")
+  @Option(
+      name = "--wait",
+      usage = "wait until the stored version is in force everywhere and slices are handed over")
   private boolean wait;
 
   @Option(name = "--wait-ms", metaVar = "MS", usage = "longest time to wait")
@@ -32,13 +37,17 @@
     while (true) {
       long stored = client.get("/v1/configuration").version();
       Map<String, Long> versions = versions(client);
-      boolean done = versions.values().stream().allMatch(version -> version >= stored);
+      HandOverView slices = HandOverView.read(client);
+      long behind = versions.values().stream().filter(version -> version < stored).count();
+      boolean done = behind == 0 && slices.pending() == 0;
       if (done || !wait || io.epochMs().getAsLong() >= untilMs) {
-        print(io, stored, versions);
+        print(io, stored, versions, slices);
         return done || !wait ? ExitStatus.DONE : ExitStatus.NOT_YET;
       }
-      long behind = versions.values().stream().filter(version -> version < stored).count();
-      io.err().printf("version %d: %d of %d VMs behind%n", stored, behind, versions.size());
+      io.err()
+          .printf(
+              "version %d: %d of %d VMs behind, %d slices not handed over%n",
+              stored, behind, versions.size(), slices.pending());
       io.pause().run();
     }
   }
@@ -59,10 +68,11 @@
     return versions;
   }
 
-  private void print(CommandIo io, long stored, Map<String, Long> versions) {
+  private void print(CommandIo io, long stored, Map<String, Long> versions, HandOverView slices) {
     ObjectNode body = new ObjectMapper().createObjectNode().put("storedVersion", stored);
     ObjectNode vms = body.putObject("versionsInForce");
     versions.forEach(vms::put);
+    slices.putInto(body.putObject("slicesByDataCentre"));
     if (printedAsJson(io, body)) {
       return;
     }
@@ -70,6 +80,7 @@
     TextTable table = new TextTable("VM", "VERSION", "STATE");
     versions.forEach((vm, version) -> table.add(vm, shown(version), state(version, stored)));
     table.print(io.out());
+    slices.print(io.out());
   }
 
   private static String shown(long version) {
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.testng.annotations.AfterMethod;
@@ -158,7 +159,8 @@
     assertThat(fixture.out())
         .containsPattern("key +dal makhani")
         .containsPattern("owner +menu-a2")
-        .containsPattern("fence +3.1");
+        .containsPattern("fence +3.1")
+        .containsPattern("since +2023-11-14T22:13:20Z");
     fixture.run("why", "menu-planning", "lookup", "--key", "dal makhani");
     assertThat(fixture.out())
         .containsPattern("decision +send to the owner of the key")
@@ -186,6 +188,43 @@
     assertThat(fixture.run("status", "--wait")).isEqualTo(ExitStatus.DONE);
   }
 
+  @Test
+  public void statusWaitsUntilSlicesHaveLeftADataCentreThatIsOut() {
+    fixture.peerVersions().put("entry-b1", 1000L);
+    fixture.grant("menu-planning", "menu-a1");
+    fixture.acceptHomes(HomeDirectory.initial("menu-planning", 64, List.of("dc-a", "dc-b")));
+    assertThat(fixture.run("status", "--wait")).as(fixture.err()).isEqualTo(ExitStatus.DONE);
+    fixture.run("dc", "out", "dc-b");
+    assertThat(fixture.run("status", "--wait", "--wait-ms", "3000")).isEqualTo(ExitStatus.NOT_YET);
+    assertThat(fixture.err()).contains("version 2: 0 of 2 VMs behind, 32 slices not handed over");
+    assertThat(fixture.out()).containsPattern("dc-b +32 +32 +0 +0");
+    fixture.acceptHomes(HomeDirectory.initial("menu-planning", 64, List.of("dc-a")));
+    assertThat(fixture.run("status", "--wait")).isEqualTo(ExitStatus.DONE);
+    assertThat(fixture.out()).containsPattern("dc-b +0 +0 +0 +0");
+  }
+
+  @Test
+  public void statusWaitsUntilSlicesHaveOwners() {
+    fixture.peerVersions().put("entry-b1", 1000L);
+    fixture.acceptHomes(HomeDirectory.initial("menu-planning", 64, List.of("dc-a")));
+    assertThat(fixture.run("status", "--wait", "--wait-ms", "3000")).isEqualTo(ExitStatus.NOT_YET);
+    assertThat(fixture.out()).containsPattern("dc-a +64 +0 +0 +64");
+    fixture.grant("menu-planning", "menu-a1");
+    assertThat(fixture.run("status", "--wait")).isEqualTo(ExitStatus.DONE);
+  }
+
+  @Test
+  public void dataCentreStatusShowsTheHandOver() {
+    fixture.grant("menu-planning", "menu-a1");
+    fixture.acceptHomes(HomeDirectory.initial("menu-planning", 64, List.of("dc-a", "dc-b")));
+    fixture.run("dc", "out", "dc-b");
+    fixture.run("dc", "status");
+    assertThat(fixture.out())
+        .contains("HOME-SLICES", "LEAVING-SLICES", "ARRIVING-SLICES", "UNOWNED-SLICES")
+        .containsPattern("dc-a +false +1 +3 +3 +1 +32 +0 +0 +0")
+        .containsPattern("dc-b +true +1 +2 +0 +- +32 +32 +0 +-");
+  }
+
   @Test
   public void everyListIsAlsoPrintedAsJson() throws IOException {
     for (String command : List.of("vms", "upstreams", "slices", "status", "dc status")) {
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/OperatorFixture.java
@@ -71,6 +71,8 @@
       }
       """;
 
+  private static final long GRANTED_AT_MS = 1_700_000_000_000L;
+
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final RoutingState state = new RoutingState("dc-a");
@@ -124,11 +126,16 @@
     return peerVersions;
   }
 
+  /** Sets the homes of a service. */
+  void acceptHomes(HomeRanges homes) {
+    state.acceptHomes(new HomesReading(HomeDirectory.of(List.of(homes)), 0));
+  }
+
   /** Makes every key of the service belong to an upstream. */
   void grant(String service, String upstream) {
-    HomeRanges homes = HomeDirectory.initial(service, 1, List.of("dc-a"));
-    state.acceptHomes(new HomesReading(HomeDirectory.of(List.of(homes)), 0));
-    SliceAssignment slice = new SliceAssignment(SliceRange.ALL, upstream, new Fence(3, 1));
+    acceptHomes(HomeDirectory.initial(service, 1, List.of("dc-a")));
+    SliceAssignment slice =
+        new SliceAssignment(SliceRange.ALL, upstream, new Fence(3, 1), GRANTED_AT_MS);
     state.acceptOwners(
         OwnershipMap.of(
             OwnershipCheckpoint.newBuilder()
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
@@ -71,9 +71,12 @@
 
   /** Returns the home of a key. */
   public Optional<String> home(String service, long keyHash) {
-    return Optional.ofNullable(byService.get(service))
-        .flatMap(index -> index.find(keyHash))
-        .map(HomeRange::getDataCentre);
+    return range(service, keyHash).map(HomeRange::getDataCentre);
+  }
+
+  /** Returns the range that a key lies in, with its home and the move that it makes. */
+  public Optional<HomeRange> range(String service, long keyHash) {
+    return Optional.ofNullable(byService.get(service)).flatMap(index -> index.find(keyHash));
   }
 
   /** Tells whether a whole range has its home in a data centre and is to stay there. */
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -45,6 +45,7 @@
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
+import org.foxtailford.daemon.control.GrantTimes;
 import org.foxtailford.daemon.control.Leadership;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.idempotency.RequestGuard;
@@ -133,6 +134,7 @@
   private final RouterMetrics metrics;
   private final MembershipTracker tracker;
   private final OwnerSpread owners;
+  private final GrantTimes grantTimes;
   private final HeartbeatExchange heartbeats;
   private volatile boolean accepting = true;
   private final AtomicBoolean closed = new AtomicBoolean();
@@ -176,6 +178,7 @@
         new MembershipTracker(
             settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
     owners = new OwnerSpread(self, tracker, peers, state, metrics);
+    grantTimes = new GrantTimes(() -> state.snapshot().owners(), System::currentTimeMillis);
     heartbeats =
         new HeartbeatExchange(
             self,
@@ -321,8 +324,9 @@
   }
 
   private void publish(OwnershipCheckpoint checkpoint) {
-    owners.publish(checkpoint);
-    checkpoints.publish(checkpoint);
+    OwnershipCheckpoint noted = grantTimes.note(checkpoint);
+    owners.publish(noted);
+    checkpoints.publish(noted);
   }
 
   /** Takes the owners that an earlier leader saved, until a peer has newer ones. */
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/InventoryResources.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/InventoryResources.java
@@ -36,10 +36,12 @@
     TreeSet<String> names = new TreeSet<>();
     vms.forEach(vm -> names.add(vm.getDataCentre()));
     view.document().getDataCentresList().forEach(dc -> names.add(dc.getName()));
-    return answer("dataCentres", names, name -> dataCentre(name, view, vms));
+    HandOverProgress progress = new HandOverProgress(context.snapshots().get());
+    return answer("dataCentres", names, name -> dataCentre(name, view, vms, progress));
   }
 
-  private ObjectNode dataCentre(String name, ConfigurationView view, List<VmEntry> vms) {
+  private ObjectNode dataCentre(
+      String name, ConfigurationView view, List<VmEntry> vms, HandOverProgress progress) {
     boolean out =
         view.document().getDataCentresList().stream()
             .anyMatch(dc -> dc.getName().equals(name) && dc.getOut());
@@ -61,9 +63,17 @@
     if (name.equals(snapshot.dataCentre())) {
       node.put("slicesOwned", slicesByUpstream(snapshot).values().stream().mapToInt(n -> n).sum());
     }
+    putProgress(node, progress.of(name), name.equals(snapshot.dataCentre()));
     return node;
   }
 
+  private static void putProgress(ObjectNode node, HandOverProgress.Counts slices, boolean own) {
+    node.put("homeSlices", slices.homes());
+    node.put("leavingSlices", slices.leaving());
+    node.put("arrivingSlices", slices.arriving());
+    node.put("unownedSlices", own ? slices.unowned() : null);
+  }
+
   CompletableFuture<HttpAnswer> vms(OperatorRequest request) {
     Map<String, LabelledVm> labelled = new TreeMap<>();
     context
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
@@ -1,6 +1,7 @@
 package org.foxtailford.daemon.operator;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -67,11 +68,18 @@
     node.put("home", home.orElse(null));
     node.put("owner", owner.map(SliceAssignment::upstream).orElse(null));
     node.put("fence", owner.map(o -> o.fence().toString()).orElse(null));
+    node.put("since", owner.flatMap(RoutingResources::since).orElse(null));
     node.put("slice", owner.map(o -> o.range().toString()).orElse(null));
     node.put("ownershipVersion", snapshot.owners().version().toString());
     node.put("reason", reason(snapshot, home, owner));
   }
 
+  private static Optional<String> since(SliceAssignment owner) {
+    return owner.grantedAtMs() == 0
+        ? Optional.empty()
+        : Optional.of(Instant.ofEpochMilli(owner.grantedAtMs()).toString());
+  }
+
   private static String reason(
       RoutingSnapshot snapshot, Optional<String> home, Optional<SliceAssignment> owner) {
     if (home.isEmpty()) {
