--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -49,6 +49,7 @@
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
+import org.foxtailford.daemon.control.GrantTimes;
 import org.foxtailford.daemon.control.Leadership;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.idempotency.RequestGuard;
@@ -142,6 +143,7 @@
   private final RouterMetrics metrics;
   private final MembershipTracker tracker;
   private final OwnerSpread owners;
+  private final GrantTimes grantTimes;
   private final HeartbeatExchange heartbeats;
   private final SliceLoadRecorder sentLoad;
   private final LoadReporting loadReports;
@@ -187,6 +189,7 @@
         new MembershipTracker(
             settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
     owners = new OwnerSpread(self, tracker, peers, state, metrics);
+    grantTimes = new GrantTimes(() -> state.snapshot().owners(), System::currentTimeMillis);
     heartbeats =
         new HeartbeatExchange(
             self,
@@ -385,8 +388,9 @@
   }
 
   private void publish(OwnershipCheckpoint checkpoint) {
-    owners.publish(checkpoint);
-    checkpoints.publish(checkpoint);
+    OwnershipCheckpoint noted = grantTimes.note(checkpoint);
+    owners.publish(noted);
+    checkpoints.publish(noted);
   }
 
   /** Takes the owners that an earlier leader saved, until a peer has newer ones. */
