--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -178,13 +178,7 @@
     PeerIdentity self =
         new PeerIdentity(
             settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
-    ChannelSecurity linkSecurity = tls.map(TlsContexts::peerLink).orElse(ChannelSecurity.NONE);
-    peers =
-        new PeerNetwork(
-            self,
-            endpoint ->
-                new PeerLink(loops, self, endpoint, maxFrameBytes, LinkTimes.DEFAULT, linkSecurity),
-            random);
+    peers = newPeerNetwork(self, maxFrameBytes, random);
     tracker =
         new MembershipTracker(
             settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
@@ -222,6 +216,14 @@
     operators = newOperatorServer(table);
   }
 
+  private PeerNetwork newPeerNetwork(PeerIdentity self, int maxFrameBytes, RandomGenerator random) {
+    ChannelSecurity security = tls.map(TlsContexts::peerLink).orElse(ChannelSecurity.NONE);
+    return new PeerNetwork(
+        self,
+        to -> new PeerLink(loops, self, to, maxFrameBytes, LinkTimes.DEFAULT, security),
+        random);
+  }
+
   private HttpLimits callerLimits() {
     RequestSettings requests = settings.getRequests();
     return new HttpLimits(requests.getMaxHeaderBytes(), requests.getMaxBodyBytes());
