Entry VMs pass new homes of ranges on to each other

Cause: an entry VM heard of new homes only at its next read of the table, up to a second later.

Change: whoever first reads a newer row sends it along the tree and to the other data centres; who receives one that is new to it sends it on along the tree. A received row is taken only for a service that the last read covered, so the age of a HomesReading, which leaders rely on, stays true. HomesPoller and KnownHomes come out of ConfigurationPoller. PeerDispatcher takes a list of handlers in place of a parameter for each part.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -50,6 +50,8 @@
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
 import org.foxtailford.daemon.control.GrantTimes;
+import org.foxtailford.daemon.control.HomesPoller;
+import org.foxtailford.daemon.control.KnownHomes;
 import org.foxtailford.daemon.control.Leadership;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.idempotency.RequestGuard;
@@ -59,8 +61,10 @@
 import org.foxtailford.daemon.operator.OperatorContext;
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.HeartbeatExchange;
+import org.foxtailford.daemon.peer.HomesSpread;
 import org.foxtailford.daemon.peer.OwnerSpread;
 import org.foxtailford.daemon.peer.PeerDispatcher;
+import org.foxtailford.daemon.peer.PeerFrameHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
 import org.foxtailford.daemon.peer.SharedVersions;
 import org.foxtailford.daemon.request.CallerHandler;
@@ -88,6 +92,7 @@
 import org.foxtailford.platform.HttpVmListSource;
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.HomesRow;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.OwnershipSettings;
 import org.foxtailford.schema.PeerFrame;
@@ -139,6 +144,8 @@
   private final CheckpointWriter checkpoints;
   private final CheckpointReader savedOwners;
   private final ConfigurationPoller poller;
+  private final HomesSpread homesSpread;
+  private final HomesPoller homesPoller;
   private final ConfigurationExchange configurations;
   private final RouterMetrics metrics;
   private final MembershipTracker tracker;
@@ -206,6 +213,10 @@
     callerHandler = new CallerHandler(path, classifier, metrics, clock);
     callers = new HttpServer(loops, callerLimits(), callerHandler);
     poller = newPoller(table);
+    KnownHomes homes = new KnownHomes(state, this::announceHomes);
+    homesSpread = new HomesSpread(self, homes, peers, heartbeats::tree, this::remotePeers);
+    homesPoller =
+        new HomesPoller(table, () -> state.snapshot().configuration(), homes, metrics, clock);
     configurations = newConfigurationExchange(random);
     ObjectStore objects = newObjectStore();
     savedOwners = new CheckpointReader(table, objects);
@@ -244,10 +255,8 @@
         table,
         new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
         inForce,
-        state,
         vms -> control.execute(() -> acceptVms(vms)),
-        metrics,
-        clock);
+        metrics);
   }
 
   private ConfigurationExchange newConfigurationExchange(RandomGenerator random) {
@@ -305,20 +314,28 @@
         self,
         maxFrameBytes,
         LinkTimes.DEFAULT,
-        new PeerDispatcher(
-            configurations,
-            owners,
-            heartbeats,
-            loadReports,
-            coldStarts.gates(),
-            records,
-            poison,
-            path,
-            classifier,
-            control),
+        new PeerDispatcher(frameHandlers(), records, path, classifier, control),
         tls.map(TlsContexts::peerListener).orElse(ChannelSecurity.NONE));
   }
 
+  private List<PeerFrameHandler> frameHandlers() {
+    return List.of(
+        heartbeats,
+        (sender, frame) -> configurations.onFrame(sender.vm(), frame),
+        (sender, frame) -> owners.onFrame(frame),
+        homesSpread,
+        coldStarts.gates()::onFrame,
+        loadReports::onFrame,
+        (sender, frame) -> receivePoisonReport(frame));
+  }
+
+  private boolean receivePoisonReport(PeerFrame frame) {
+    if (frame.hasPoisonReport()) {
+      poison.receive(frame.getPoisonReport());
+    }
+    return frame.hasPoisonReport();
+  }
+
   private PooledHttpClient newUpstreamClient(int maxAnswerBytes) {
     return new PooledHttpClient(loops, UPSTREAM_CONNECTIONS, maxAnswerBytes, this::onBootId);
   }
@@ -508,12 +525,17 @@
     }
   }
 
+  private void announceHomes(HomesRow row) {
+    control.execute(guarded(() -> homesSpread.announce(row)));
+  }
+
   private void poll() {
     poller.poll().exceptionally(EntryVm::reportFailedPoll);
+    pollHomes();
   }
 
   private CompletableFuture<Void> pollHomes() {
-    return poller.pollHomes().exceptionally(EntryVm::reportFailedPoll);
+    return homesPoller.poll().exceptionally(EntryVm::reportFailedPoll);
   }
 
   private static @Nullable Void reportFailedPoll(Throwable failure) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
@@ -21,7 +21,7 @@
  * <p>Heartbeats rise with what was heard in the subtree and descend with versions only. Not
  * thread-safe: all calls run on the control executor.
  */
-public final class HeartbeatExchange {
+public final class HeartbeatExchange implements PeerFrameHandler {
 
   private static final int SIGHTINGS_REFRESH_HEARTBEATS = 16;
 
@@ -159,6 +159,19 @@
     tracker.onUpdate(lastUpdate);
   }
 
+  /** Receives heartbeats and the leader's view of the members. */
+  @Override
+  public boolean onFrame(PeerIdentity sender, PeerFrame frame) {
+    if (frame.hasHeartbeat()) {
+      onHeartbeat(sender, frame.getHeartbeat());
+    } else if (frame.hasMembership()) {
+      onMembership(frame.getMembership());
+    } else {
+      return false;
+    }
+    return true;
+  }
+
   /** Receives a heartbeat. */
   public void onHeartbeat(PeerIdentity sender, PeerHeartbeat heartbeat) {
     tracker.onHeard(sender.vm(), sender.bootId(), heartbeat.getLeaving());
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerDispatcher.java
@@ -1,14 +1,11 @@
 package org.foxtailford.daemon.peer;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.util.Assert;
-import org.foxtailford.daemon.coldstart.GateExchange;
-import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.idempotency.RequestRecords;
-import org.foxtailford.daemon.load.LoadReporting;
 import org.foxtailford.daemon.request.RequestClassifier;
 import org.foxtailford.daemon.request.RequestPath;
 import org.foxtailford.net.peer.PeerIdentity;
@@ -30,35 +27,29 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final ConfigurationExchange configurations;
-  private final OwnerSpread owners;
-  private final HeartbeatExchange heartbeats;
-  private final LoadReporting loadReports;
-  private final GateExchange gates;
+  private final List<PeerFrameHandler> handlers;
   private final RequestRecords records;
-  private final PoisonTracker poison;
   private final RequestPath path;
   private final RequestClassifier classifier;
   private final Executor control;
 
+  /**
+   * Creates a dispatcher.
+   *
+   * @param handlers takers of state; each message goes to the first that takes it
+   * @param records answers claims and hand-overs
+   * @param path serves relayed requests
+   * @param classifier classifies relayed requests
+   * @param control executor of the handlers
+   */
   public PeerDispatcher(
-      ConfigurationExchange configurations,
-      OwnerSpread owners,
-      HeartbeatExchange heartbeats,
-      LoadReporting loadReports,
-      GateExchange gates,
+      List<PeerFrameHandler> handlers,
       RequestRecords records,
-      PoisonTracker poison,
       RequestPath path,
       RequestClassifier classifier,
       Executor control) {
-    this.configurations = Assert.notNull(configurations, "configurations");
-    this.owners = Assert.notNull(owners, "owners");
-    this.heartbeats = Assert.notNull(heartbeats, "heartbeats");
-    this.loadReports = Assert.notNull(loadReports, "loadReports");
-    this.gates = Assert.notNull(gates, "gates");
+    this.handlers = List.copyOf(handlers);
     this.records = Assert.notNull(records, "records");
-    this.poison = Assert.notNull(poison, "poison");
     this.path = Assert.notNull(path, "path");
     this.classifier = Assert.notNull(classifier, "classifier");
     this.control = Assert.notNull(control, "control");
@@ -77,20 +68,10 @@
   }
 
   private void dispatch(PeerIdentity sender, PeerFrame frame) {
-    if (configurations.onFrame(sender.vm(), frame)
-        || owners.onFrame(frame)
-        || gates.onFrame(sender, frame)) {
-      return;
-    }
-    if (loadReports.onFrame(sender, frame)) {
-      return;
-    }
-    if (frame.hasHeartbeat()) {
-      heartbeats.onHeartbeat(sender, frame.getHeartbeat());
-    } else if (frame.hasMembership()) {
-      heartbeats.onMembership(frame.getMembership());
-    } else if (frame.hasPoisonReport()) {
-      poison.receive(frame.getPoisonReport());
+    for (PeerFrameHandler handler : handlers) {
+      if (handler.onFrame(sender, frame)) {
+        return;
+      }
     }
   }
 
