An attempt that may have run is followed by one more at most

Cause: a request whose connection is lost is retried at once at another upstream, before its loss can be known.

Ruled out: to ask the upstream that was lost before each retry, which would add a round trip to every broken connection.

Change: RetryPolicy allows two attempts, not three, once the last one may have run. Attempts that did not run keep three.

Conclusion: one send of a poison request costs two upstreams.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/retry/RetryPolicy.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/retry/RetryPolicy.java
@@ -10,8 +10,10 @@
  * Decides whether a failed attempt is followed by another one.
  *
  * <p>An attempt that provably did not run may be repeated. One that may have run is repeated only
- * if the request is idempotent. A keyed request has a single owner, so a refusal for lack of room
- * is final for it: the same upstream would be asked again at once. Thread-safe.
+ * if the request is idempotent, and no more than once: a request that crashes the upstreams that
+ * run it would otherwise take one with each attempt before the first loss is known. A keyed request
+ * has a single owner, so a refusal for lack of room is final for it: the same upstream would be
+ * asked again at once. Thread-safe.
  */
 public final class RetryPolicy {
 
@@ -31,6 +33,8 @@
   private static final Set<ResultCode> IDEMPOTENT_RETRYABLE =
       EnumSet.of(ResultCode.OUTCOME_UNKNOWN, ResultCode.TRUNCATED_ANSWER);
 
+  private static final int MAX_ATTEMPTS_THAT_MAY_HAVE_RUN = 2;
+
   private final int maxAttempts;
   private final long minRemainingMs;
   private final RetryBudget budget;
@@ -59,7 +63,7 @@
     if (!isRetryable(failed)) {
       return RetryVerdict.NOT_RETRYABLE;
     }
-    if (failed.attempts() >= maxAttempts) {
+    if (failed.attempts() >= maxAttempts(failed.code())) {
       return RetryVerdict.ATTEMPTS_USED;
     }
     if (failed.remainingMs() < minRemainingMs) {
@@ -68,6 +72,12 @@
     return budget.tryTake(nowMs) ? RetryVerdict.RETRY : RetryVerdict.BUDGET_SPENT;
   }
 
+  private int maxAttempts(ResultCode code) {
+    return code.effect() == Effect.NOT_RUN
+        ? maxAttempts
+        : Math.min(maxAttempts, MAX_ATTEMPTS_THAT_MAY_HAVE_RUN);
+  }
+
   private static boolean isRetryable(FailedAttempt failed) {
     ResultCode code = failed.code();
     if (failed.keyed() && !KEYED_RETRYABLE.contains(code)) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/retry/RetryPolicyTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/retry/RetryPolicyTests.java
@@ -38,6 +38,12 @@
     assertThat(decide(ResultCode.OUTCOME_UNKNOWN, true, true)).isEqualTo(RetryVerdict.RETRY);
   }
 
+  @Test
+  public void lostAnswerIsNotRetriedAfterASecondAttempt() {
+    FailedAttempt second = new FailedAttempt(ResultCode.OUTCOME_UNKNOWN, true, false, 2, PLENTY_MS);
+    assertThat(policy.decide(second, NOW_MS)).isEqualTo(RetryVerdict.ATTEMPTS_USED);
+  }
+
   @Test
   public void ownerThatShedsIsNotAskedAgainAtOnce() {
     assertThat(decide(ResultCode.UPSTREAM_SHED, true, true)).isEqualTo(RetryVerdict.NOT_RETRYABLE);
