Scenarios of cold starts, configuration races, and faults in pairs

Cause: slow start, operators who race with lost answers, and pairs of faults of unlike kinds had no scenario.

Change: requests without keys pass ColdGate, with boot ids of connections and leases of GateKeeper by the leader; a cold upstream that runs too much at once fails. Two operators race through ConfigurationStore. New words: operators race, no cold overload, no lost change. Each has a broken variant in ScenarioExpectationTests. ScenarioReading keeps its fields private.

Found: a data centre that is out releases its keys before the table has taken their next home; if the table goes down in between, nobody owns them until it is back.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioExpectation.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioExpectation.java
@@ -43,7 +43,11 @@
     NO_UNKNOWN_OUTCOME,
     /** At most the given number of upstreams is lost to requests that crash them. */
     CRASHES,
-    /** No request begins at the place. */
+    /** No cold upstream runs more at once than it can bear. */
+    NO_COLD_OVERLOAD,
+    /** Every accepted change of the configuration is in it at the end. */
+    NO_LOST_CHANGE,
+    /** No request arrives at the place. */
     NO_NEW_WORK,
     /** The configuration accepted last is in force at every entry VM within the limit. */
     IN_FORCE,
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
@@ -31,6 +31,8 @@
     FILL,
     /** A caller sends a request, again and again, that crashes the upstream that runs it. */
     POISON,
+    /** Two operators race each other with changes of labels. */
+    RACE,
     /** Operators take the data centres out and bring them back at the end. */
     TAKE_OUT,
     /** Messages are lost, delayed, repeated and reordered. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioForms.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioForms.java
@@ -15,7 +15,11 @@
   private static final String DATA_CENTRE = "dc-[a-z0-9]+";
   private static final String DATA_CENTRES = "(" + DATA_CENTRE + "(?:, *" + DATA_CENTRE + ")*)";
   private static final String NODE =
-      "(?:entry-\\d+|upstream-\\d+|table|leader of " + DATA_CENTRE + "|leader|" + DATA_CENTRE + ")";
+      "(?:entry-\\d+|upstream-\\d+|operator-[01]|table|leader of "
+          + DATA_CENTRE
+          + "|leader|"
+          + DATA_CENTRE
+          + ")";
   private static final String PLACE = "upstream-\\d+|" + DATA_CENTRE;
   private static final String NODES = "(" + NODE + "(?:, *" + NODE + ")*)";
 
@@ -30,16 +34,16 @@
 
   static final List<Form> ALL =
       List.of(
-          form("title: (.+)", "title: loss of an upstream", (r, m) -> r.title = m.group(1)),
-          form("seed: (\\d+)", "seed: 7", (r, m) -> r.seed = Long.parseLong(m.group(1))),
-          form("length: " + TIME, "length: 20s", (r, m) -> r.lengthMs = timeMs(m, 1)),
+          form("title: (.+)", "title: loss of an upstream", (r, m) -> r.setTitle(m.group(1))),
+          form("seed: (\\d+)", "seed: 7", (r, m) -> r.setSeed(Long.parseLong(m.group(1)))),
+          form("length: " + TIME, "length: 20s", (r, m) -> r.setLengthMs(timeMs(m, 1))),
           form(
               "data centres: " + DATA_CENTRES,
               "data centres: dc-a, dc-b, dc-c",
-              (r, m) -> r.dataCentres = names(m.group(1))),
-          form("entry VMs: (\\d+)", "entry VMs: 3", (r, m) -> r.entryVms = number(m)),
-          form("upstreams: (\\d+)", "upstreams: 4", (r, m) -> r.upstreams = number(m)),
-          form("slices: (\\d+)", "slices: 16", (r, m) -> r.slices = number(m)),
+              (r, m) -> r.setDataCentres(names(m.group(1)))),
+          form("entry VMs: (\\d+)", "entry VMs: 3", (r, m) -> r.setEntryVms(number(m))),
+          form("upstreams: (\\d+)", "upstreams: 4", (r, m) -> r.setUpstreams(number(m))),
+          form("slices: (\\d+)", "slices: 16", (r, m) -> r.setSlices(number(m))),
           form(
               "load: (\\d+)/s( unkeyed)? (idempotent|non-idempotent)(, sent again)?",
               "load: 50/s unkeyed idempotent, sent again",
@@ -56,39 +60,43 @@
               "at " + TIME + ": take out " + DATA_CENTRES + " for " + TIME,
               "at 5s: take out dc-b for 6s",
               (r, m) ->
-                  r.faults.add(
+                  r.add(
                       new ScenarioFault(
                           timeMs(m, 1), timeMs(m, 4), Action.TAKE_OUT, names(m.group(3))))),
           form(
               "at " + TIME + ": disturb messages for " + TIME,
               "at 5s: disturb messages for 4s",
-              (r, m) -> r.faults.add(untargeted(Action.DISTURB, m))),
+              (r, m) -> r.add(untargeted(Action.DISTURB, m))),
+          form(
+              "at " + TIME + ": operators race for " + TIME,
+              "at 5s: operators race for 3s",
+              (r, m) -> r.add(untargeted(Action.RACE, m))),
           form(
               "at " + TIME + ": send poison for " + TIME,
               "at 5s: send poison for 4s",
-              (r, m) -> r.faults.add(untargeted(Action.POISON, m))),
+              (r, m) -> r.add(untargeted(Action.POISON, m))),
           form(
               "expect: at most (\\d+) crashes",
               "expect: at most 3 crashes",
-              (r, m) -> r.expectations.add(ScenarioExpectation.of(Kind.CRASHES, number(m)))),
+              (r, m) -> r.add(ScenarioExpectation.of(Kind.CRASHES, number(m)))),
           form(
               "expect: (one owner|all owned|no double run|no false not-run|"
-                  + "no reverted configuration|no unknown outcome)",
+                  + "no reverted configuration|no unknown outcome|no cold overload|no lost change)",
               "expect: one owner",
               ScenarioForms::enterExpectation),
           form(
               "expect: served again within " + TIME + " of " + TIME,
               "expect: served again within 2s of 5s",
-              (r, m) -> r.expectations.add(within(Kind.SERVED_AGAIN, m))),
+              (r, m) -> r.add(within(Kind.SERVED_AGAIN, m))),
           form(
               "expect: configuration in force within " + TIME + " of " + TIME,
               "expect: configuration in force within 3s of 5s",
-              (r, m) -> r.expectations.add(within(Kind.IN_FORCE, m))),
+              (r, m) -> r.add(within(Kind.IN_FORCE, m))),
           form(
               "expect: no new work at (" + PLACE + ") from " + TIME + " to " + TIME,
               "expect: no new work at dc-b from 8s to 11s",
               (r, m) ->
-                  r.expectations.add(
+                  r.add(
                       new ScenarioExpectation(
                           Kind.NO_NEW_WORK, m.group(1), 0, timeMs(m, 2), timeMs(m, 4)))),
           form(
@@ -104,13 +112,13 @@
               "expect: (\\d+)% answered within " + TIME,
               "expect: 99% answered within 150ms",
               (r, m) ->
-                  r.expectations.add(
+                  r.add(
                       new ScenarioExpectation(
                           Kind.ANSWERED_WITHIN, "", number(m), 0, timeMs(m, 2)))),
           form(
               "expect: (\\d+)% answered",
               "expect: 90% answered",
-              (r, m) -> r.expectations.add(ScenarioExpectation.of(Kind.ANSWERED, number(m)))));
+              (r, m) -> r.add(ScenarioExpectation.of(Kind.ANSWERED, number(m)))));
 
   private ScenarioForms() {}
 
@@ -122,12 +130,12 @@
     boolean keyed = words.group(2) == null;
     boolean idempotent = words.group(3).equals("idempotent");
     boolean sentAgain = words.group(4) != null;
-    reading.loads.add(new ScenarioLoad(number(words), idempotent, keyed, sentAgain));
+    reading.add(new ScenarioLoad(number(words), idempotent, keyed, sentAgain));
   }
 
   private static void enterFault(ScenarioReading reading, Matcher words) {
     Action action = Action.valueOf(words.group(3).toUpperCase(Locale.ROOT));
-    reading.faults.add(
+    reading.add(
         new ScenarioFault(timeMs(words, 1), timeMs(words, 5), action, names(words.group(4))));
   }
 
@@ -135,17 +143,17 @@
     Action action = words.group(4).equals("from") ? Action.CUT : Action.CUT_ONE_WAY;
     List<String> targets = new ArrayList<>(List.of(words.group(3)));
     targets.addAll(names(words.group(5)));
-    reading.faults.add(new ScenarioFault(timeMs(words, 1), timeMs(words, 6), action, targets));
+    reading.add(new ScenarioFault(timeMs(words, 1), timeMs(words, 6), action, targets));
   }
 
   private static void enterExpectation(ScenarioReading reading, Matcher words) {
     String name = words.group(1).toUpperCase(Locale.ROOT).replace(' ', '_').replace('-', '_');
-    reading.expectations.add(ScenarioExpectation.of(Kind.valueOf(name), 0));
+    reading.add(ScenarioExpectation.of(Kind.valueOf(name), 0));
   }
 
   private static void enterAnsweredAtHome(ScenarioReading reading, Matcher words) {
     Kind kind = words.group(2) == null ? Kind.ANSWERED_AT_HOME : Kind.IDEMPOTENT_ANSWERED_AT_HOME;
-    reading.expectations.add(
+    reading.add(
         new ScenarioExpectation(
             kind, words.group(3), number(words), timeMs(words, 4), timeMs(words, 6)));
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioParser.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioParser.java
@@ -23,9 +23,9 @@
         enter(reading, statement, i + 1);
       }
     }
-    require(!reading.title.isEmpty(), lines.size(), "title is missing");
-    require(reading.lengthMs > 0, lines.size(), "length is missing");
-    require(!reading.expectations.isEmpty(), lines.size(), "nothing is expected");
+    require(!reading.title().isEmpty(), lines.size(), "title is missing");
+    require(reading.lengthMs() > 0, lines.size(), "length is missing");
+    require(!reading.expectsNothing(), lines.size(), "nothing is expected");
     requireKnownDataCentres(reading, lines.size());
     return reading.build();
   }
@@ -51,8 +51,7 @@
   private static void requireKnownDataCentres(ScenarioReading reading, int line) {
     reading
         .namedDataCentres()
-        .forEach(
-            name -> require(reading.dataCentres.contains(name), line, "no data centre " + name));
+        .forEach(name -> require(reading.hasDataCentre(name), line, "no data centre " + name));
   }
 
   private static void require(boolean condition, int line, String message) {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioReading.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioReading.java
@@ -7,16 +7,72 @@
 /** A scenario that is being read. */
 final class ScenarioReading {
 
-  String title = "";
-  long seed = 1;
-  long lengthMs;
-  List<String> dataCentres = List.of("dc-a");
-  int entryVms = 2;
-  int upstreams = 3;
-  int slices = 8;
-  final List<ScenarioLoad> loads = new ArrayList<>();
-  final List<ScenarioFault> faults = new ArrayList<>();
-  final List<ScenarioExpectation> expectations = new ArrayList<>();
+  private String title = "";
+  private long seed = 1;
+  private long lengthMs;
+  private List<String> dataCentres = List.of("dc-a");
+  private int entryVms = 2;
+  private int upstreams = 3;
+  private int slices = 8;
+  private final List<ScenarioLoad> loads = new ArrayList<>();
+  private final List<ScenarioFault> faults = new ArrayList<>();
+  private final List<ScenarioExpectation> expectations = new ArrayList<>();
+
+  void setTitle(String value) {
+    title = value;
+  }
+
+  void setSeed(long value) {
+    seed = value;
+  }
+
+  void setLengthMs(long value) {
+    lengthMs = value;
+  }
+
+  void setDataCentres(List<String> value) {
+    dataCentres = value;
+  }
+
+  void setEntryVms(int value) {
+    entryVms = value;
+  }
+
+  void setUpstreams(int value) {
+    upstreams = value;
+  }
+
+  void setSlices(int value) {
+    slices = value;
+  }
+
+  void add(ScenarioLoad load) {
+    loads.add(load);
+  }
+
+  void add(ScenarioFault fault) {
+    faults.add(fault);
+  }
+
+  void add(ScenarioExpectation expectation) {
+    expectations.add(expectation);
+  }
+
+  String title() {
+    return title;
+  }
+
+  long lengthMs() {
+    return lengthMs;
+  }
+
+  boolean expectsNothing() {
+    return expectations.isEmpty();
+  }
+
+  boolean hasDataCentre(String name) {
+    return dataCentres.contains(name);
+  }
 
   Scenario build() {
     return new Scenario(
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/NodeCalls.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/NodeCalls.java
@@ -27,7 +27,23 @@
    */
   CompletableFuture<ResultCode> send(
       RoutedCall call, SimulatedNode to, Supplier<CompletableFuture<ResultCode>> effect) {
-    long remainingMs = call.attributes().deadlineMs() - entry.nowMs();
+    return send(call, to, Long.MAX_VALUE, effect);
+  }
+
+  /**
+   * Sends a request with a bound on its time.
+   *
+   * @param call the request
+   * @param to where to
+   * @param maxMs longest wait for the answer, in milliseconds
+   * @param effect what the other node does
+   */
+  CompletableFuture<ResultCode> send(
+      RoutedCall call,
+      SimulatedNode to,
+      long maxMs,
+      Supplier<CompletableFuture<ResultCode>> effect) {
+    long remainingMs = Math.min(maxMs, call.attributes().deadlineMs() - entry.nowMs());
     if (remainingMs <= 0) {
       return CompletableFuture.completedFuture(ResultCode.DEADLINE_EXPIRED);
     }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/PolledKnowledge.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/PolledKnowledge.java
@@ -55,7 +55,10 @@
 
   @Override
   public void begin() {
-    poll();
+    vm.execute(this::readAll);
+    int place = system.candidates().indexOf(vm);
+    long phaseMs = POLL_MS * place / system.candidates().size();
+    system.queue().schedule(phaseMs, this::poll);
   }
 
   private void poll() {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/RequestLedger.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/RequestLedger.java
@@ -19,6 +19,7 @@
   private final Map<String, Sent> sent = new LinkedHashMap<>();
   private final List<Run> arrivals = new ArrayList<>();
   private final List<Run> runs = new ArrayList<>();
+  private final List<String> coldOverloads = new ArrayList<>();
   private final List<String> crashes = new ArrayList<>();
 
   /** One arrival or start of a request at an upstream. */
@@ -126,6 +127,16 @@
     runs.add(new Run(requestId, upstream, atMs));
   }
 
+  /** Notes that a cold upstream ran more at once than it can bear. */
+  void overloadedCold(SimulatedUpstream upstream, int requests, long atMs) {
+    coldOverloads.add(upstream.name() + " with " + requests + " at " + atMs + " ms");
+  }
+
+  /** Returns the cold upstreams that ran more at once than they can bear, with the times. */
+  List<String> coldOverloads() {
+    return List.copyOf(coldOverloads);
+  }
+
   /** Notes that a request crashed the upstream that ran it. */
   void crashed(SimulatedUpstream upstream, long atMs) {
     crashes.add(upstream.name() + " at " + atMs + " ms");
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/RoutedCall.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/RoutedCall.java
@@ -88,6 +88,11 @@
     }
   }
 
+  /** Ends the request with its last failure, or with a refusal if there was none. */
+  void refuse(ResultCode code) {
+    result.complete(worst == ResultCode.OK ? code : worst);
+  }
+
   /** Ends the request with a failure. */
   void fail(ResultCode code) {
     failed(code);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioChecks.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioChecks.java
@@ -11,11 +11,13 @@
 
   private final OwnershipSystem system;
   private final RequestLedger ledger;
+  private final SimulatedOperators operators;
   private final List<String> failures = new ArrayList<>();
 
-  ScenarioChecks(OwnershipSystem system, RequestLedger ledger) {
+  ScenarioChecks(OwnershipSystem system, RequestLedger ledger, SimulatedOperators operators) {
     this.system = Assert.notNull(system, "system");
     this.ledger = Assert.notNull(ledger, "ledger");
+    this.operators = Assert.notNull(operators, "operators");
   }
 
   /** Enters what is checked at a time within the run. */
@@ -78,6 +80,12 @@
           failures.add("requests crashed " + ledger.crashes());
         }
         break;
+      case NO_COLD_OVERLOAD:
+        ledger.coldOverloads().forEach(text -> failures.add("cold and overloaded: " + text));
+        break;
+      case NO_LOST_CHANGE:
+        operators.lostChanges().forEach(label -> failures.add(label + " was accepted and lost"));
+        break;
       case NO_NEW_WORK:
         checkNoNewWork(expected);
         break;
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioFaults.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioFaults.java
@@ -62,6 +62,9 @@
       case POISON:
         callers.sendPoison(fault.atMs(), fault.atMs() + fault.forMs());
         break;
+      case RACE:
+        operators.race(fault.forMs());
+        break;
       case TAKE_OUT:
         takeOut(fault);
         break;
@@ -128,6 +131,9 @@
     if (name.startsWith("upstream-")) {
       return Stream.of(system.upstream(name));
     }
+    if (name.startsWith("operator-")) {
+      return Stream.of(operators.operator(name));
+    }
     return Stream.of(entryVm(name));
   }
 
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioRunner.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioRunner.java
@@ -41,7 +41,7 @@
     scenario.faults().forEach(faults::enter);
     long loadEndsMs = scenario.lengthMs() - LOAD_ENDS_BEFORE_MS;
     scenario.loads().forEach(load -> callers.send(load, LOAD_STARTS_MS, loadEndsMs));
-    ScenarioChecks checks = new ScenarioChecks(system, ledger);
+    ScenarioChecks checks = new ScenarioChecks(system, ledger, operators);
     checks.enter(scenario);
     for (long ms = 0; ms <= scenario.lengthMs(); ms += SAMPLE_MS) {
       system.queue().runUntil(ms);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -1,5 +1,6 @@
 package org.foxtailford.testkit.simulation;
 
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -7,6 +8,7 @@
 import org.foxtailford.core.dissemination.OwnershipFeed;
 import org.foxtailford.core.ownership.DataCentreLeader;
 import org.foxtailford.core.ownership.Fence;
+import org.foxtailford.core.ownership.HeldLease;
 import org.foxtailford.core.ownership.HomeMover;
 import org.foxtailford.core.ownership.HomePlanner;
 import org.foxtailford.core.ownership.LeaseElection;
@@ -56,6 +58,11 @@
     return running() && leader.leads();
   }
 
+  /** Returns the lease under which this candidate leads, if it is valid. */
+  Optional<HeldLease> leadership() {
+    return leads() ? election.lease() : Optional.empty();
+  }
+
   /** Tells whether this candidate leads and no upstream holds a key of a range. */
   boolean released(SliceRange range) {
     return leader.released(OwnershipSystem.SERVICE, range);
@@ -78,6 +85,9 @@
           leader.tick();
           moveHomes();
           sendHeartbeats();
+          if (path != null) {
+            path.gates().tick();
+          }
         });
     system.queue().schedule(system.variant().timing().renewIntervalMs(), () -> round(start));
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedGuard.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedGuard.java
@@ -82,6 +82,11 @@
                 .forEach(o -> system.network().send(vm.name(), o, () -> o.receivePoison(found))));
   }
 
+  /** Notes that an upstream takes no connections. */
+  void upstreamLost(String upstream) {
+    send(poison.upstreamLost(upstream));
+  }
+
   void receive(PoisonReport report) {
     poison.receive(report);
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedNetwork.java
@@ -41,6 +41,11 @@
     }
   }
 
+  /** Tells whether messages in one direction are cut. */
+  boolean isCut(String from, String to) {
+    return cuts.contains(new Link(from, to));
+  }
+
   /** Sets how messages are disturbed from now on. */
   void disturb(int newLossPercent, int newDuplicatePercent, int newExtraDelayMs) {
     lossPercent = newLossPercent;
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedOperators.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedOperators.java
@@ -1,83 +1,95 @@
 package org.foxtailford.testkit.simulation;
 
-import java.util.function.UnaryOperator;
-import org.foxtailford.core.configuration.ConfigurationChange;
-import org.foxtailford.core.configuration.ConfigurationStore;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.ConfigurationDocument;
-import org.foxtailford.schema.ConfigurationVersion;
 import org.foxtailford.schema.LabelledDataCentre;
+import org.foxtailford.testkit.simulation.SimulatedOperator.Edit;
 
-/** Operators who change the configuration, again and again until a change is accepted. */
+/** Two operators who take data centres out, and who race each other with changes of labels. */
 final class SimulatedOperators {
 
-  private static final String NAME = "operator";
-  private static final long AGAIN_MS = 500;
+  private static final long RACE_INTERVAL_MS = 250;
 
   private final OwnershipSystem system;
-  private final ConfigurationStore store;
-  private final Trace trace;
+  private final List<SimulatedOperator> operators = new ArrayList<>();
+  private final Set<String> acceptedLabels = new HashSet<>();
+  private int changes;
 
   SimulatedOperators(OwnershipSystem system, Trace trace) {
     this.system = Assert.notNull(system, "system");
-    this.trace = Assert.notNull(trace, "trace");
-    this.store = new ConfigurationStore(system.table().from(NAME));
+    operators.add(new SimulatedOperator("operator-0", system, trace));
+    operators.add(new SimulatedOperator("operator-1", system, trace));
+  }
+
+  /** Returns the operator with a name. */
+  SimulatedOperator operator(String name) {
+    return operators.stream().filter(o -> o.name().equals(name)).findFirst().orElseThrow();
   }
 
   /** Takes a data centre out, or brings it back. */
   void setOut(String dataCentre, boolean out) {
     String note = dataCentre + (out ? " out" : " back");
-    change(note, document -> withOut(document, dataCentre, out));
+    Edit edit = new Edit(note, document -> withOut(document, dataCentre, out), () -> {});
+    operators.get(0).apply(edit);
   }
 
-  private static ConfigurationDocument withOut(
-      ConfigurationDocument document, String dataCentre, boolean out) {
-    ConfigurationDocument.Builder changed = document.toBuilder().clearDataCentres();
-    document.getDataCentresList().stream()
-        .filter(labelled -> !labelled.getName().equals(dataCentre))
-        .forEach(changed::addDataCentres);
-    return changed
-        .addDataCentres(LabelledDataCentre.newBuilder().setName(dataCentre).setOut(out))
-        .build();
+  /** Lets both operators add labels, again and again. */
+  void race(long lengthMs) {
+    for (long afterMs = 0; afterMs < lengthMs; afterMs += RACE_INTERVAL_MS) {
+      system.queue().schedule(afterMs, () -> operators.forEach(this::addLabel));
+    }
   }
 
-  private void change(String note, UnaryOperator<ConfigurationDocument> edit) {
-    store.read().whenComplete((base, failure) -> apply(note, edit, base, failure));
+  private void addLabel(SimulatedOperator operator) {
+    String label = "change-" + changes++;
+    String dataCentre = system.layout().dataCentres().get(0);
+    operator.apply(
+        new Edit(
+            label,
+            document -> withLabel(document, dataCentre, label),
+            () -> acceptedLabels.add(label)));
   }
 
-  private void apply(
-      String note,
-      UnaryOperator<ConfigurationDocument> edit,
-      ConfigurationVersion base,
-      Throwable failure) {
-    if (failure != null) {
-      again(note, edit);
-      return;
-    }
-    ConfigurationDocument document = edit.apply(base.getRecord().getDocument());
-    ConfigurationChange change =
-        new ConfigurationChange(system.nextWriteId(), false, NAME, system.queue().nowMs(), note);
-    store
-        .apply(document, base.getVersion(), change)
-        .whenComplete((accepted, refusal) -> onApplied(note, edit, accepted, refusal));
+  /** Returns the accepted labels that the configuration does not have. */
+  List<String> lostChanges() {
+    Set<String> kept = new HashSet<>();
+    system
+        .table()
+        .configuration()
+        .getDataCentresList()
+        .forEach(dataCentre -> kept.addAll(dataCentre.getLabelsMap().keySet()));
+    return acceptedLabels.stream().filter(label -> !kept.contains(label)).sorted().toList();
   }
 
-  private void onApplied(
-      String note,
-      UnaryOperator<ConfigurationDocument> edit,
-      ConfigurationVersion accepted,
-      Throwable refusal) {
-    if (refusal != null) {
-      again(note, edit);
-      return;
-    }
-    long version = accepted.getVersion();
-    trace.add(system.queue().nowMs(), "operators: %s accepted as version %d", note, version);
-    system.configurations().accepted(version, system.queue().nowMs());
+  private static ConfigurationDocument withOut(
+      ConfigurationDocument document, String dataCentre, boolean out) {
+    return with(document, labelled(document, dataCentre).setOut(out));
+  }
+
+  private static ConfigurationDocument withLabel(
+      ConfigurationDocument document, String dataCentre, String label) {
+    return with(document, labelled(document, dataCentre).putLabels(label, "yes"));
   }
 
-  private void again(String note, UnaryOperator<ConfigurationDocument> edit) {
-    trace.add(system.queue().nowMs(), "operators: %s not accepted yet", note);
-    system.queue().schedule(AGAIN_MS, () -> change(note, edit));
+  private static LabelledDataCentre.Builder labelled(
+      ConfigurationDocument document, String dataCentre) {
+    return document.getDataCentresList().stream()
+        .filter(found -> found.getName().equals(dataCentre))
+        .map(LabelledDataCentre::toBuilder)
+        .findFirst()
+        .orElseGet(() -> LabelledDataCentre.newBuilder().setName(dataCentre));
+  }
+
+  private static ConfigurationDocument with(
+      ConfigurationDocument document, LabelledDataCentre.Builder changed) {
+    ConfigurationDocument.Builder next = document.toBuilder().clearDataCentres();
+    document.getDataCentresList().stream()
+        .filter(other -> !other.getName().equals(changed.getName()))
+        .forEach(next::addDataCentres);
+    return next.addDataCentres(changed).build();
   }
 }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedRequestPath.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedRequestPath.java
@@ -34,6 +34,7 @@
   private final RetryBudget budget;
   private final RetryPolicy policy;
   private final SimulatedGuard guard;
+  private final SimulatedGates gates;
   private final NodeCalls calls;
   private final UnkeyedAttempts unkeyed;
 
@@ -52,10 +53,15 @@
     budget = new RetryBudget(RETRY_SHARE, RETRIES_PER_SECOND, MAX_RETRIES, entry.nowMs());
     policy = new RetryPolicy(MAX_ATTEMPTS, MIN_REMAINING_MS, budget);
     guard = new SimulatedGuard(entry, system);
+    gates = new SimulatedGates(entry, system);
     calls = new NodeCalls(entry, system);
     unkeyed =
         new UnkeyedAttempts(
-            entry, system, this::snapshot, router, loads, budget, policy, guard, calls);
+            entry, system, this::snapshot, router, loads, budget, policy, guard, gates, calls);
+  }
+
+  SimulatedGates gates() {
+    return gates;
   }
 
   SimulatedGuard guard() {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedTable.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedTable.java
@@ -45,6 +45,12 @@
     rows.write(PolledKnowledge.HOMES_ROW, TableService.ABSENT, homes.toByteString());
   }
 
+  /** Returns the configuration as it stands in the table. */
+  ConfigurationDocument configuration() {
+    TableRow row = rows.find(ConfigurationRecords.ROW).orElseThrow();
+    return ConfigurationRecords.parse(row).getRecord().getDocument();
+  }
+
   /** Returns the homes as they stand in the table. */
   HomeDirectory homes() {
     TableRow row = rows.find(PolledKnowledge.HOMES_ROW).orElseThrow();
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedUpstream.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedUpstream.java
@@ -83,6 +83,9 @@
 
   @Override
   void onStarted() {
+    if (work != null) {
+      work.started();
+    }
     holder = new GrantHolder((long) (index + 1) * BOOT_ID_FACTOR + starts(), clock);
   }
 }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedWork.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedWork.java
@@ -10,11 +10,15 @@
 /**
  * Requests without a key at one upstream: its slots, its refusals, and what makes it fail.
  *
- * <p>One that runs a poison request is lost with all its requests and starts again.
+ * <p>After a start the upstream is cold for some time. A cold one that runs more requests at once
+ * than it can bear, or any one that runs a poison request, is lost with all its requests and starts
+ * again.
  */
 final class SimulatedWork {
 
   static final int SLOTS = 4;
+  static final int COLD_SLOTS = 2;
+  static final long WARM_UP_MS = 1500;
 
   private static final int MIN_RUN_MS = 8;
   private static final int MAX_RUN_MS = 30;
@@ -27,6 +31,7 @@
   private final RequestLedger ledger;
   private final RandomGenerator random;
   private final Set<CompletableFuture<ResultCode>> running = new LinkedHashSet<>();
+  private long startedMs = -WARM_UP_MS;
   private boolean slow;
   private boolean full;
   private boolean draining;
@@ -57,8 +62,21 @@
     draining = value;
   }
 
-  /** Takes a request; the answer comes when it has run, or when it is refused or lost. */
-  CompletableFuture<ResultCode> take(String requestId, boolean poison) {
+  private boolean cold() {
+    return system.queue().nowMs() < startedMs + WARM_UP_MS;
+  }
+
+  /**
+   * Takes a request; the answer comes when it has run, or when it is refused or lost.
+   *
+   * @param requestId id of the request
+   * @param bootId start to which the connection of the request belongs
+   * @param poison whether the request crashes this upstream
+   */
+  CompletableFuture<ResultCode> take(String requestId, long bootId, boolean poison) {
+    if (bootId != upstream.starts()) {
+      return CompletableFuture.completedFuture(ResultCode.OUTCOME_UNKNOWN);
+    }
     ledger.arrived(requestId, upstream, system.queue().nowMs());
     if (draining) {
       return CompletableFuture.completedFuture(ResultCode.NO_UPSTREAM);
@@ -69,8 +87,13 @@
     ledger.ran(requestId, upstream, system.queue().nowMs());
     CompletableFuture<ResultCode> answer = new CompletableFuture<>();
     running.add(answer);
-    long runMs = poison ? POISON_RUN_MS : runMs();
-    system.queue().schedule(runMs, () -> upstream.execute(() -> end(answer, poison)));
+    if (cold() && running.size() > COLD_SLOTS) {
+      ledger.overloadedCold(upstream, running.size(), system.queue().nowMs());
+      fail();
+    } else {
+      long runMs = poison ? POISON_RUN_MS : runMs();
+      system.queue().schedule(runMs, () -> upstream.execute(() -> end(answer, poison)));
+    }
     return answer;
   }
 
@@ -97,6 +120,11 @@
     system.queue().schedule(RESTART_MS, upstream::startIfLost);
   }
 
+  /** Begins to be cold. */
+  void started() {
+    startedMs = system.queue().nowMs();
+  }
+
   /** Breaks the connections of all requests, since the process is gone. */
   void lost() {
     Set<CompletableFuture<ResultCode>> broken = new LinkedHashSet<>(running);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
@@ -3,6 +3,7 @@
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.UpstreamGrants;
+import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.poison.PoisonVerdict;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.settings.SettingsDefaults;
@@ -52,6 +53,16 @@
     return true;
   }
 
+  /** Tells whether upstreams that may be cold are guarded. */
+  default boolean guardsColdStarts() {
+    return true;
+  }
+
+  /** Returns the table as operators reach it. */
+  default TableService operatorTable(TableService table) {
+    return table;
+  }
+
   /** Tells whether entry VMs see how long upstreams take. */
   default boolean seesLatency() {
     return true;
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/UnkeyedAttempts.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/UnkeyedAttempts.java
@@ -1,9 +1,10 @@
 package org.foxtailford.testkit.simulation;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.foxtailford.core.coldstart.ColdTicket;
 import org.foxtailford.core.configuration.ServiceView;
-import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.retry.FailedAttempt;
 import org.foxtailford.core.retry.RetryBudget;
@@ -31,6 +32,7 @@
   private final RetryBudget budget;
   private final RetryPolicy policy;
   private final SimulatedGuard guard;
+  private final SimulatedGates gates;
   private final NodeCalls calls;
 
   UnkeyedAttempts(
@@ -42,6 +44,7 @@
       RetryBudget budget,
       RetryPolicy policy,
       SimulatedGuard guard,
+      SimulatedGates gates,
       NodeCalls calls) {
     this.entry = Assert.notNull(entry, "entry");
     this.system = Assert.notNull(system, "system");
@@ -51,6 +54,7 @@
     this.budget = Assert.notNull(budget, "budget");
     this.policy = Assert.notNull(policy, "policy");
     this.guard = Assert.notNull(guard, "guard");
+    this.gates = Assert.notNull(gates, "gates");
     this.calls = Assert.notNull(calls, "calls");
   }
 
@@ -61,14 +65,24 @@
     }
     RouteDecision decision = decide(call);
     if (decision instanceof RouteDecision.Refuse refuse) {
-      call.fail(refuse.code());
+      call.refuse(refuse.code());
     } else if (decision instanceof RouteDecision.Wait) {
       await(call);
     } else {
-      RouteDecision.ToAny any = (RouteDecision.ToAny) decision;
-      if (!send(call, any.service(), any.upstream())) {
-        await(call);
-      }
+      attempt(call, (RouteDecision.ToAny) decision);
+    }
+  }
+
+  private void attempt(RoutedCall call, RouteDecision.ToAny any) {
+    String name = any.upstream().name();
+    Optional<ColdTicket> ticket = gates.tryStart(name);
+    if (ticket.isEmpty()) {
+      call.failed(ResultCode.UPSTREAM_COLD);
+      call.excluded().add(name);
+      attempt(call);
+    } else if (!send(call, any.service(), ticket.get())) {
+      gates.ended(ticket.get(), ResultCode.OVERLOADED);
+      await(call);
     }
   }
 
@@ -84,19 +98,20 @@
     }
   }
 
-  private boolean send(RoutedCall call, ServiceView service, Upstream upstream) {
+  private boolean send(RoutedCall call, ServiceView service, ColdTicket ticket) {
     ServiceLoad load = loads.of(service);
-    String name = upstream.name();
+    String name = ticket.upstream();
     long startedMs = entry.nowMs();
     if (!load.tryStart(name, false, startedMs)) {
       return false;
     }
     call.excluded().add(name);
     call.started();
-    CompletableFuture<ResultCode> sent = guard.run(call, name, () -> transmit(call, name));
+    CompletableFuture<ResultCode> sent = guard.run(call, name, () -> transmit(call, ticket));
     calls.later(load.overdueMs(), () -> onOverdue(call, service, name, sent));
     sent.thenAccept(
         code -> {
+          gates.ended(ticket, code);
           long tookMs = system.variant().seesLatency() ? entry.nowMs() - startedMs : 1;
           load.ended(name, outcomeOf(code), tookMs, entry.nowMs());
           onEnd(call, code);
@@ -104,10 +119,14 @@
     return true;
   }
 
-  private CompletableFuture<ResultCode> transmit(RoutedCall call, String name) {
-    SimulatedUpstream upstream = system.upstream(name);
+  private CompletableFuture<ResultCode> transmit(RoutedCall call, ColdTicket ticket) {
+    SimulatedUpstream upstream = system.upstream(ticket.upstream());
     boolean poison = call.traits().poison();
-    return calls.send(call, upstream, () -> upstream.work().take(call.id(), poison));
+    return calls.send(
+        call,
+        upstream,
+        ticket.maxTimeoutMs(),
+        () -> upstream.work().take(call.id(), ticket.bootId(), poison));
   }
 
   private static AttemptOutcome outcomeOf(ResultCode code) {
@@ -132,10 +151,19 @@
     }
     loads.of(service).overdue(name, entry.nowMs());
     boolean mayHedge = call.idempotent() && call.attempts() == 1;
-    if (mayHedge
-        && decide(call) instanceof RouteDecision.ToAny other
-        && budget.tryTake(entry.nowMs())) {
-      send(call, other.service(), other.upstream());
+    if (mayHedge && decide(call) instanceof RouteDecision.ToAny other) {
+      hedge(call, other);
+    }
+  }
+
+  private void hedge(RoutedCall call, RouteDecision.ToAny other) {
+    Optional<ColdTicket> ticket = gates.tryStart(other.upstream().name());
+    if (ticket.isEmpty()) {
+      return;
+    }
+    boolean sent = budget.tryTake(entry.nowMs()) && send(call, other.service(), ticket.get());
+    if (!sent) {
+      gates.ended(ticket.get(), ResultCode.OVERLOADED);
     }
   }
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/ScenarioExpectationTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/ScenarioExpectationTests.java
@@ -2,11 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.configuration.ConfigurationView;
 import org.foxtailford.core.ownership.OwnershipTiming;
+import org.foxtailford.core.platform.TableRow;
+import org.foxtailford.core.platform.TableService;
+import org.foxtailford.core.platform.WriteResult;
 import org.foxtailford.core.poison.PoisonVerdict;
 import org.foxtailford.core.result.Effect;
 import org.foxtailford.core.result.ResultCode;
@@ -31,6 +37,8 @@
       {"pledge-sent-again", new NoClaims(), "ran twice"},
       {"pledge-sent-again", new DoubtToldAsNotRun(), "was said not to have"},
       {"poison-request", new NobodySuspected(), "requests crashed"},
+      {"cold-start", new ColdStartsUnguarded(), "cold and overloaded"},
+      {"configuration-race", new VersionsIgnored(), "was accepted and lost"},
       {"straggler", new LatencyUnseen(), "were answered within 150 ms"},
     };
   }
@@ -67,6 +75,37 @@
     }
   }
 
+  private static final class ColdStartsUnguarded implements SimulationVariant {
+
+    @Override
+    public boolean guardsColdStarts() {
+      return false;
+    }
+  }
+
+  private static final class VersionsIgnored implements SimulationVariant {
+
+    @Override
+    public TableService operatorTable(TableService table) {
+      return new TableService() {
+
+        @Override
+        public CompletableFuture<Optional<TableRow>> read(String key) {
+          return table.read(key);
+        }
+
+        @Override
+        public CompletableFuture<WriteResult> write(String key, long version, ByteString value) {
+          return read(key).thenCompose(row -> table.write(key, versionOf(row), value));
+        }
+      };
+    }
+
+    private static long versionOf(Optional<TableRow> row) {
+      return row.map(TableRow::version).orElse(TableService.ABSENT);
+    }
+  }
+
   private static final class NobodySuspected implements SimulationVariant {
 
     @Override
