Entry VMs that took each other for lost find each other again

Cause: two entry VMs that start under a listed root of the tree that never answers are no neighbours of each other, so after 1.2 s each counts the other as lost, and nobody sends heartbeats to lost members: the data centre stays split. Found by EntryVmTlsTests, whose listed VMs of another authority can't be linked.

Change: every fifth heartbeat also goes to linked members of the own data centre that count as lost; at rest there are none. HeartbeatMesh reports its links up to the size of a full mesh, as PeerNetwork does.

Conclusion: above 64 entry VMs most lost members have no link and stay with the VM list and the leader's update.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/HeartbeatExchange.java
@@ -28,6 +28,11 @@
   /** Below the root, other data centres hear from a VM more rarely than its neighbours. */
   private static final int REMOTE_HEARTBEAT_ROUNDS = 10;
 
+  /**
+   * Members that count as lost hear from a VM at this many rounds, so that they are found again.
+   */
+  private static final int LOST_HEARTBEAT_ROUNDS = 5;
+
   private final PeerIdentity self;
   private final MembershipTracker tracker;
   private final PeerMessenger network;
@@ -87,6 +92,17 @@
           .flatMap(dataCentre -> network.openIn(dataCentre).stream())
           .forEach(vm -> network.send(vm, heartbeat(List.of())));
     }
+    if (rounds % LOST_HEARTBEAT_ROUNDS == 0) {
+      sendToLost();
+    }
+  }
+
+  /** Two VMs that each took the other for lost are in no common tree and would stay apart. */
+  private void sendToLost() {
+    List<String> usable = tracker.usableIn(self.dataCentre());
+    network.openIn(self.dataCentre()).stream()
+        .filter(vm -> !usable.contains(vm))
+        .forEach(vm -> network.send(vm, heartbeat(List.of())));
   }
 
   private DisseminationTree tree() {
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatExchangeTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatExchangeTests.java
@@ -75,4 +75,19 @@
     assertThat(mesh.nodes().values())
         .allSatisfy(node -> assertThat(node.feed().current().version()).isEqualTo(new Fence(1, 9)));
   }
+
+  @DataProvider
+  public Object[][] deadFromTheStart() {
+    return new Object[][] {{"vm-0"}, {"vm-1"}, {"vm-2"}};
+  }
+
+  @Test(dataProvider = "deadFromTheStart")
+  public void othersFindEachOtherAroundAListedVmThatNeverAnswers(String dead) {
+    HeartbeatMesh mesh = new HeartbeatMesh(3);
+    mesh.stopped().add(dead);
+    mesh.run(SETTLING_ROUNDS);
+    mesh.nodes().remove(dead);
+    assertThat(mesh.nodes().values())
+        .allSatisfy(node -> assertThat(node.tracker().heardIn("dc")).hasSize(2));
+  }
 }
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatMesh.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/peer/HeartbeatMesh.java
@@ -147,7 +147,12 @@
 
     @Override
     public List<String> openIn(String dataCentre) {
-      return List.of();
+      if (!dataCentre.equals("dc") || nodes.size() > PeerNetwork.FULL_MESH_LIMIT) {
+        return List.of();
+      }
+      return nodes.keySet().stream()
+          .filter(vm -> !vm.equals(name) && !stopped.contains(vm))
+          .toList();
     }
 
     @Override
