--- a/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
@@ -164,9 +164,7 @@
       Endpoint endpoint = ANY.toBuilder().setPort(peers.bind(ANY)).build();
       try (PeerLink link = link(endpoint, contexts.peerLink())) {
         link.connect();
-        while (link.remote().isEmpty()) {
-          Thread.onSpinWait();
-        }
+        awaitRemote(link);
         link.send(PeerFrame.getDefaultInstance());
         assertThat(received.get(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isEqualTo("entry-b1");
       }
@@ -189,6 +187,14 @@
     }
   }
 
+  private static void awaitRemote(PeerLink link) {
+    long giveUpNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+    while (link.remote().isEmpty() && System.nanoTime() < giveUpNanos) {
+      Thread.onSpinWait();
+    }
+    assertThat(link.remote()).isPresent();
+  }
+
   private PeerServer peerServer(CompletableFuture<String> received) {
     PeerIdentity self = new PeerIdentity("system", "entry-a1", "dc-a", 1);
     PeerMessageHandler handler =
