Refusals of claims say when to come back; a new boot id counts as a lost upstream

ClaimedRuns dropped the wait that record holders give, so callers of 1010 got none and 2014 neither. RetryLaterException carries it, over relays too, and RequestPath passes it on; 2014 without a wait of its own suggests the short one. An upstream's boot id no longer reaches callers.

PoisonTracker.upstreamLost ran only when a connection was refused, so a quick restart went unseen. A connection with another boot id now reports it.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/retry/RetryAfter.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/retry/RetryAfter.java
@@ -42,6 +42,7 @@
         return Optional.of(spread(OVERLOAD_MS));
       case NO_OWNER:
       case OWNERSHIP_CHANGED:
+      case RECORDS_UNREACHABLE:
       case NOT_READY:
         return Optional.of(spread(OWNERSHIP_MS));
       case STOPPING:
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -122,6 +122,7 @@
   private final RequestRouter router;
   private final RequestRecords records;
   private final PoisonTracker poison;
+  private final RequestGuard requestGuard;
   private final RequestPath path;
   private final PeerNetwork peers;
   private final CallerHandler callerHandler;
@@ -168,9 +169,7 @@
     poison = new PoisonTracker(PoisonLimits.DEFAULT, clock);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
     int maxFrameBytes = maxAnswerBytes + FRAME_OVERHEAD_BYTES;
-    PeerIdentity self =
-        new PeerIdentity(
-            settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
+    PeerIdentity self = newIdentity(random);
     ChannelSecurity linkSecurity = tls.map(TlsContexts::peerLink).orElse(ChannelSecurity.NONE);
     peers =
         new PeerNetwork(
@@ -196,6 +195,7 @@
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
     TableService table = newTable(settings.getPlatform().getTimeoutMs());
     records = new RequestRecords(self, peers, table, this::leadsNow, RecordLimits.DEFAULT, clock);
+    requestGuard = newRequestGuard();
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
@@ -213,6 +213,11 @@
     operators = newOperatorServer(table);
   }
 
+  private PeerIdentity newIdentity(RandomGenerator random) {
+    return new PeerIdentity(
+        settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
+  }
+
   private HttpLimits callerLimits() {
     RequestSettings requests = settings.getRequests();
     return new HttpLimits(requests.getMaxHeaderBytes(), requests.getMaxBodyBytes());
@@ -302,7 +307,7 @@
         () -> state.snapshot().configuration(),
         GateTiming.of(settings.getOwnership().getClockRateMarginPpm()),
         address -> upstreamClient.readBootId(address, BOOT_ID_TIMEOUT_MS),
-        upstream -> {},
+        upstream -> requestGuard.upstreamRestarted(upstream),
         clock,
         control);
   }
@@ -324,7 +329,7 @@
             router,
             state::snapshot,
             loads,
-            new GuardedSender(newRequestGuard(), new UpstreamSender(upstreamClient)),
+            new GuardedSender(requestGuard, new UpstreamSender(upstreamClient)),
             new RelaySender(new PeerRelayRoutes(peers, coldStarts.gates()), metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/ClaimedRuns.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/ClaimedRuns.java
@@ -10,6 +10,7 @@
 import org.foxtailford.core.result.Effect;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.result.RetryLaterException;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpAnswer;
 
@@ -51,10 +52,16 @@
       result.complete(KeptAnswers.toAnswer(replayed.answer()));
     } else if (outcome instanceof ClaimOutcome.Refused refused) {
       metrics.claim(refused.code().name());
-      result.completeExceptionally(new ResultCodeException(refused.code(), refused.message()));
+      result.completeExceptionally(toFailure(refused));
     }
   }
 
+  private static ResultCodeException toFailure(ClaimOutcome.Refused refused) {
+    return refused.retryAfterMs() > 0
+        ? new RetryLaterException(refused.code(), refused.message(), refused.retryAfterMs())
+        : new ResultCodeException(refused.code(), refused.message());
+  }
+
   private static void start(
       ClaimTicket ticket,
       Supplier<CompletableFuture<HttpAnswer>> attempt,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestGuard.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestGuard.java
@@ -117,6 +117,11 @@
     }
   }
 
+  /** Notes that an upstream was found to have started again without warning. */
+  public void upstreamRestarted(String upstream) {
+    send(poison.upstreamLost(upstream));
+  }
+
   /** A connection that isn't answered may be the network's fault; a refused one is not. */
   private static boolean isConnectionRefused(Throwable failure) {
     for (Throwable t = failure; t != null; t = t.getCause()) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RelaySender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RelaySender.java
@@ -10,6 +10,7 @@
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.result.RetryLaterException;
 import org.foxtailford.core.routing.RequestAttributes;
 import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.time.MillisClock;
@@ -110,6 +111,9 @@
   private static HttpAnswer toAnswer(RelayAnswer relayed) {
     ResultCode code =
         ResultCode.ofNumber(relayed.getResultCode()).orElse(ResultCode.INTERNAL_ERROR);
+    if (code != ResultCode.OK && relayed.getRetryAfterMs() > 0) {
+      throw new RetryLaterException(code, relayed.getMessage(), relayed.getRetryAfterMs());
+    }
     if (code != ResultCode.OK) {
       throw new ResultCodeException(code, relayed.getMessage());
     }
@@ -147,6 +151,7 @@
         .setStatus(code.httpStatus())
         .setResultCode(code.number())
         .setMessage(messageOf(failure))
+        .setRetryAfterMs(RetryLaterException.retryAfterMsOf(failure).orElse(0L).intValue())
         .build();
   }
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
@@ -11,6 +11,7 @@
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.result.RetryLaterException;
 import org.foxtailford.core.retry.RetryAfter;
 import org.foxtailford.core.routing.RequestAttributes;
 import org.foxtailford.core.routing.RoutingSnapshot;
@@ -164,7 +165,9 @@
     }
     metrics.refusal(code);
     HttpAnswer refusal = Answers.of(code, RelaySender.messageOf(failure));
-    retryAfter.suggest(code).ifPresent(waitMs -> setRetryAfter(refusal, waitMs));
+    RetryLaterException.retryAfterMsOf(failure)
+        .or(() -> retryAfter.suggest(code))
+        .ifPresent(waitMs -> setRetryAfter(refusal, waitMs));
     return refusal;
   }
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/UpstreamSender.java
@@ -68,6 +68,7 @@
           refusal.get().code(), upstream.name() + " refused: " + refusal.get().headerValue());
     }
     answer.headers().remove(FoxtailHeaders.ATTEMPT);
+    answer.headers().remove(FoxtailHeaders.BOOT_ID);
     answer.headers().set(FoxtailHeaders.UPSTREAM, upstream.name());
     return answer;
   }
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/GuardedVm.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/GuardedVm.java
@@ -90,6 +90,10 @@
     return poison.suspects();
   }
 
+  void upstreamRestarted(String upstream) {
+    guard.upstreamRestarted(upstream);
+  }
+
   FakeMillisClock clock() {
     return clock;
   }
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/RequestGuardTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/idempotency/RequestGuardTests.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.result.RetryLaterException;
 import org.foxtailford.net.http.FoxtailHeaders;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.schema.VmList;
@@ -93,8 +94,9 @@
     CompletableFuture<HttpAnswer> running = new CompletableFuture<>();
     vms.get(0).send("id", "flour", () -> running);
     awaitClaims();
-    assertThat(codeOf(vms.get(1).send("id", "flour", this::run)))
-        .isEqualTo(ResultCode.REQUEST_IN_PROGRESS);
+    Throwable failure = catchThrowable(vms.get(1).send("id", "flour", this::run)::join);
+    assertThat(ResultCodeException.codeOf(failure)).isEqualTo(ResultCode.REQUEST_IN_PROGRESS);
+    assertThat(RetryLaterException.retryAfterMsOf(failure).orElseThrow()).isPositive();
     assertThat(runs).hasValue(0);
   }
 
@@ -154,6 +156,14 @@
     assertThat(vms.get(1).send("other", "rice", this::run).join().bodyText()).isEqualTo("run 1");
   }
 
+  @Test(timeOut = TIMEOUT_MS)
+  public void restartOfAnUpstreamMakesTheRequestsThatWereLostWithItSuspect() {
+    codeOf(vms.get(0).send("id1", "flour", () -> failed(ResultCode.OUTCOME_UNKNOWN)));
+    assertThat(vms.get(0).suspects()).isZero();
+    vms.get(0).upstreamRestarted("u1");
+    assertThat(vms.get(0).suspects()).isEqualTo(1);
+  }
+
   private void crash(String id) {
     codeOf(vms.get(0).send(id, "flour", () -> failed(ResultCode.OUTCOME_UNKNOWN)));
     ResultCodeException refused =
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/request/RequestPathTests.java
@@ -24,6 +24,7 @@
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.result.RetryLaterException;
 import org.foxtailford.core.retry.RetryAfter;
 import org.foxtailford.core.retry.RetryBudget;
 import org.foxtailford.core.retry.RetryPolicy;
@@ -36,6 +37,8 @@
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.RelayAnswer;
+import org.foxtailford.schema.RelayRequest;
 import org.foxtailford.schema.RequestKind;
 import org.foxtailford.schema.ServiceDefinition;
 import org.foxtailford.schema.VmEntry;
@@ -55,6 +58,7 @@
   private ManualTasks tasks;
   private SimpleMeterRegistry registry;
   private ColdStartAdmission admission;
+  private AttemptGuard guard;
   private RequestPath path;
   private RequestClassifier classifier;
 
@@ -78,6 +82,7 @@
     registry = new SimpleMeterRegistry();
     classifier = new RequestClassifier(1000);
     admission = new UnguardedAdmission();
+    guard = (request, attributes, idempotent, upstream, attempt) -> attempt.get();
     path = newPath(2, 100);
   }
 
@@ -91,9 +96,7 @@
             new RequestRouter(new TwoChoicesChooser(new Random(1)), loads),
             () -> snapshot,
             loads,
-            new GuardedSender(
-                (request, attributes, idempotent, upstream, attempt) -> attempt.get(),
-                new UpstreamSender(this::send)),
+            new GuardedSender(guard, new UpstreamSender(this::send)),
             new RelaySender(home -> Optional.empty(), metrics, clock),
             new RetryPolicy(3, 2, budget),
             budget,
@@ -313,4 +316,44 @@
     assertThat(sent.get(0).port()).isEqualTo(2);
     assertThat(sent.get(0).timeoutMs()).isEqualTo(50);
   }
+
+  private static CompletableFuture<HttpAnswer> inProgressFor(long ms) {
+    return CompletableFuture.failedFuture(
+        new RetryLaterException(ResultCode.REQUEST_IN_PROGRESS, "running", ms));
+  }
+
+  @Test
+  public void refusalWithATimeOfItsOwnPassesItOn() {
+    guard = (request, attributes, idempotent, upstream, attempt) -> inProgressFor(1137);
+    path = newPath(2, 100);
+    CompletableFuture<HttpAnswer> answer = request("pledge", 0);
+    assertThat(code(answer)).isEqualTo(number(ResultCode.REQUEST_IN_PROGRESS));
+    assertThat(answer.join().headers().get(FoxtailHeaders.RETRY_AFTER_MS)).isEqualTo("1137");
+    assertThat(answer.join().headers().get("Retry-After")).isEqualTo("2");
+  }
+
+  @Test
+  public void relayedRefusalKeepsItsTime() {
+    guard = (request, attributes, idempotent, upstream, attempt) -> inProgressFor(137);
+    path = newPath(2, 100);
+    RelayRequest relayed =
+        RelayRequest.newBuilder()
+            .setMethod("GET")
+            .setUri("/pantry/check")
+            .setRemainingMs(1000)
+            .setHops(1)
+            .build();
+    RelayAnswer answer = path.serveRelayed(relayed, classifier).join();
+    assertThat(answer.getRetryAfterMs()).isEqualTo(137);
+    RelaySender sender =
+        new RelaySender(
+            home -> Optional.of((sent, ms) -> CompletableFuture.completedFuture(answer)),
+            new RouterMetrics(registry),
+            clock);
+    HttpExchange exchange = RelaySender.toExchange(relayed);
+    CompletableFuture<HttpAnswer> received =
+        sender.relay(exchange, classifier.classify(exchange, clock.nowMs()), "b");
+    assertThat(received.handle((value, failure) -> RetryLaterException.retryAfterMsOf(failure)))
+        .isCompletedWithValue(Optional.of(137L));
+  }
 }
