An answer is given out before its boot id is noted

A listener that fails while it notes a boot id would have kept the answer from its caller for good. The answer is now completed first; work that needs a boot id still reads it before it goes out.

Tests: BootIdTests, HttpRoundTripTests, MisbehavingUpstreamTests, MisbehavingCallerTests and ConnectionPoolTests pass.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/EndpointSender.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/EndpointSender.java
@@ -175,9 +175,9 @@
     exchanged.whenComplete(
         (received, failure) -> {
           if (failure == null) {
-            note(connection, received);
             pool.release(connection);
             answer.complete(received);
+            note(connection, received);
           } else {
             boolean timedOut = ResultCodeException.codeOf(failure) == ResultCode.ANSWER_TIMEOUT;
             pool.discard(connection, timedOut);
