--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -131,6 +131,7 @@
   private final RequestRouter router;
   private final RequestRecords records;
   private final PoisonTracker poison;
+  private final RequestGuard requestGuard;
   private final RequestPath path;
   private final PeerNetwork peers;
   private final CallerHandler callerHandler;
@@ -182,9 +183,7 @@
     poison = new PoisonTracker(PoisonLimits.DEFAULT, clock);
     int maxAnswerBytes = settings.getRequests().getMaxAnswerBytes();
     int maxFrameBytes = maxAnswerBytes + FRAME_OVERHEAD_BYTES;
-    PeerIdentity self =
-        new PeerIdentity(
-            settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
+    PeerIdentity self = newIdentity(random);
     peers = newPeerNetwork(self, maxFrameBytes, random);
     tracker =
         new MembershipTracker(
@@ -207,6 +206,7 @@
     TableService table = newTable(settings.getPlatform().getTimeoutMs());
     records = new RequestRecords(self, peers, table, this::leadsNow, RecordLimits.DEFAULT, clock);
     metrics.records(records.holder()::rosterVersion, records.holder()::isSettled);
+    requestGuard = newRequestGuard();
     path = newRequestPath(random);
     RequestClassifier classifier =
         new RequestClassifier(settings.getRequests().getDefaultTimeoutMs());
@@ -235,6 +235,11 @@
         random);
   }
 
+  private PeerIdentity newIdentity(RandomGenerator random) {
+    return new PeerIdentity(
+        settings.getSystemId(), settings.getVm(), settings.getDataCentre(), random.nextLong());
+  }
+
   private HttpLimits callerLimits() {
     RequestSettings requests = settings.getRequests();
     return new HttpLimits(requests.getMaxHeaderBytes(), requests.getMaxBodyBytes());
@@ -349,7 +354,7 @@
         () -> state.snapshot().configuration(),
         GateTiming.of(settings.getOwnership().getClockRateMarginPpm()),
         address -> upstreamClient.readBootId(address, BOOT_ID_TIMEOUT_MS),
-        upstream -> {},
+        upstream -> requestGuard.upstreamRestarted(upstream),
         clock,
         control);
   }
@@ -372,8 +377,7 @@
             state::snapshot,
             loads,
             new GuardedSender(
-                new LoadCountingGuard(newRequestGuard(), sentLoad),
-                new UpstreamSender(upstreamClient)),
+                new LoadCountingGuard(requestGuard, sentLoad), new UpstreamSender(upstreamClient)),
             new RelaySender(new PeerRelayRoutes(peers, coldStarts.gates()), metrics, clock),
             new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
             budget,
