--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/ScenarioCommand.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/ScenarioCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.foxtailford.testkit.scenario.Scenario;
 import org.foxtailford.testkit.scenario.ScenarioParser;
@@ -22,7 +23,7 @@
   private static final int EXIT_USAGE = 64;
 
   @Argument(metaVar = "FILE", required = true, usage = "scenario files")
-  private List<Path> files = List.of();
+  private List<Path> files = new ArrayList<>();
 
   @Option(name = "--quiet", usage = "leave out the trace")
   private boolean quiet;
@@ -31,16 +32,21 @@
 
   /** Runs the command. */
   public static void main(String[] args) throws IOException {
+    System.exit(execute(System.out, System.err, args));
+  }
+
+  /** Runs the command and returns its exit code. */
+  static int execute(PrintStream out, PrintStream errors, String... args) throws IOException {
     ScenarioCommand command = new ScenarioCommand();
     CmdLineParser parser = new CmdLineParser(command);
     try {
       parser.parseArgument(args);
     } catch (CmdLineException e) {
-      System.err.println("scenario: " + e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(EXIT_USAGE);
+      errors.println("scenario: " + e.getMessage());
+      parser.printUsage(errors);
+      return EXIT_USAGE;
     }
-    System.exit(command.run(System.out) ? 0 : EXIT_FAILED);
+    return command.run(out) ? 0 : EXIT_FAILED;
   }
 
   private boolean run(PrintStream out) throws IOException {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedGates.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedGates.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.foxtailford.core.coldstart.ColdGate;
+import org.foxtailford.core.coldstart.ColdStartLimits;
 import org.foxtailford.core.coldstart.ColdTicket;
 import org.foxtailford.core.coldstart.GateKeeper;
 import org.foxtailford.core.coldstart.GateLease;
@@ -40,9 +41,9 @@
   SimulatedGates(SimulatedCandidate vm, OwnershipSystem system) {
     this.vm = Assert.notNull(vm, "vm");
     this.system = Assert.notNull(system, "system");
-    gate =
-        new ColdGate(
-            SimulatedWork.COLD_SLOTS, WARM_UP_MS, TIMING.requestTimeoutMs(), this::announce);
+    ColdStartLimits limits =
+        new ColdStartLimits(SimulatedWork.COLD_SLOTS, WARM_UP_MS, TIMING.requestTimeoutMs());
+    gate = new ColdGate(upstream -> Optional.of(limits), this::announce);
   }
 
   /** Opens connections, renews leases and tells others of warm upstreams; runs every round. */
@@ -146,7 +147,7 @@
   }
 
   private void onWarm(String upstream, long bootId) {
-    gate.onWarm(upstream, bootId);
+    gate.onWarm(upstream, bootId, vm.nowMs());
   }
 
   /** Asks to send a request to an upstream. */
