Leader splits and merges slices

Cause: the running leader divided each service by its initial slices for good, and a leader that followed a lost one placed all slices from nothing. Change: HomeSlices keeps what upstreams hold and fills the rest with initial slices; PlanExecution carries out merges, splits and moves. Parts of a split keep owner and fence; a merged slice gets a new fence. Slices that ran out under an earlier leader go back to their last owners. A part counts as released only when nothing that overlaps it was in the last accepted grant. initial_slices counts only where nothing is held: changing it no longer divides a running service anew.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -163,7 +163,7 @@
     boolean held =
         current.slices().overlapping(service, range).stream()
             .anyMatch(state -> state.assignment().isPresent());
-    return lapsed && !held && !placer.plans(service, range);
+    return lapsed && !held && !placer.plans(current, service, range);
   }
 
   private void refreshSessions(LeaderTerm current) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
@@ -172,13 +172,34 @@
   }
 
   private void adopt(LeaderTerm term, UpstreamSession session, GrantReply reply) {
-    if (reply.getRemainingMs() == 0) {
-      return;
-    }
+    String upstream = session.upstream().name();
     for (GrantedSlice slice : reply.getSlicesList()) {
-      adopt(term, session.upstream().name(), SliceKey.of(slice), Fence.of(slice.getFence()));
+      SliceKey key = SliceKey.of(slice);
+      Fence fence = Fence.of(slice.getFence());
+      if (reply.getRemainingMs() == 0) {
+        noteLapsed(term, key, new SliceAssignment(key.range(), upstream, fence));
+      } else {
+        adopt(term, upstream, key, fence);
+      }
     }
-    exchange(term, session);
+    if (reply.getRemainingMs() > 0) {
+      exchange(term, session);
+    }
+  }
+
+  /** Keeps a slice that ran out as it was, unless a later owner of one of its keys is known. */
+  private void noteLapsed(LeaderTerm term, SliceKey key, SliceAssignment assignment) {
+    List<SliceState> others = term.slices().overlapping(key.service(), key.range());
+    boolean later =
+        others.stream().anyMatch(other -> other.found() || isLater(other.lapsed(), assignment));
+    if (!later) {
+      others.forEach(term.slices()::remove);
+      term.slices().add(key, clock.nowMs()).noteLapsed(assignment);
+    }
+  }
+
+  private static boolean isLater(Optional<SliceAssignment> known, SliceAssignment assignment) {
+    return known.filter(k -> k.fence().compareTo(assignment.fence()) >= 0).isPresent();
   }
 
   /** Adopts a slice in place of those that were found nowhere; any other owner goes first. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
@@ -1,5 +1,6 @@
 package org.foxtailford.core.ownership;
 
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
@@ -57,6 +58,26 @@
     markChanged();
   }
 
+  /**
+   * Divides a slice that has an owner; the parts keep owner and fence, so requests under either
+   * version of the owners are taken.
+   *
+   * @return the parts
+   */
+  List<SliceState> split(SliceState state, List<SliceRange> ranges) {
+    SliceAssignment whole = state.assignment().orElseThrow();
+    List<SliceState> parts = slices.replace(List.of(state), ranges, state.freedMs());
+    parts.forEach(part -> assign(part, whole.upstream(), whole.fence()));
+    return parts;
+  }
+
+  /** Joins neighbouring slices of one owner under a new fence. */
+  void merge(List<SliceState> parts, SliceRange whole) {
+    String owner = parts.get(0).owner().orElseThrow();
+    long freedMs = parts.stream().mapToLong(SliceState::freedMs).max().orElseThrow();
+    slices.replace(parts, List.of(whole), freedMs).forEach(state -> assign(state, owner));
+  }
+
   /** Takes a slice from its owner, who is known to hold it no more. */
   void release(SliceState state, long nowMs) {
     slices.free(state, nowMs);
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
@@ -14,7 +14,6 @@
 import org.foxtailford.core.placement.PlacementPlan;
 import org.foxtailford.core.placement.PlacementRound;
 import org.foxtailford.core.placement.SliceLayout;
-import org.foxtailford.core.placement.SliceMove;
 import org.foxtailford.core.placement.UpstreamCapacity;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
@@ -23,7 +22,8 @@
  * Decides which slices a term has and which upstreams receive them.
  *
  * <p>A slice that has its home here and no owner is placed once every grant of an earlier leader
- * has lapsed; a slice whose home went elsewhere is taken from its owner. Not thread-safe.
+ * has lapsed, at its last owner if that one is known; a slice whose home went elsewhere is taken
+ * from its owner. Not thread-safe.
  */
 final class SlicePlacer {
 
@@ -31,7 +31,7 @@
   private final OwnershipTiming timing;
   private final PlacementSetup setup;
   private final Supplier<ConfigurationView> configuration;
-  private final Supplier<HomesReading> homes;
+  private final HomeSlices homeSlices;
   private final MillisClock clock;
   private final Map<String, Long> lastRoundMs = new HashMap<>();
 
@@ -46,8 +46,8 @@
     this.timing = Assert.notNull(timing, "timing");
     this.setup = Assert.notNull(setup, "setup");
     this.configuration = Assert.notNull(configuration, "configuration");
-    this.homes = Assert.notNull(homes, "homes");
     this.clock = Assert.notNull(clock, "clock");
+    homeSlices = new HomeSlices(dataCentre, homes, clock);
   }
 
   /** Plans one round for every keyed service; the term must be closed. */
@@ -58,26 +58,35 @@
   }
 
   /** Tells whether a slice of this data centre may have a key of a range. */
-  boolean plans(String service, SliceRange range) {
+  boolean plans(LeaderTerm term, String service, SliceRange range) {
     return configuration.get().service(service).stream()
-        .flatMap(view -> localSlices(view).stream())
-        .anyMatch(key -> key.range().overlaps(range));
+        .anyMatch(view -> homeSlices.plans(term.slices(), view, range));
   }
 
   private void place(LeaderTerm term, ServiceView service) {
-    String name = service.definition().getName();
-    List<SliceKey> local = localSlices(service);
-    retireOthers(term, name, local);
-    addMissing(term, local);
+    homeSlices.fit(term, service);
     boolean mayTakeUnfound =
         clock.nowMs() >= term.closedMs().orElseThrow() + timing.lapsedGrantMs();
-    Set<SliceKey> planned = new HashSet<>(local);
+    String name = service.definition().getName();
     List<SliceState> placeable =
         term.slices().slices(name).stream()
-            .filter(state -> planned.contains(state.key()))
+            .filter(state -> !state.retiring())
             .filter(state -> state.found() || mayTakeUnfound)
             .toList();
-    planRound(term, name, placeable, usableUpstreams(term, service));
+    List<String> usable = usableUpstreams(term, service);
+    placeable.forEach(state -> giveBack(term, state, usable));
+    planRound(term, name, placeable, usable);
+  }
+
+  /** Gives a slice that ran out under an earlier leader to its last owner. */
+  private static void giveBack(LeaderTerm term, SliceState state, List<String> usable) {
+    if (!state.found()) {
+      state
+          .lapsed()
+          .map(SliceAssignment::upstream)
+          .filter(usable::contains)
+          .ifPresent(upstream -> term.assign(state, upstream));
+    }
   }
 
   private void planRound(
@@ -85,26 +94,29 @@
     long nowMs = clock.nowMs();
     Long last = lastRoundMs.get(service);
     boolean due = last == null || nowMs - last >= setup.intervalMs();
-    Set<String> owners = new HashSet<>(usable);
-    Set<SliceRange> homeless =
-        placeable.stream()
-            .filter(state -> state.effectiveOwner().filter(owners::contains).isEmpty())
-            .map(state -> state.key().range())
-            .collect(Collectors.toSet());
+    Set<SliceRange> homeless = homeless(placeable, usable);
     if (!due && homeless.isEmpty()) {
       return;
     }
     PlacementPlan plan = setup.policy().planRound(round(term, service, placeable, usable));
-    for (SliceMove move : plan.moves()) {
-      if (due || homeless.contains(move.range())) {
-        apply(term, new SliceKey(service, move.range()), move.target());
-      }
-    }
+    PlanExecution execution =
+        new PlanExecution(term, service, homeless, range -> homeSlices.isHome(service, range));
     if (due) {
       lastRoundMs.put(service, nowMs);
+      execution.applyAll(plan);
+    } else {
+      execution.applyToHomeless(plan);
     }
   }
 
+  private static Set<SliceRange> homeless(List<SliceState> slices, List<String> usable) {
+    Set<String> owners = new HashSet<>(usable);
+    return slices.stream()
+        .filter(state -> state.effectiveOwner().filter(owners::contains).isEmpty())
+        .map(state -> state.key().range())
+        .collect(Collectors.toSet());
+  }
+
   private PlacementRound round(
       LeaderTerm term, String service, List<SliceState> placeable, List<String> usable) {
     SliceLayout layout = layout(term.slices().slices(service));
@@ -146,48 +158,4 @@
         .filter(term::usable)
         .toList();
   }
-
-  /** Takes slices that are no longer planned here away from their owners. */
-  private static void retireOthers(LeaderTerm term, String service, List<SliceKey> local) {
-    Set<SliceKey> planned = new HashSet<>(local);
-    for (SliceState state : term.slices().slices(service)) {
-      if (planned.contains(state.key())) {
-        continue;
-      }
-      if (state.assignment().isEmpty()) {
-        term.slices().remove(state);
-      } else {
-        state.retire();
-      }
-    }
-  }
-
-  private void addMissing(LeaderTerm term, List<SliceKey> local) {
-    for (SliceKey key : local) {
-      if (term.slices().overlapping(key.service(), key.range()).isEmpty()) {
-        term.slices().add(key, clock.nowMs());
-      }
-    }
-  }
-
-  private List<SliceKey> localSlices(ServiceView service) {
-    String name = service.definition().getName();
-    return SliceRange.divide(service.definition().getInitialSlices()).stream()
-        .filter(range -> homes.get().directory().isHome(dataCentre, name, range))
-        .map(range -> new SliceKey(name, range))
-        .toList();
-  }
-
-  private static void apply(LeaderTerm term, SliceKey key, String target) {
-    term.slices()
-        .find(key)
-        .ifPresent(
-            state -> {
-              if (state.assignment().isPresent()) {
-                state.setNextOwner(target);
-              } else {
-                term.assign(state, target);
-              }
-            });
-  }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceRange.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceRange.java
@@ -49,6 +49,13 @@
         && Long.compareUnsigned(other.first, last) <= 0;
   }
 
+  /** Returns the hashes that are common to both ranges, which must overlap. */
+  public SliceRange intersection(SliceRange other) {
+    long start = Long.compareUnsigned(first, other.first) >= 0 ? first : other.first;
+    long end = Long.compareUnsigned(last, other.last) <= 0 ? last : other.last;
+    return new SliceRange(start, end);
+  }
+
   /** Returns the share of the hash space that the range covers, between 0 and 1. */
   public double share() {
     double width = (double) ((last - first) >>> 1) + 1;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceState.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceState.java
@@ -14,6 +14,7 @@
   private final SliceKey key;
   private Optional<SliceAssignment> assignment = Optional.empty();
   private Optional<String> nextOwner = Optional.empty();
+  private Optional<SliceAssignment> lapsed = Optional.empty();
   private boolean found;
   private boolean retiring;
   private long freedMs;
@@ -55,9 +56,24 @@
     freedMs = nowMs;
   }
 
-  /** Ends the assignment with the next grant of its owner. */
-  void retire() {
-    retiring = true;
+  /** Notes an assignment by an earlier leader that ran out. */
+  void noteLapsed(SliceAssignment value) {
+    lapsed = Optional.of(value);
+  }
+
+  /** Returns the latest assignment by an earlier leader that is known to have run out, if any. */
+  Optional<SliceAssignment> lapsed() {
+    return lapsed;
+  }
+
+  /** Says whether the assignment ends with the next grant of its owner. */
+  void setRetiring(boolean value) {
+    retiring = value;
+  }
+
+  /** Tells whether the assignment ends without a next owner. */
+  boolean retiring() {
+    return retiring;
   }
 
   /** Tells whether the owner is to give the slice up. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceTable.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceTable.java
@@ -22,6 +22,7 @@
 
   private final Map<String, NavigableMap<SliceRange, SliceState>> services = new TreeMap<>();
   private final Map<String, Map<SliceKey, SliceState>> byOwner = new HashMap<>();
+  private long changes;
 
   /**
    * Adds a slice without an owner.
@@ -32,15 +33,36 @@
   SliceState add(SliceKey key, long nowMs) {
     boolean disjoint = overlapping(key.service(), key.range()).isEmpty();
     Assert.isTrue(disjoint, "slices must not overlap");
+    changes++;
     SliceState state = new SliceState(key);
     state.free(nowMs);
     services.computeIfAbsent(key.service(), name -> new TreeMap<>()).put(key.range(), state);
     return state;
   }
 
+  /**
+   * Replaces slices by others of the same hashes.
+   *
+   * @return the new slices, without an owner
+   */
+  List<SliceState> replace(List<SliceState> before, List<SliceRange> after, long freedMs) {
+    String service = before.get(0).key().service();
+    for (SliceState state : before) {
+      free(state, freedMs);
+      remove(state);
+    }
+    return after.stream().map(range -> add(new SliceKey(service, range), freedMs)).toList();
+  }
+
+  /** Returns how often a slice was added, removed or freed. */
+  long changes() {
+    return changes;
+  }
+
   /** Removes a slice that has no owner. */
   void remove(SliceState state) {
     Assert.isTrue(state.assignment().isEmpty(), "a slice with an owner can't be removed");
+    changes++;
     ofService(state.key().service()).remove(state.key().range());
   }
 
@@ -55,6 +77,7 @@
 
   /** Takes a slice from its owner, who is known to hold it no more. */
   void free(SliceState state, long nowMs) {
+    changes++;
     forgetOwner(state);
     state.free(nowMs);
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
@@ -62,9 +62,11 @@
     return fenced && lastReplyMs >= ms;
   }
 
-  /** Tells whether a slice was in the last accepted grant. */
+  /** Tells whether a key of a slice was in the last accepted grant, however it was divided then. */
   boolean holds(SliceKey slice) {
-    return confirmed.contains(slice);
+    return confirmed.stream()
+        .filter(held -> held.service().equals(slice.service()))
+        .anyMatch(held -> held.range().overlaps(slice.range()));
   }
 
   /** Notes the process that answers now; a new one holds nothing. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceLayout.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceLayout.java
@@ -156,7 +156,7 @@
       SliceRange a = ranges.get(i);
       SliceRange b = to.ranges.get(j);
       if (a.overlaps(b)) {
-        result[j] += rest[i] * intersection(a, b).share() / a.share();
+        result[j] += rest[i] * a.intersection(b).share() / a.share();
       }
       if (Long.compareUnsigned(a.last(), b.last()) <= 0) {
         i++;
@@ -167,12 +167,6 @@
     return result;
   }
 
-  private static SliceRange intersection(SliceRange a, SliceRange b) {
-    long first = Long.compareUnsigned(a.first(), b.first()) >= 0 ? a.first() : b.first();
-    long last = Long.compareUnsigned(a.last(), b.last()) <= 0 ? a.last() : b.last();
-    return new SliceRange(first, last);
-  }
-
   private static long fingerprint(List<SliceRange> ranges) {
     long hash = FNV_OFFSET;
     for (SliceRange range : ranges) {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulationVariant.java
@@ -33,4 +33,9 @@
   default UpstreamGrants grants(UpstreamGrants grants) {
     return grants;
   }
+
+  /** Tells whether leaders also split and merge slices without need while faults last. */
+  default boolean changesLayouts() {
+    return false;
+  }
 }
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LoadedDataCentre.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LoadedDataCentre.java
@@ -1,6 +1,7 @@
 package org.foxtailford.testkit.ownership;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -186,6 +187,18 @@
         .toList();
   }
 
+  /** Returns the requests of the busiest upstream over the mean, by the published owners. */
+  double imbalance() {
+    Map<String, Integer> sums = new TreeMap<>();
+    requestsByHash.forEach(
+        (hash, requests) ->
+            owners
+                .owner(SERVICE, hash)
+                .ifPresent(slice -> sums.merge(slice.upstream(), requests, Integer::sum)));
+    int total = sums.values().stream().mapToInt(Integer::intValue).sum();
+    return (double) Collections.max(sums.values()) * holders.size() / total;
+  }
+
   /** Returns the upstreams that hold a key at this moment. */
   List<String> holdersOf(long keyHash) {
     List<String> names = new ArrayList<>();
