Daemon places by load

Cause: without loads the load-aware policy left a returned upstream empty, so the daemon placed by count. Change: while no load is known, upstreams with less than half the mean number of slices are filled up to that half; Leadership places with LoadAwarePolicy. With loads a returned upstream still waits until another is above the trigger.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/LoadAwarePolicy.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/LoadAwarePolicy.java
@@ -1,5 +1,7 @@
 package org.foxtailford.core.placement;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -17,7 +19,8 @@
  * slices away, and last those whose load is above the trigger, down to the target. A slice that is
  * too heavy to move is divided, a hot key by itself; cold neighbours of one owner are joined while
  * there are many slices. Nothing moves for load while no upstream is above the trigger, and above
- * what the error of sampling explains. The same round gives the same plan.
+ * what the error of sampling explains. While no load is known, upstreams with less than half the
+ * mean number of slices are filled. The same round gives the same plan.
  */
 public final class LoadAwarePolicy implements PlacementPolicy {
 
@@ -43,6 +46,9 @@
   /** Imbalance of widths above which slices move while no load is known. */
   private static final double IDLE_TRIGGER_IMBALANCE = 2;
 
+  /** Part of the mean number of slices below which an upstream is filled while no load is known. */
+  private static final double IDLE_LEAST_SHARE = 0.5;
+
   /** Standard errors by which a load must exceed the mean before slices move. */
   private static final double SIGNIFICANT_ERRORS = 5;
 
@@ -90,6 +96,9 @@
     placeFree(draft);
     drain(draft, limits.maxDrainMoves());
     int left = limits.maxMoves() - balance(draft, limits);
+    if (!draft.loadKnown()) {
+      left -= fillByCount(draft, left);
+    }
     ColdSliceMerger merger = new ColdSliceMerger(round, draft, limits);
     List<SliceMove> moves = draft.moves();
     moves.addAll(merger.returnStrays(left));
@@ -133,6 +142,26 @@
     return draft.moves().size() - movesBefore;
   }
 
+  /** Gives slices to upstreams that have far fewer than others; returns how many. */
+  private static int fillByCount(PlacementDraft draft, int maxMoves) {
+    Comparator<Holder> byCount =
+        Comparator.comparingDouble(Holder::relativeSliceCount)
+            .thenComparing(holder -> holder.capacity().name());
+    double least = IDLE_LEAST_SHARE * draft.meanSliceCount();
+    int moves = 0;
+    while (moves < maxMoves) {
+      Holder to = Collections.min(draft.acceptingHolders(), byCount);
+      Holder from = Collections.max(draft.acceptingHolders(), byCount);
+      boolean evens = from.relativeSliceCount() - to.relativeSliceCount() > 1;
+      if (to.relativeSliceCount() >= least || !evens || from.pieces().isEmpty()) {
+        break;
+      }
+      draft.move(from.pieces().first(), from, to);
+      moves++;
+    }
+    return moves;
+  }
+
   /** Sheds slices down to the target; returns whether something changed. */
   private static boolean shedAll(
       PlacementDraft draft, PlacementLimits limits, Holder holder, int movesBefore) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementDraft.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementDraft.java
@@ -54,6 +54,7 @@
     private final TreeSet<Piece> pieces = new TreeSet<>(BY_LOAD);
     private double load;
     private double share;
+    private int sliceCount;
 
     Holder(UpstreamCapacity capacity) {
       this.capacity = capacity;
@@ -84,14 +85,20 @@
       addMoved(piece);
     }
 
+    double relativeSliceCount() {
+      return sliceCount / capacity.weight();
+    }
+
     /** Adds a slice that must not change again in this round. */
     private void addMoved(Piece piece) {
+      sliceCount++;
       load += piece.load();
       share += piece.range().share();
     }
 
     private void remove(Piece piece) {
       pieces.remove(piece);
+      sliceCount--;
       load -= piece.load();
       share -= piece.range().share();
     }
@@ -125,6 +132,11 @@
     return mean;
   }
 
+  /** Returns the number of slices of an upstream of weight one if all were equal. */
+  double meanSliceCount() {
+    return sliceCount / accepting.stream().mapToDouble(h -> h.capacity.weight()).sum();
+  }
+
   int sliceCount() {
     return sliceCount;
   }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/placement/LoadAwarePolicyTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/placement/LoadAwarePolicyTests.java
@@ -121,4 +121,31 @@
     assertThat(plan.merges()).hasSize(2);
     assertThat(plan.merges().get(0).parts()).containsExactly(ranges.get(0), ranges.get(1));
   }
+
+  @Test
+  public void withoutMeasuredLoadAnEmptyUpstreamIsFilledToHalfTheMeanCount() {
+    List<PlacedSlice> slices =
+        new ArrayList<>(
+            slices(new String[] {"a", "a", "a", "a", "b", "b", "b", "b"}, new double[8]));
+    List<SliceMove> all = new ArrayList<>();
+    for (int round = 0; round < 5; round++) {
+      List<SliceMove> moves = policy.plan(slices, List.of("a", "b", "c"));
+      all.addAll(moves);
+      moves.forEach(
+          move ->
+              slices.replaceAll(
+                  slice ->
+                      slice.range().equals(move.range())
+                          ? new PlacedSlice(slice.range(), Optional.of(move.target()), 0)
+                          : slice));
+    }
+    assertThat(all).hasSize(2).allMatch(move -> move.target().equals("c"));
+  }
+
+  @Test
+  public void withoutMeasuredLoadUnequalCountsAboveHalfTheMeanStay() {
+    List<PlacedSlice> slices =
+        slices(new String[] {"a", "a", "a", "b", "b", "b", "c", "c"}, new double[8]);
+    assertThat(policy.plan(slices, List.of("a", "b", "c"))).isEmpty();
+  }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -18,7 +18,7 @@
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.PlacementSetup;
 import org.foxtailford.core.ownership.UpstreamGrants;
-import org.foxtailford.core.placement.EvenCountPolicy;
+import org.foxtailford.core.placement.LoadAwarePolicy;
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
@@ -36,7 +36,6 @@
 public final class Leadership {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int MOVES_PER_ROUND = 1;
   private static final long PLACEMENT_INTERVAL_MS = 1000;
 
   private final String dataCentre;
@@ -97,7 +96,7 @@
             election,
             timing,
             grants,
-            new PlacementSetup(new EvenCountPolicy(MOVES_PER_ROUND), loads, PLACEMENT_INTERVAL_MS),
+            new PlacementSetup(new LoadAwarePolicy(), loads, PLACEMENT_INTERVAL_MS),
             publisher,
             () -> state.snapshot().configuration(),
             state::homes,
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LeaderLoadTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LeaderLoadTests.java
@@ -116,4 +116,26 @@
     }
     assertThat(dataCentre.moves()).isEqualTo(movesBefore);
   }
+
+  @Test
+  public void aReturnedUpstreamReceivesLoad() {
+    assertReturnedUpstreamIsFilled(dataCentre);
+    assertThat(dataCentre.imbalance()).isLessThan(1.2);
+  }
+
+  @Test
+  public void aReturnedUpstreamReceivesSlicesThoughNobodyReports() {
+    LoadedDataCentre silent = new LoadedDataCentre(new LoadAwarePolicy(), 3, 0);
+    silent.runSeconds(STEADY_S);
+    assertReturnedUpstreamIsFilled(silent);
+  }
+
+  private static void assertReturnedUpstreamIsFilled(LoadedDataCentre dataCentre) {
+    dataCentre.setAbsent("u-0", true);
+    dataCentre.runSeconds(STEADY_S);
+    assertThat(dataCentre.slicesOf("u-0")).isEmpty();
+    dataCentre.setAbsent("u-0", false);
+    dataCentre.runSeconds(STEADY_S);
+    assertThat(dataCentre.slicesOf("u-0")).hasSizeGreaterThanOrEqualTo(4);
+  }
 }
