Homes of a data centre that is lost or cut off are taken over

Cause: only the leader of a home's own data centre gave it away, so the keys of a lost data centre were served nowhere. Change: LeaderWatch times how long a data centre's lease row stays unchanged; HomeMover takes the homes after the lease, the hold and a grant's time to live of its writer, or without the hold after an operator stated the loss. A leader claims a service's homes before it places, and begins a new epoch when its tenure may have been taken over. A data centre that returns gets its homes back in the two ordinary steps; none receives homes while its lease row stands still. With the default hold of 4 hours an unordered take-over waits as long; a change of all leaders restarts the wait.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationView.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/configuration/ConfigurationView.java
@@ -77,7 +77,7 @@
     boolean available = vm.getState() == VmState.VM_STATE_LIVE;
     if (dataCentre != null) {
       labels.putAll(dataCentre.getLabelsMap());
-      available &= !dataCentre.getOut();
+      available &= !dataCentre.getOut() && !dataCentre.getLost();
     }
     if (labelledVm != null) {
       labels.putAll(labelledVm.getLabelsMap());
@@ -114,6 +114,12 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Tells whether an operator stated that a data centre runs nothing any more. */
+  public boolean isLost(String dataCentre) {
+    return document.getDataCentresList().stream()
+        .anyMatch(entry -> entry.getName().equals(dataCentre) && entry.getLost());
+  }
+
   /** Returns every upstream of the VM list. */
   public Collection<Upstream> upstreams() {
     return upstreams.values();
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -112,13 +112,24 @@
     return homes.get().asOfMs() >= current.acquiredMs();
   }
 
+  private boolean mayPlace(LeaderTerm current, String service) {
+    return homes.get().directory().mayPlace(service, dataCentre, current.epoch());
+  }
+
   private void placeAll(LeaderTerm current) {
     configuration.get().services().values().stream()
         .filter(service -> service.definition().getKeyed())
+        .filter(service -> mayPlace(current, service.definition().getName()))
         .forEach(service -> place(current, service));
     proposeArbiters(current);
   }
 
+  /** Returns the epoch under which this VM leads its data centre at this moment. */
+  public OptionalLong leadingEpoch() {
+    LeaderTerm current = term;
+    return current != null && leads() ? OptionalLong.of(current.epoch()) : OptionalLong.empty();
+  }
+
   /** Tells whether this VM leads its data centre at this moment. */
   public boolean leads() {
     LeaderTerm current = term;
@@ -136,6 +147,7 @@
     if (current == null
         || current.closedMs().isEmpty()
         || !knowsHomes(current)
+        || !mayPlace(current, service)
         || election.lease().filter(lease -> lease.epoch() == current.epoch()).isEmpty()) {
       return false;
     }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.foxtailford.core.platform.TableRow;
 import org.foxtailford.schema.HomeRange;
@@ -13,12 +14,15 @@
 /** Home data centre of each range of each keyed service. Immutable. */
 public final class HomeDirectory {
 
-  private static final HomeDirectory EMPTY = new HomeDirectory(Map.of());
+  private static final HomeDirectory EMPTY = new HomeDirectory(Map.of(), Map.of());
 
   private final Map<String, SliceIndex<HomeRange>> byService;
+  private final Map<String, HomeRanges> rows;
 
-  private HomeDirectory(Map<String, SliceIndex<HomeRange>> byService) {
+  private HomeDirectory(
+      Map<String, SliceIndex<HomeRange>> byService, Map<String, HomeRanges> rows) {
     this.byService = byService;
+    this.rows = rows;
   }
 
   public static HomeDirectory empty() {
@@ -34,7 +38,9 @@
                     HomeRanges::getService,
                     row ->
                         new SliceIndex<>(
-                            row.getRangesList(), range -> SliceRange.of(range.getRange())))));
+                            row.getRangesList(), range -> SliceRange.of(range.getRange())))),
+        rows.stream()
+            .collect(Collectors.toUnmodifiableMap(HomeRanges::getService, Function.identity())));
   }
 
   /**
@@ -90,6 +96,15 @@
         .isPresent();
   }
 
+  /**
+   * Tells whether a leader may place slices by these homes. Once a data centre has a claim on a
+   * service, its homes may be taken from it, so that each later leader needs a claim of its own.
+   */
+  public boolean mayPlace(String service, String dataCentre, long epoch) {
+    HomeRanges row = rows.get(service);
+    return row == null || HomeClaims.epoch(row, dataCentre).orElse(epoch) == epoch;
+  }
+
   /** Returns the services that have homes. */
   public List<String> services() {
     return new ArrayList<>(byService.keySet());
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomePlanner.java
@@ -36,16 +36,18 @@
    *
    * @param row the present homes
    * @param slices slices that the hash space is divided into
-   * @param available data centres that may be home, sorted
+   * @param available data centres that may keep their homes
+   * @param targets those among them that may receive homes, sorted
    * @return the changed homes; empty if nothing changes
    */
-  public Optional<HomeRanges> begin(HomeRanges row, int slices, List<String> available) {
+  public Optional<HomeRanges> begin(
+      HomeRanges row, int slices, List<String> available, List<String> targets) {
     List<HomeRange> units = divide(row, slices);
-    Map<String, Integer> counts = counts(units, available);
+    Map<String, Integer> counts = counts(units, targets);
     long moving = units.stream().filter(unit -> !unit.getMovingTo().isEmpty()).count();
     List<HomeRange> planned = new ArrayList<>();
     for (HomeRange unit : units) {
-      HomeRange next = next(unit, available, counts);
+      HomeRange next = next(unit, available, targets, counts);
       boolean starts = unit.getMovingTo().isEmpty() && !next.getMovingTo().isEmpty();
       if (starts && moving >= maxMoving) {
         planned.add(unit);
@@ -80,6 +82,33 @@
     return changed(row, moved);
   }
 
+  /**
+   * Gives the homes of a data centre that can serve nothing any more to others.
+   *
+   * @param row the present homes
+   * @param slices slices that the hash space is divided into
+   * @param lost the data centre
+   * @param targets data centres that may receive homes, sorted
+   * @return the changed homes; empty if nothing changes
+   */
+  public Optional<HomeRanges> take(HomeRanges row, int slices, String lost, List<String> targets) {
+    List<HomeRange> units = divide(row, slices);
+    Map<String, Integer> counts = counts(units, targets);
+    List<HomeRange> taken = new ArrayList<>();
+    int moves = 0;
+    for (HomeRange unit : units) {
+      if (!unit.getDataCentre().equals(lost) || counts.isEmpty() || moves == maxMoving) {
+        taken.add(unit);
+        continue;
+      }
+      String target = targets.contains(unit.getMovingTo()) ? unit.getMovingTo() : least(counts);
+      counts.merge(target, 1, Integer::sum);
+      taken.add(moved(withTarget(unit, target)));
+      moves++;
+    }
+    return changed(row, taken);
+  }
+
   private static HomeRange moved(HomeRange unit) {
     boolean back = unit.getMovingTo().equals(unit.getPreferred());
     return unit.toBuilder()
@@ -90,14 +119,14 @@
   }
 
   private static HomeRange next(
-      HomeRange unit, List<String> available, Map<String, Integer> counts) {
+      HomeRange unit, List<String> available, List<String> targets, Map<String, Integer> counts) {
     String home = unit.getDataCentre();
     String target = unit.getMovingTo();
     String preferred = unit.getPreferred();
-    if (available.isEmpty() || available.contains(target)) {
+    if (targets.isEmpty() || targets.contains(target)) {
       return unit;
     }
-    if (available.contains(preferred)) {
+    if (targets.contains(preferred)) {
       return withTarget(unit, preferred.equals(home) ? "" : preferred);
     }
     if (available.contains(home)) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
@@ -30,6 +30,9 @@
  * <p>The row also names the arbiters of its holder. A new holder writes those that it found until
  * it proposes others.
  *
+ * <p>An epoch ends when its holder had no answer of the table for so long that another data centre
+ * may have taken its homes; the VM then watches and, if nobody else does, begins a higher epoch.
+ *
  * <p>Not thread-safe: all calls and callbacks run on one executor.
  */
 public final class LeaseElection {
@@ -55,7 +58,10 @@
   private List<Arbiter> inherited = List.of();
   private final Set<List<Arbiter>> possiblyWritten = new HashSet<>();
 
-  private record PendingWrite(LeaseRecord record, long sentMs) {}
+  private int tenure;
+
+  /** A write whose outcome may be unknown; it counts only for the tenure that sent it. */
+  private record PendingWrite(LeaseRecord record, long sentMs, int tenure) {}
 
   /**
    * Creates an election.
@@ -96,6 +102,7 @@
   /** Gives the lease up at once; the row still names this VM until another one takes it over. */
   public void abandon() {
     held = null;
+    tenure++;
   }
 
   /** Returns the lease if this VM holds it at this moment. */
@@ -160,12 +167,17 @@
     LeaseRecord record = row.map(LeaseElection::parse).orElse(LeaseRecord.getDefaultInstance());
     PendingWrite pending = unresolved;
     unresolved = null;
-    if (pending != null && pending.record().getWriteId() == record.getWriteId()) {
+    if (pending != null
+        && pending.tenure() == tenure
+        && pending.record().getWriteId() == record.getWriteId()) {
       onApplied(version, pending);
       return lease().map(this::renew).orElseGet(() -> CompletableFuture.completedFuture(null));
     }
     boolean gap = clock.nowMs() - lastReadMs > timing.leaseTtlMs();
     lastReadMs = clock.nowMs();
+    if (held != null && isBroken(held.validUntilMs())) {
+      abandon();
+    }
     HeldLease own = held;
     if (own != null && (version == own.rowVersion() || isOwn(record, own))) {
       held = own.renewed(version, own.validUntilMs());
@@ -183,6 +195,11 @@
     return CompletableFuture.completedFuture(null);
   }
 
+  /** Tells whether a tenure that the table confirmed last for a lease until a time has ended. */
+  private boolean isBroken(long validUntilMs) {
+    return clock.nowMs() - validUntilMs >= timing.brokenTenureMs();
+  }
+
   /** Tells whether a row is a renewal of ours that took effect late. */
   private boolean isOwn(LeaseRecord record, HeldLease own) {
     return record.getHolder().equals(holder)
@@ -191,7 +208,7 @@
   }
 
   private CompletableFuture<Void> write(long expectedVersion, LeaseRecord record) {
-    PendingWrite pending = new PendingWrite(record, clock.nowMs());
+    PendingWrite pending = new PendingWrite(record, clock.nowMs(), tenure);
     possiblyWritten.add(record.getArbitersList());
     return table
         .write(rowKey, expectedVersion, record.toByteString())
@@ -213,6 +230,13 @@
   private void onApplied(long version, PendingWrite pending) {
     long validUntilMs = pending.sentMs() + timing.trustedLeaseMs();
     HeldLease lease = held;
+    if (pending.tenure() != tenure) {
+      return;
+    }
+    if (isBroken(lease == null ? validUntilMs : lease.validUntilMs())) {
+      abandon();
+      return;
+    }
     if (lease != null && lease.epoch() == pending.record().getEpoch()) {
       held = lease.renewed(version, validUntilMs);
     } else {
@@ -240,6 +264,8 @@
         .setHolderBootId(bootId)
         .setEpoch(epoch)
         .setTtlMs(timing.leaseTtlMs())
+        .setHoldWithoutTableMs(timing.holdWithoutTableMs())
+        .setGrantTtlMs(timing.grantTtlMs())
         .setWriteId(writeIds.getAsLong())
         .addAllArbiters(proposed)
         .build();
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/OwnershipTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/OwnershipTiming.java
@@ -1,6 +1,8 @@
 package org.foxtailford.core.ownership;
 
+import java.util.OptionalLong;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.LeaseRecord;
 import org.foxtailford.schema.OwnershipSettings;
 
 /**
@@ -43,17 +45,49 @@
 
   /** Returns the time after which an observer may treat a lease as lapsed. */
   public long lapsedLeaseMs() {
-    return leaseTtlMs + margin(leaseTtlMs);
+    return lapsed(leaseTtlMs);
   }
 
   /** Returns the time after which a grant has lapsed on every clock. */
   public long lapsedGrantMs() {
-    return grantTtlMs + margin(grantTtlMs);
+    return lapsed(grantTtlMs);
   }
 
   /** Returns the time after which a leader without its lease has stopped on every clock. */
   public long lapsedHoldMs() {
-    return holdWithoutTableMs + margin(holdWithoutTableMs);
+    return lapsed(holdWithoutTableMs);
+  }
+
+  /**
+   * Returns the time without an answer of the table, counted from the end of the lease, after which
+   * a leader begins anew: another data centre may have taken its homes meanwhile.
+   */
+  public long brokenTenureMs() {
+    return (long) holdWithoutTableMs + grantTtlMs;
+  }
+
+  /**
+   * Returns the time after which whatever the writer of a lease row granted has lapsed on every
+   * clock, if the row did not change; empty if the row does not tell.
+   */
+  public OptionalLong lapsedTenureMs(LeaseRecord record) {
+    if (record.getGrantTtlMs() == 0) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(
+        lapsedWithoutHoldMs(record).orElseThrow() + lapsed(record.getHoldWithoutTableMs()));
+  }
+
+  /** Returns the same time for a leader that is known not to go on without its lease. */
+  public OptionalLong lapsedWithoutHoldMs(LeaseRecord record) {
+    if (record.getGrantTtlMs() == 0) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(lapsed(record.getTtlMs()) + lapsed(record.getGrantTtlMs()));
+  }
+
+  private long lapsed(long ms) {
+    return ms + margin(ms);
   }
 
   private long margin(long ms) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/ownership/HomePlannerTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/ownership/HomePlannerTests.java
@@ -11,10 +11,11 @@
 public class HomePlannerTests {
 
   private static final int SLICES = 12;
+  private static final int AT_ONCE = 2;
   private static final List<String> ALL = List.of("a", "b", "c");
   private static final List<String> WITHOUT_B = List.of("a", "c");
 
-  private final HomePlanner planner = new HomePlanner(2);
+  private final HomePlanner planner = new HomePlanner(AT_ONCE);
   private final HomeRanges homes = HomeDirectory.initial("menu", SLICES, ALL);
 
   private HomeRanges settle(HomeRanges row, List<String> available) {
@@ -24,7 +25,7 @@
       current = next.get();
       next = complete(current);
       if (next.isEmpty()) {
-        next = planner.begin(current, SLICES, available);
+        next = planner.begin(current, SLICES, available, available);
       }
     }
     return current;
@@ -38,24 +39,24 @@
 
   @Test
   public void nothingMovesWhileAllAreAvailable() {
-    assertThat(planner.begin(homes, SLICES, ALL)).isEmpty();
+    assertThat(planner.begin(homes, SLICES, ALL, ALL)).isEmpty();
   }
 
   @Test
   public void noMoreThanTheBoundAreBetweenTwoHomes() {
-    HomeRanges begun = planner.begin(homes, SLICES, WITHOUT_B).orElseThrow();
+    HomeRanges begun = planner.begin(homes, SLICES, WITHOUT_B, WITHOUT_B).orElseThrow();
     double share =
         begun.getRangesList().stream()
             .filter(range -> !range.getMovingTo().isEmpty())
             .mapToDouble(range -> SliceRange.of(range.getRange()).share())
             .sum();
     assertThat(share * SLICES).isBetween(1.99, 2.01);
-    assertThat(planner.begin(begun, SLICES, WITHOUT_B)).isEmpty();
+    assertThat(planner.begin(begun, SLICES, WITHOUT_B, WITHOUT_B)).isEmpty();
   }
 
   @Test
   public void aSliceStaysUntilItsHomeReleasedIt() {
-    HomeRanges begun = planner.begin(homes, SLICES, WITHOUT_B).orElseThrow();
+    HomeRanges begun = planner.begin(homes, SLICES, WITHOUT_B, WITHOUT_B).orElseThrow();
     assertThat(planner.complete(begun, SLICES, "b", range -> false)).isEmpty();
     assertThat(planner.complete(begun, SLICES, "a", range -> true)).isEmpty();
     HomeDirectory directory = HomeDirectory.of(List.of(begun));
@@ -81,9 +82,48 @@
 
   @Test
   public void aMoveIsCalledOffWhenItsHomeReturnsAndTheTargetGoes() {
-    HomeRanges begun = planner.begin(homes, SLICES, List.of("a")).orElseThrow();
-    assertThat(planner.begin(begun, SLICES, List.of("b", "c")).orElseThrow().getRangesList())
+    HomeRanges begun = planner.begin(homes, SLICES, List.of("a"), List.of("a")).orElseThrow();
+    assertThat(
+            planner
+                .begin(begun, SLICES, List.of("b", "c"), List.of("b", "c"))
+                .orElseThrow()
+                .getRangesList())
         .filteredOn(range -> range.getDataCentre().equals("b"))
         .allMatch(range -> range.getMovingTo().isEmpty() && range.getPreferred().isEmpty());
   }
+
+  @Test
+  public void whatMayNotReceiveHomesKeepsItsOwn() {
+    assertThat(planner.begin(homes, SLICES, ALL, WITHOUT_B)).isEmpty();
+  }
+
+  @Test
+  public void aLostDataCentreIsRelievedOfABoundedNumberOfHomesAtOnce() {
+    HomeRanges taken = planner.take(homes, SLICES, "b", WITHOUT_B).orElseThrow();
+    assertThat(planner.take(homes, SLICES, "b", List.of())).isEmpty();
+    assertThat(slicesFrom(taken, "b")).isEqualTo(AT_ONCE);
+  }
+
+  @Test
+  public void whatWasTakenGoesBackInTwoSteps() {
+    HomeRanges taken = homes;
+    Optional<HomeRanges> next = Optional.of(homes);
+    while (next.isPresent()) {
+      taken = next.get();
+      next = planner.take(taken, SLICES, "b", WITHOUT_B);
+    }
+    assertThat(taken.getRangesList()).noneMatch(range -> range.getDataCentre().equals("b"));
+    HomeRanges begun = planner.begin(taken, SLICES, ALL, ALL).orElseThrow();
+    assertThat(begun.getRangesList()).anyMatch(range -> range.getMovingTo().equals("b"));
+  }
+
+  private static long slicesFrom(HomeRanges row, String dataCentre) {
+    return SliceRange.divide(SLICES).stream()
+        .filter(
+            slice ->
+                row.getRangesList().stream()
+                    .filter(range -> SliceRange.of(range.getRange()).contains(slice.first()))
+                    .anyMatch(range -> range.getPreferred().equals(dataCentre)))
+        .count();
+  }
 }
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -12,6 +12,7 @@
 import org.foxtailford.core.ownership.HeldLease;
 import org.foxtailford.core.ownership.HomeMover;
 import org.foxtailford.core.ownership.HomePlanner;
+import org.foxtailford.core.ownership.LeaderWatch;
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipPublisher;
 import org.foxtailford.core.ownership.OwnershipTiming;
@@ -35,6 +36,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MOVES_PER_ROUND = 1;
+  private static final int WATCH_INTERVAL_MS = 1000;
 
   private final String dataCentre;
   private final LeaseElection election;
@@ -78,7 +80,7 @@
     OwnershipTiming timing = OwnershipTiming.of(settings);
     election =
         new LeaseElection(
-            "leader-" + dataCentre,
+            LeaderWatch.rowKey(dataCentre),
             self.vm(),
             self.bootId(),
             timing,
@@ -104,6 +106,7 @@
             dataCentre,
             leader,
             new HomePlanner(settings.getHomeMovesAtOnce()),
+            new LeaderWatch(timing, WATCH_INTERVAL_MS, table, clock, writeIds, control),
             () -> state.snapshot().configuration(),
             table,
             writeIds,
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/TwoDataCentres.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/TwoDataCentres.java
@@ -13,6 +13,7 @@
 import org.foxtailford.core.ownership.HomeMover;
 import org.foxtailford.core.ownership.HomePlanner;
 import org.foxtailford.core.ownership.HomesReading;
+import org.foxtailford.core.ownership.LeaderWatch;
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.SliceRange;
@@ -84,6 +85,7 @@
             name,
             leader,
             new HomePlanner(8),
+            new LeaderWatch(timing, 1000, table, clock, this::nextId, Runnable::run),
             () -> configuration,
             table,
             this::nextId,
