Only the candidates and the holder read the lease row at each renewal

Cause: each entry VM of a data centre read the row of its leader's lease at each renewal. Change: ElectionRounds lets the holder and three LeaseCandidates take part in each round.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseElection.java
@@ -142,6 +142,11 @@
     return seenRecord.getHolder();
   }
 
+  /** Returns the version of the row that the table showed last; negative if none. */
+  public long lastKnownVersion() {
+    return seenVersion;
+  }
+
   /** Renews, watches or takes over the lease. Called at every renewal interval. */
   public void tick() {
     if (inFlight) {
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -250,11 +250,11 @@
     return new Leadership(
         self,
         ownership,
-        newTable(leaseTimeoutMs),
-        table,
+        new Leadership.Tables(newTable(leaseTimeoutMs), table),
         new HttpUpstreamGrants(controlClient, ownership.getRenewIntervalMs()),
         this::publish,
         state,
+        () -> tracker.usableIn(settings.getDataCentre()),
         this::pollHomes,
         metrics,
         clock,
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -1,6 +1,7 @@
 package org.foxtailford.daemon.control;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -9,10 +10,12 @@
 import org.foxtailford.core.membership.PauseDetector;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.DataCentreLeader;
+import org.foxtailford.core.ownership.ElectionRounds;
 import org.foxtailford.core.ownership.HeldLease;
 import org.foxtailford.core.ownership.HomeMover;
 import org.foxtailford.core.ownership.HomePlanner;
 import org.foxtailford.core.ownership.LeaderWatch;
+import org.foxtailford.core.ownership.LeaseCandidates;
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipPublisher;
 import org.foxtailford.core.ownership.OwnershipTiming;
@@ -36,26 +39,36 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MOVES_PER_ROUND = 1;
+  private static final int LEASE_CANDIDATES = 3;
   private static final int WATCH_INTERVAL_MS = 1000;
 
   private final String dataCentre;
   private final LeaseElection election;
+  private final ElectionRounds electionRounds;
   private final DataCentreLeader leader;
   private final HomeMover homeMover;
   private final PauseDetector pauses;
   private final RouterMetrics metrics;
   private volatile boolean leads;
 
+  /**
+   * The table service with two timeouts.
+   *
+   * @param lease its calls end well before the lease does
+   * @param other for everything else
+   */
+  public record Tables(TableService lease, TableService other) {}
+
   /**
    * Creates a part without a lease.
    *
    * @param self this VM
    * @param settings timing
-   * @param leaseTable table service whose calls end well before the lease does
-   * @param table table service of everything else
+   * @param tables the table service
    * @param grants grants of upstreams
    * @param publisher receives new owners
    * @param state configuration and homes
+   * @param liveEntryVms gives the entry VMs of the data centre that seem live
    * @param pollHomes reads the homes again
    * @param metrics counters
    * @param clock clock of this VM
@@ -65,11 +78,11 @@
   public Leadership(
       PeerIdentity self,
       OwnershipSettings settings,
-      TableService leaseTable,
-      TableService table,
+      Tables tables,
       UpstreamGrants grants,
       OwnershipPublisher publisher,
       RoutingState state,
+      Supplier<List<String>> liveEntryVms,
       Supplier<CompletableFuture<Void>> pollHomes,
       RouterMetrics metrics,
       MillisClock clock,
@@ -84,10 +97,13 @@
             self.vm(),
             self.bootId(),
             timing,
-            leaseTable,
+            tables.lease(),
             clock,
             writeIds,
             control);
+    electionRounds =
+        new ElectionRounds(
+            self.vm(), election, new LeaseCandidates(dataCentre, LEASE_CANDIDATES), liveEntryVms);
     leader =
         new DataCentreLeader(
             dataCentre,
@@ -106,9 +122,9 @@
             dataCentre,
             leader,
             new HomePlanner(settings.getHomeMovesAtOnce()),
-            new LeaderWatch(timing, WATCH_INTERVAL_MS, table, clock, writeIds, control),
+            new LeaderWatch(timing, WATCH_INTERVAL_MS, tables.other(), clock, writeIds, control),
             () -> state.snapshot().configuration(),
-            table,
+            tables.other(),
             writeIds,
             pollHomes::get,
             control);
@@ -118,7 +134,7 @@
   /** Runs one round. Called at every renewal interval. */
   public void tick() {
     notePause(pauses.check());
-    election.tick();
+    electionRounds.tick();
     leader.tick();
     homeMover.tick();
     boolean now = leader.leads();
