--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -1,6 +1,7 @@
 package org.foxtailford.core.ownership;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.foxtailford.core.configuration.ConfigurationView;
@@ -139,6 +140,12 @@
     return homes.get().asOfMs() >= current.acquiredMs();
   }
 
+  /** Returns the epoch under which this VM leads its data centre at this moment. */
+  public OptionalLong leadingEpoch() {
+    LeaderTerm current = term;
+    return current != null && leads() ? OptionalLong.of(current.epoch()) : OptionalLong.empty();
+  }
+
   /** Tells whether this VM leads its data centre at this moment. */
   public boolean leads() {
     LeaderTerm current = term;
@@ -156,6 +163,7 @@
     if (current == null
         || current.closedMs().isEmpty()
         || !knowsHomes(current)
+        || !placer.mayPlace(current, service)
         || !authority.holdsLease(current)) {
       return false;
     }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
@@ -31,6 +31,7 @@
   private final OwnershipTiming timing;
   private final PlacementSetup setup;
   private final Supplier<ConfigurationView> configuration;
+  private final Supplier<HomesReading> homes;
   private final HomeSlices homeSlices;
   private final MillisClock clock;
   private final Map<String, Long> lastRoundMs = new HashMap<>();
@@ -47,6 +48,7 @@
     this.setup = Assert.notNull(setup, "setup");
     this.configuration = Assert.notNull(configuration, "configuration");
     this.clock = Assert.notNull(clock, "clock");
+    this.homes = Assert.notNull(homes, "homes");
     homeSlices = new HomeSlices(dataCentre, homes, clock);
   }
 
@@ -54,9 +56,15 @@
   void placeAll(LeaderTerm term) {
     configuration.get().services().values().stream()
         .filter(service -> service.definition().getKeyed())
+        .filter(service -> mayPlace(term, service.definition().getName()))
         .forEach(service -> place(term, service));
   }
 
+  /** Tells whether a term has claimed the homes of a service, without which it places nothing. */
+  boolean mayPlace(LeaderTerm term, String service) {
+    return homes.get().directory().mayPlace(service, dataCentre, term.epoch());
+  }
+
   /** Tells whether a slice of this data centre may have a key of a range. */
   boolean plans(LeaderTerm term, String service, SliceRange range) {
     return configuration.get().service(service).stream()
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -11,6 +11,7 @@
 import org.foxtailford.core.ownership.HeldLease;
 import org.foxtailford.core.ownership.HomeMover;
 import org.foxtailford.core.ownership.HomePlanner;
+import org.foxtailford.core.ownership.LeaderWatch;
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.OwnershipTiming;
@@ -24,6 +25,7 @@
 /** An entry VM that may lead its data centre. */
 final class SimulatedCandidate extends SimulatedNode {
 
+  private static final int WATCH_INTERVAL_MS = 1000;
   private static final int HOME_MOVES_AT_ONCE = 32;
 
   private final String dataCentre;
@@ -121,6 +123,13 @@
         dataCentre,
         leader,
         new HomePlanner(HOME_MOVES_AT_ONCE),
+        new LeaderWatch(
+            system.variant().timing(name()),
+            WATCH_INTERVAL_MS,
+            system.table().from(name()),
+            clock,
+            system::nextWriteId,
+            control()),
         knowledge::configuration,
         system.table().from(name()),
         system::nextWriteId,
@@ -131,7 +140,7 @@
   private LeaseElection newElection() {
     OwnershipTiming timing = system.variant().timing(name());
     return new LeaseElection(
-        "leader-" + dataCentre,
+        LeaderWatch.rowKey(dataCentre),
         name(),
         starts(),
         timing,
