--- a/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/metrics/RouterMetrics.java
@@ -136,4 +136,24 @@
   public void certificateReload(String outcome) {
     registry.counter("foxtailford.tls.reloads", "outcome", outcome).increment();
   }
+
+  /** Counts an order that an upstream accepted or refused. */
+  public void grant(String outcome) {
+    registry.counter("foxtailford.ownership.grants", "outcome", outcome).increment();
+  }
+
+  /** Counts a slice that went from one upstream to another. */
+  public void sliceMoved(String service) {
+    registry.counter("foxtailford.ownership.moves", "service", service).increment();
+  }
+
+  /** Counts a slice that was divided. */
+  public void sliceSplit(String service) {
+    registry.counter("foxtailford.ownership.splits", "service", service).increment();
+  }
+
+  /** Counts a join of slices. */
+  public void slicesMerged(String service) {
+    registry.counter("foxtailford.ownership.merges", "service", service).increment();
+  }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -35,6 +35,7 @@
   private final OwnershipPublisher publisher;
   private final Supplier<ConfigurationView> configuration;
   private final Supplier<HomesReading> homes;
+  private final OwnershipListener listener;
   private final MillisClock clock;
 
   private @Nullable LeaderTerm term;
@@ -60,6 +61,7 @@
         publisher,
         configuration,
         homes,
+        OwnershipListener.NONE,
         clock,
         control);
   }
@@ -75,6 +77,7 @@
    * @param publisher receives new owners
    * @param configuration gives the configuration in force
    * @param homes gives the homes of ranges
+   * @param listener receives what this leader does
    * @param clock clock of this VM
    * @param control executor of all callbacks
    */
@@ -87,6 +90,7 @@
       OwnershipPublisher publisher,
       Supplier<ConfigurationView> configuration,
       Supplier<HomesReading> homes,
+      OwnershipListener listener,
       MillisClock clock,
       Executor control) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
@@ -94,12 +98,13 @@
     this.publisher = Assert.notNull(publisher, "publisher");
     this.configuration = Assert.notNull(configuration, "configuration");
     this.homes = Assert.notNull(homes, "homes");
+    this.listener = Assert.notNull(listener, "listener");
     this.clock = Assert.notNull(clock, "clock");
     authority = new LeaderAuthority(election, timing, clock);
     placer = new SlicePlacer(dataCentre, timing, placement, configuration, homes, clock);
     exchange =
         new GrantExchange(
-            authority, timing, grants, () -> Optional.ofNullable(term), clock, control);
+            authority, timing, grants, () -> Optional.ofNullable(term), listener, clock, control);
     election.addAcquiredListener(this::tick);
   }
 
@@ -128,7 +133,7 @@
   private LeaderTerm termOf(HeldLease lease) {
     LeaderTerm current = term;
     if (current == null || current.epoch() != lease.epoch()) {
-      current = new LeaderTerm(lease.epoch(), lease.acquiredMs());
+      current = new LeaderTerm(lease.epoch(), lease.acquiredMs(), listener);
       term = current;
     }
     return current;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
@@ -26,6 +26,7 @@
   private final OwnershipTiming timing;
   private final UpstreamGrants grants;
   private final Supplier<Optional<LeaderTerm>> currentTerm;
+  private final OwnershipListener listener;
   private final MillisClock clock;
   private final Executor control;
 
@@ -36,6 +37,7 @@
    * @param timing times to live
    * @param grants grants of upstreams
    * @param currentTerm gives the term whose answers still count
+   * @param listener receives accepted and refused orders
    * @param clock clock of this VM
    * @param control executor of all callbacks
    */
@@ -44,12 +46,14 @@
       OwnershipTiming timing,
       UpstreamGrants grants,
       Supplier<Optional<LeaderTerm>> currentTerm,
+      OwnershipListener listener,
       MillisClock clock,
       Executor control) {
     this.authority = Assert.notNull(authority, "authority");
     this.timing = Assert.notNull(timing, "timing");
     this.grants = Assert.notNull(grants, "grants");
     this.currentTerm = Assert.notNull(currentTerm, "currentTerm");
+    this.listener = Assert.notNull(listener, "listener");
     this.clock = Assert.notNull(clock, "clock");
     this.control = Assert.notNull(control, "control");
   }
@@ -144,8 +148,10 @@
       term.releaseAll(session.upstream().name(), clock.nowMs());
     }
     if (!reply.getAccepted()) {
+      listener.grantRefused();
       return;
     }
+    listener.granted();
     session.noteOrderAccepted(sentMs);
     boolean readAfterClosing = term.closedMs().isPresent() && sentMs >= term.closedMs().getAsLong();
     if (!readAfterClosing) {
@@ -215,9 +221,12 @@
   private void finishReleases(LeaderTerm term, UpstreamSession session) {
     for (SliceState state : term.slices().ownedBy(session.upstream().name())) {
       if (state.leaving() && !session.holds(state.key())) {
-        Optional<String> target = state.nextOwner().filter(term::usable);
-        term.release(state, clock.nowMs());
-        target.ifPresent(next -> term.assign(state, next));
+        state
+            .nextOwner()
+            .filter(term::usable)
+            .ifPresentOrElse(
+                next -> term.move(state, next, clock.nowMs()),
+                () -> term.release(state, clock.nowMs()));
       }
     }
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import org.foxtailford.core.util.Assert;
 
 /**
  * What a leader knows within one epoch.
@@ -15,15 +16,17 @@
 
   private final long epoch;
   private final long acquiredMs;
+  private final OwnershipListener listener;
   private final Map<String, UpstreamSession> sessions = new TreeMap<>();
   private final SliceTable slices = new SliceTable();
   private OptionalLong closedMs = OptionalLong.empty();
   private long sequence;
   private boolean changed = true;
 
-  LeaderTerm(long epoch, long acquiredMs) {
+  LeaderTerm(long epoch, long acquiredMs, OwnershipListener listener) {
     this.epoch = epoch;
     this.acquiredMs = acquiredMs;
+    this.listener = Assert.notNull(listener, "listener");
   }
 
   long epoch() {
@@ -68,6 +71,7 @@
     SliceAssignment whole = state.assignment().orElseThrow();
     List<SliceState> parts = slices.replace(List.of(state), ranges, state.freedMs());
     parts.forEach(part -> assign(part, whole.upstream(), whole.fence()));
+    listener.split(state.key().service());
     return parts;
   }
 
@@ -76,6 +80,14 @@
     String owner = parts.get(0).owner().orElseThrow();
     long freedMs = parts.stream().mapToLong(SliceState::freedMs).max().orElseThrow();
     slices.replace(parts, List.of(whole), freedMs).forEach(state -> assign(state, owner));
+    listener.merged(parts.get(0).key().service());
+  }
+
+  /** Gives a slice to another upstream, its owner being known to hold it no more. */
+  void move(SliceState state, String upstream, long nowMs) {
+    release(state, nowMs);
+    assign(state, upstream);
+    listener.moved(state.key().service());
   }
 
   /** Takes a slice from its owner, who is known to hold it no more. */
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -100,6 +100,7 @@
             publisher,
             () -> state.snapshot().configuration(),
             state::homes,
+            new OwnershipMeters(metrics),
             clock,
             control);
     election.addAcquiredListener(() -> pollHomes.get().thenRunAsync(leader::tick, control));
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LeaderLayoutTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LeaderLayoutTests.java
@@ -126,6 +126,16 @@
     }
   }
 
+  @Test
+  public void splitsMovesAndMergesAreAnnouncedOnce() {
+    String owner = owner(FIRST.first()).upstream();
+    SliceRange part = HALVES.parts().get(1);
+    run(split(new SliceMove(part, otherThan(owner))));
+    run(new PlacementPlan(List.of(), List.of(), List.of(new SliceMove(part, owner))));
+    run(merge(HALVES.parts()));
+    assertThat(dataCentre.events()).containsExactly("split", "moved", "moved", "merged");
+  }
+
   /** Carries out plans one after the other, between rounds of a calm policy. */
   private final class ScriptedPolicy implements PlacementPolicy {
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LoadedDataCentre.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LoadedDataCentre.java
@@ -17,6 +17,7 @@
 import org.foxtailford.core.ownership.HomeDirectory;
 import org.foxtailford.core.ownership.HomesReading;
 import org.foxtailford.core.ownership.LeaseElection;
+import org.foxtailford.core.ownership.OwnershipListener;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.OwnershipTiming;
 import org.foxtailford.core.ownership.PlacementSetup;
@@ -60,6 +61,8 @@
   private final Set<String> absent = new TreeSet<>();
   private final SliceLoadBook book = new SliceLoadBook(clock, SliceLoadBook.HALF_LIFE_MS);
   private final PlacementPolicy policy;
+  private final List<String> events = new ArrayList<>();
+  private final OwnershipListener listener = new EventList();
   private ConfigurationView configuration;
   private LeaseElection election;
   private DataCentreLeader leader;
@@ -105,6 +108,7 @@
             this::publish,
             () -> configuration,
             () -> new HomesReading(homes, clock.nowMs()),
+            listener,
             clock,
             Runnable::run);
   }
@@ -236,6 +240,34 @@
     return ConfigurationView.of(version, document, vms.build());
   }
 
+  /** Returns what leaders announced, by name, orders left out unless they were refused. */
+  List<String> events() {
+    return events;
+  }
+
+  private final class EventList implements OwnershipListener {
+
+    @Override
+    public void grantRefused() {
+      events.add("refused");
+    }
+
+    @Override
+    public void moved(String service) {
+      events.add("moved");
+    }
+
+    @Override
+    public void split(String service) {
+      events.add("split");
+    }
+
+    @Override
+    public void merged(String service) {
+      events.add("merged");
+    }
+  }
+
   /** Reaches upstreams at once. */
   private final class DirectGrants implements UpstreamGrants {
 
