An upstream's session belongs to its address

Cause: a VM replaced under the same name at another address counted as restarted; if the old process still ran, its grant was not waited for and a slice could have two owners. It also counted as a restarted arbiter. Change: the leader stops the old session, frees its slices when its last grant has lapsed, and begins a session at the new address. The lease row names the arbiters' addresses; another process at another address excludes nobody. The slices of a replaced VM wait one grant's time to live.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/ArbiterQuorum.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/ArbiterQuorum.java
@@ -10,7 +10,8 @@
  * Decides by majorities of arbiters whether a leader may go on without the table.
  *
  * <p>An arbiter counts only as the process that the lease row names: one that restarted has
- * forgotten which fences it accepted.
+ * forgotten which fences it accepted. A process of the same name at another address tells nothing
+ * of the one that the row names, which may still run.
  */
 final class ArbiterQuorum {
 
@@ -57,6 +58,9 @@
     if (session == null || session.bootId() == 0) {
       return false;
     }
-    return session.bootId() != arbiter.getBootId() || session.acceptedSentMs().isPresent();
+    if (session.bootId() == arbiter.getBootId()) {
+      return session.acceptedSentMs().isPresent();
+    }
+    return !arbiter.hasAddress() || arbiter.getAddress().equals(session.upstream().address());
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -190,12 +190,19 @@
         .filter(service -> service.definition().getKeyed())
         .flatMap(service -> service.upstreams().stream())
         .filter(upstream -> upstream.dataCentre().equals(dataCentre))
-        .forEach(
-            upstream ->
-                current
-                    .sessions()
-                    .computeIfAbsent(upstream.name(), name -> new UpstreamSession(upstream))
-                    .refresh(upstream));
+        .forEach(upstream -> refreshSession(current, upstream));
+  }
+
+  /** A VM that was replaced at another address may still run; its last grant has to lapse first. */
+  private void refreshSession(LeaderTerm current, Upstream upstream) {
+    String name = upstream.name();
+    UpstreamSession session =
+        current.sessions().computeIfAbsent(name, absent -> new UpstreamSession(upstream));
+    session.refresh(upstream, clock.nowMs());
+    if (session.replacedBy(clock.nowMs() - timing.lapsedGrantMs())) {
+      freeAll(current, name);
+      current.sessions().put(name, new UpstreamSession(upstream));
+    }
   }
 
   private void freeLapsedSlices(LeaderTerm current) {
@@ -239,6 +246,7 @@
     return Arbiter.newBuilder()
         .setUpstream(session.upstream().name())
         .setBootId(session.bootId())
+        .setAddress(session.upstream().address())
         .build();
   }
 
@@ -318,7 +326,7 @@
 
   private static boolean isUsable(LeaderTerm current, String upstream) {
     UpstreamSession session = current.sessions().get(upstream);
-    return session != null && session.fenced();
+    return session != null && session.fenced() && !session.replaced();
   }
 
   private List<SliceKey> localSlices(ServiceView service) {
@@ -348,7 +356,10 @@
 
   private void exchange(UpstreamSession session) {
     LeaderTerm current = term;
-    if (session.inFlight() || current == null || election.unsuperseded().isEmpty()) {
+    if (session.inFlight()
+        || session.replaced()
+        || current == null
+        || election.unsuperseded().isEmpty()) {
       return;
     }
     session.setInFlight(true);
@@ -415,9 +426,13 @@
         .build();
   }
 
+  private boolean isCurrent(LeaderTerm current, UpstreamSession session) {
+    return current == term && current.sessions().get(session.upstream().name()) == session;
+  }
+
   private void onStatus(LeaderTerm current, UpstreamSession session, @Nullable GrantReply reply) {
     session.setInFlight(false);
-    if (reply != null && current == term) {
+    if (reply != null && isCurrent(current, session)) {
       session.noteBoot(reply, clock.nowMs());
       exchange(session);
     }
@@ -430,7 +445,7 @@
       long sentMs,
       @Nullable GrantReply reply) {
     session.setInFlight(false);
-    if (reply == null || current != term) {
+    if (reply == null || !isCurrent(current, session)) {
       return;
     }
     boolean restarted = reply.getBootId() != request.getBootId();
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
@@ -7,7 +7,7 @@
 import org.foxtailford.schema.GrantReply;
 
 /**
- * What the leader knows of one upstream within one epoch.
+ * What the leader knows of one upstream at one address within one epoch.
  *
  * <p>The grant's expiry counts from a reading of the upstream's own clock, so a grant that is
  * delivered late does not live longer. That bounds the last possible expiry by the receipt of the
@@ -22,6 +22,7 @@
   private long asOfMs;
   private long lastReplyMs = Long.MIN_VALUE;
   private long acceptedSentMs = Long.MIN_VALUE;
+  private long replacedMs = Long.MAX_VALUE;
   private final Set<SliceKey> confirmed = new HashSet<>();
 
   UpstreamSession(Upstream upstream) {
@@ -32,8 +33,23 @@
     return upstream;
   }
 
-  void refresh(Upstream current) {
-    upstream = current;
+  /** Takes the present entry of the VM, or notes that the name is at another address now. */
+  void refresh(Upstream current, long nowMs) {
+    if (current.address().equals(upstream.address())) {
+      upstream = current;
+    } else if (replacedMs == Long.MAX_VALUE) {
+      replacedMs = nowMs;
+    }
+  }
+
+  /** Tells whether the name is at another address now; this session then sends nothing more. */
+  boolean replaced() {
+    return replacedMs != Long.MAX_VALUE;
+  }
+
+  /** Tells whether the name was at another address at a time already. */
+  boolean replacedBy(long ms) {
+    return replacedMs <= ms;
   }
 
   boolean inFlight() {
