--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/FoxtailctlCommand.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/FoxtailctlCommand.java
@@ -39,6 +39,7 @@
     commands.put("config apply", ConfigCommands.Apply::new);
     commands.put("config history", ConfigCommands.History::new);
     commands.put("dc out", StateCommands.DataCentreOut::new);
+    commands.put("dc lost", StateCommands.DataCentreLost::new);
     commands.put("dc in", StateCommands.DataCentreIn::new);
     commands.put("dc status", FoxtailctlCommand::dataCentres);
     commands.put("vm drain", StateCommands.VmDrain::new);
--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/StateCommands.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/StateCommands.java
@@ -1,5 +1,9 @@
 package org.foxtailford.cli;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.Consumer;
+import org.kohsuke.args4j.Option;
+
 /** Commands that take data centres and VMs out and bring them back. */
 final class StateCommands {
 
@@ -9,13 +13,11 @@
   private abstract static class AbstractStateCommand extends AbstractChangeCommand {
 
     private final String list;
-    private final String field;
-    private final boolean value;
+    private final Consumer<ObjectNode> edit;
 
-    AbstractStateCommand(String list, String field, boolean value) {
+    AbstractStateCommand(String list, Consumer<ObjectNode> edit) {
       this.list = list;
-      this.field = field;
-      this.value = value;
+      this.edit = edit;
     }
 
     @Override
@@ -26,35 +28,50 @@
     @Override
     ExitStatus run(CommandIo io) {
       String name = arguments(1).get(0);
-      return printAccepted(io, sender(io).edit(list, name, item -> item.put(field, value)));
+      return printAccepted(io, sender(io).edit(list, name, edit));
     }
   }
 
   /** Takes a data centre out. */
   static final class DataCentreOut extends AbstractStateCommand {
     DataCentreOut() {
-      super("dataCentres", "out", true);
+      super("dataCentres", item -> item.put("out", true));
+    }
+  }
+
+  /** States that nothing runs in a data centre any more, so that others take its keys at once. */
+  static final class DataCentreLost extends AbstractStateCommand {
+
+    @Option(
+        name = "--nothing-runs-there",
+        required = true,
+        usage =
+            "confirms that no entry VM and no upstream of it runs; otherwise keys get two owners")
+    private boolean confirmed;
+
+    DataCentreLost() {
+      super("dataCentres", item -> item.put("out", true).put("lost", true));
     }
   }
 
   /** Brings a data centre back. */
   static final class DataCentreIn extends AbstractStateCommand {
     DataCentreIn() {
-      super("dataCentres", "out", false);
+      super("dataCentres", item -> item.put("out", false).put("lost", false));
     }
   }
 
   /** Keeps new work from a VM. */
   static final class VmDrain extends AbstractStateCommand {
     VmDrain() {
-      super("vms", "draining", true);
+      super("vms", item -> item.put("draining", true));
     }
   }
 
   /** Lets a VM receive work again. */
   static final class VmUndrain extends AbstractStateCommand {
     VmUndrain() {
-      super("vms", "draining", false);
+      super("vms", item -> item.put("draining", false));
     }
   }
 }
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -90,6 +90,23 @@
     assertThat(fixture.out()).containsPattern("2 +2023-11-14T22:13:20Z +asha +flood");
   }
 
+  @Test
+  public void lossOfADataCentreIsStatedOnlyWithItsConfirmation() {
+    assertThat(fixture.run("dc", "lost", "dc-b")).isEqualTo(ExitStatus.USAGE);
+    assertThat(fixture.run("dc", "lost", "dc-b", "--nothing-runs-there"))
+        .isEqualTo(ExitStatus.DONE);
+    fixture.run("config", "get");
+    assertThat(fixture.out()).containsPattern("\"lost\" ?: ?true");
+  }
+
+  @Test
+  public void dataCentreThatReturnsIsNoLongerLost() {
+    fixture.run("dc", "lost", "dc-b", "--nothing-runs-there");
+    fixture.run("dc", "in", "dc-b");
+    fixture.run("config", "get");
+    assertThat(fixture.out()).doesNotContainPattern("\"(lost|out)\" ?: ?true");
+  }
+
   @Test
   public void editIsMadeAgainWhenAnotherOperatorChangedSomethingElse() {
     ChangeSender sender = sender();
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.foxtailford.core.configuration.ConfigurationView;
+import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.load.SliceLoadBook;
 import org.foxtailford.core.placement.PlacementPolicy;
 import org.foxtailford.core.time.MillisClock;
@@ -184,12 +185,19 @@
         .filter(service -> service.definition().getKeyed())
         .flatMap(service -> service.upstreams().stream())
         .filter(upstream -> upstream.dataCentre().equals(dataCentre))
-        .forEach(
-            upstream ->
-                current
-                    .sessions()
-                    .computeIfAbsent(upstream.name(), name -> new UpstreamSession(upstream))
-                    .refresh(upstream));
+        .forEach(upstream -> refreshSession(current, upstream));
+  }
+
+  /** A VM that was replaced at another address may still run; its last grant has to lapse first. */
+  private void refreshSession(LeaderTerm current, Upstream upstream) {
+    String name = upstream.name();
+    UpstreamSession session =
+        current.sessions().computeIfAbsent(name, absent -> new UpstreamSession(upstream));
+    session.refresh(upstream, clock.nowMs());
+    if (session.replacedBy(clock.nowMs() - timing.lapsedGrantMs())) {
+      current.releaseAll(name, clock.nowMs());
+      current.sessions().put(name, new UpstreamSession(upstream));
+    }
   }
 
   private void releaseLapsed(LeaderTerm current) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
@@ -60,7 +60,10 @@
 
   /** Sends the next order to an upstream unless an answer of it is awaited. */
   void exchange(LeaderTerm term, UpstreamSession session) {
-    if (session.inFlight() || !isCurrent(term) || !authority.unsuperseded(term)) {
+    if (session.inFlight()
+        || session.replaced()
+        || !isCurrent(term)
+        || !authority.unsuperseded(term)) {
       return;
     }
     session.setInFlight(true);
@@ -82,6 +85,10 @@
     return currentTerm.get().filter(current -> current == term).isPresent();
   }
 
+  private boolean isCurrent(LeaderTerm term, UpstreamSession session) {
+    return isCurrent(term) && term.sessions().get(session.upstream().name()) == session;
+  }
+
   private GrantRequest request(LeaderTerm term, UpstreamSession session) {
     long ttlMs = grantTtlMs(term, session);
     boolean fenceOnly = !session.fenced() || ttlMs <= 0;
@@ -126,7 +133,7 @@
 
   private void onStatus(LeaderTerm term, UpstreamSession session, @Nullable GrantReply reply) {
     session.setInFlight(false);
-    if (reply != null && isCurrent(term)) {
+    if (reply != null && isCurrent(term, session)) {
       session.noteBoot(reply, clock.nowMs());
       exchange(term, session);
     }
@@ -139,7 +146,7 @@
       long sentMs,
       @Nullable GrantReply reply) {
     session.setInFlight(false);
-    if (reply == null || !isCurrent(term)) {
+    if (reply == null || !isCurrent(term, session)) {
       return;
     }
     boolean restarted = reply.getBootId() != request.getBootId();
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderAuthority.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderAuthority.java
@@ -94,6 +94,7 @@
     return Arbiter.newBuilder()
         .setUpstream(session.upstream().name())
         .setBootId(session.bootId())
+        .setAddress(session.upstream().address())
         .build();
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
@@ -104,7 +104,7 @@
   /** Tells whether an upstream may receive slices: what it holds is known. */
   boolean usable(String upstream) {
     UpstreamSession session = sessions.get(upstream);
-    return session != null && session.fenced();
+    return session != null && session.fenced() && !session.replaced();
   }
 
   /** Returns when every earlier leader was excluded; empty before that. */
