Operators state the loss of a data centre by a command of their own

Cause: others take the keys of a lost data centre at once only after an operator's statement, which was a hand edit of the configuration. The scenario of a lost data centre that is taken out expected the same of 'take out'. That order does not say that nothing runs there, and to move the keys by it would give two owners if the data centre is only cut off.

Completion lists the new word, so its test does.

--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -268,7 +268,7 @@
     assertThat(fixture.out()).contains("--force");
     assertThat(fixture.run("--version")).isEqualTo(ExitStatus.DONE);
     assertThat(fixture.run("completion", "bash")).isEqualTo(ExitStatus.DONE);
-    assertThat(fixture.out()).contains("dc) words=\"in out status\"");
+    assertThat(fixture.out()).contains("dc) words=\"in lost out status\"");
   }
 
   private ChangeSender sender() {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioFault.java
@@ -35,6 +35,8 @@
     RACE,
     /** Operators take the data centres out and bring them back at the end. */
     TAKE_OUT,
+    /** Operators state that nothing runs in the data centres, and bring them back at the end. */
+    STATE_LOSS,
     /** Messages are lost, delayed, repeated and reordered. */
     DISTURB
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioForms.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/scenario/ScenarioForms.java
@@ -63,6 +63,13 @@
                   r.add(
                       new ScenarioFault(
                           timeMs(m, 1), timeMs(m, 4), Action.TAKE_OUT, names(m.group(3))))),
+          form(
+              "at " + TIME + ": state loss of " + DATA_CENTRES + " for " + TIME,
+              "at 5s: state loss of dc-b for 6s",
+              (r, m) ->
+                  r.add(
+                      new ScenarioFault(
+                          timeMs(m, 1), timeMs(m, 4), Action.STATE_LOSS, names(m.group(3))))),
           form(
               "at " + TIME + ": disturb messages for " + TIME,
               "at 5s: disturb messages for 4s",
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioFaults.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/ScenarioFaults.java
@@ -1,6 +1,7 @@
 package org.foxtailford.testkit.simulation;
 
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.foxtailford.core.util.Assert;
@@ -66,7 +67,10 @@
         operators.race(fault.forMs());
         break;
       case TAKE_OUT:
-        takeOut(fault);
+        order(fault, operators::setOut);
+        break;
+      case STATE_LOSS:
+        order(fault, operators::setLost);
         break;
       case DISTURB:
         injector.inject(FaultKind.MESSAGES_DISTURBED, fault.atMs(), fault.forMs());
@@ -96,13 +100,14 @@
     return fault.targets().stream().map(system::upstream).toList();
   }
 
-  private void takeOut(ScenarioFault fault) {
-    fault.targets().forEach(dataCentre -> operators.setOut(dataCentre, true));
+  /** Lets operators change the data centres, and change them back at the end. */
+  private void order(ScenarioFault fault, BiConsumer<String, Boolean> change) {
+    fault.targets().forEach(dataCentre -> change.accept(dataCentre, true));
     system
         .queue()
         .schedule(
             fault.forMs(),
-            () -> fault.targets().forEach(dataCentre -> operators.setOut(dataCentre, false)));
+            () -> fault.targets().forEach(dataCentre -> change.accept(dataCentre, false)));
   }
 
   private List<SimulatedNode> all(ScenarioFault fault) {
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedOperators.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedOperators.java
@@ -37,6 +37,13 @@
     operators.get(0).apply(edit);
   }
 
+  /** States that nothing runs in a data centre any more, or brings it back. */
+  void setLost(String dataCentre, boolean lost) {
+    String note = dataCentre + (lost ? " lost" : " back");
+    Edit edit = new Edit(note, document -> withLost(document, dataCentre, lost), () -> {});
+    operators.get(0).apply(edit);
+  }
+
   /** Lets both operators add labels, again and again. */
   void race(long lengthMs) {
     for (long afterMs = 0; afterMs < lengthMs; afterMs += RACE_INTERVAL_MS) {
@@ -70,6 +77,11 @@
     return with(document, labelled(document, dataCentre).setOut(out));
   }
 
+  private static ConfigurationDocument withLost(
+      ConfigurationDocument document, String dataCentre, boolean lost) {
+    return with(document, labelled(document, dataCentre).setOut(lost).setLost(lost));
+  }
+
   private static ConfigurationDocument withLabel(
       ConfigurationDocument document, String dataCentre, String label) {
     return with(document, labelled(document, dataCentre).putLabels(label, "yes"));
