--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
-import org.foxtailford.core.admission.ByteBudget;
-import org.foxtailford.core.admission.WorthThreshold;
 import org.foxtailford.core.coldstart.GateTiming;
 import org.foxtailford.core.configuration.ConfigurationInForce;
 import org.foxtailford.core.configuration.ConfigurationPropagation;
@@ -33,9 +31,6 @@
 import org.foxtailford.core.platform.TableService;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.poison.PoisonTracker;
-import org.foxtailford.core.retry.RetryAfter;
-import org.foxtailford.core.retry.RetryBudget;
-import org.foxtailford.core.retry.RetryPolicy;
 import org.foxtailford.core.routing.RequestRouter;
 import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
@@ -53,6 +48,7 @@
 import org.foxtailford.daemon.control.HomesPoller;
 import org.foxtailford.daemon.control.KnownHomes;
 import org.foxtailford.daemon.control.Leadership;
+import org.foxtailford.daemon.control.PlatformClients;
 import org.foxtailford.daemon.control.RoutingState;
 import org.foxtailford.daemon.idempotency.RequestGuard;
 import org.foxtailford.daemon.idempotency.RequestRecords;
@@ -70,11 +66,10 @@
 import org.foxtailford.daemon.request.CallerHandler;
 import org.foxtailford.daemon.request.GuardedSender;
 import org.foxtailford.daemon.request.PlannedStop;
-import org.foxtailford.daemon.request.QueueLimits;
 import org.foxtailford.daemon.request.RelaySender;
-import org.foxtailford.daemon.request.RequestAttempts;
 import org.foxtailford.daemon.request.RequestClassifier;
 import org.foxtailford.daemon.request.RequestPath;
+import org.foxtailford.daemon.request.RequestPaths;
 import org.foxtailford.daemon.request.UpstreamSender;
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
@@ -86,17 +81,11 @@
 import org.foxtailford.net.tls.ChannelSecurity;
 import org.foxtailford.net.tls.TlsContexts;
 import org.foxtailford.net.tls.TlsFiles;
-import org.foxtailford.platform.HttpObjectStore;
-import org.foxtailford.platform.HttpTableService;
-import org.foxtailford.platform.HttpUpstreamGrants;
-import org.foxtailford.platform.HttpVmListSource;
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.HomesRow;
 import org.foxtailford.schema.OwnershipCheckpoint;
-import org.foxtailford.schema.OwnershipSettings;
 import org.foxtailford.schema.PeerFrame;
-import org.foxtailford.schema.PlatformSettings;
 import org.foxtailford.schema.RequestSettings;
 import org.foxtailford.schema.VmList;
 import org.jspecify.annotations.Nullable;
@@ -111,10 +100,6 @@
   private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
   private static final int HEARTBEAT_INTERVAL_MS = 300;
   private static final int PEER_LOST_AFTER_MS = 1200;
-  private static final double PERCENT = 100.0;
-  private static final double RETRIES_PER_SECOND = 1.0;
-  private static final double RETRY_BURST = 20.0;
-  private static final long MIN_ATTEMPT_MS = 2;
   private static final long BOOT_ID_TIMEOUT_MS = 1000;
 
   private final DaemonSettings settings;
@@ -139,6 +124,7 @@
   private final HttpServer operators;
   private final PeerServer peerServer;
   private final PooledHttpClient controlClient;
+  private final PlatformClients platform;
   private final PooledHttpClient upstreamClient;
   private final ColdStarts coldStarts;
   private final Leadership leadership;
@@ -203,7 +189,8 @@
     coldStarts = newColdStarts(self);
     loads = new ServiceLoads(() -> 1 + peers.countIn(settings.getDataCentre()));
     router = new RequestRouter(new TwoChoicesChooser(random), loads);
-    TableService table = newTable(settings.getPlatform().getTimeoutMs());
+    platform = new PlatformClients(controlClient, settings.getPlatform(), settings.getOwnership());
+    TableService table = platform.table();
     records = new RequestRecords(self, peers, table, this::leadsNow, RecordLimits.DEFAULT, clock);
     metrics.records(records.holder()::rosterVersion, records.holder()::isSettled);
     requestGuard = newRequestGuard();
@@ -218,7 +205,7 @@
     homesPoller =
         new HomesPoller(table, () -> state.snapshot().configuration(), homes, metrics, clock);
     configurations = newConfigurationExchange(random);
-    ObjectStore objects = newObjectStore();
+    ObjectStore objects = platform.objects();
     savedOwners = new CheckpointReader(table, objects);
     checkpoints = newCheckpointWriter(table, objects, random);
     leadership = newLeadership(self, table, random);
@@ -245,23 +232,9 @@
     return new HttpLimits(requests.getMaxHeaderBytes(), requests.getMaxBodyBytes());
   }
 
-  private TableService newTable(int timeoutMs) {
-    return new HttpTableService(controlClient, settings.getPlatform().getAddress(), timeoutMs);
-  }
-
-  private ObjectStore newObjectStore() {
-    PlatformSettings platform = settings.getPlatform();
-    return new HttpObjectStore(controlClient, platform.getAddress(), platform.getTimeoutMs());
-  }
-
   private ConfigurationPoller newPoller(TableService table) {
-    PlatformSettings platform = settings.getPlatform();
     return new ConfigurationPoller(
-        table,
-        new HttpVmListSource(controlClient, platform.getAddress(), platform.getTimeoutMs()),
-        inForce,
-        vms -> control.execute(() -> acceptVms(vms)),
-        metrics);
+        table, platform.vmList(), inForce, vms -> control.execute(() -> acceptVms(vms)), metrics);
   }
 
   private ConfigurationExchange newConfigurationExchange(RandomGenerator random) {
@@ -276,14 +249,11 @@
   }
 
   private Leadership newLeadership(PeerIdentity self, TableService table, RandomGenerator random) {
-    OwnershipSettings ownership = settings.getOwnership();
-    int leaseTimeoutMs =
-        Math.min(settings.getPlatform().getTimeoutMs(), ownership.getLeaseTtlMs() / 2);
     return new Leadership(
         self,
-        ownership,
-        new Leadership.Tables(newTable(leaseTimeoutMs), table),
-        new HttpUpstreamGrants(controlClient, ownership.getRenewIntervalMs()),
+        settings.getOwnership(),
+        new Leadership.Tables(platform.leaseTable(), table),
+        platform.grants(),
         this::publish,
         state,
         () -> tracker.usableIn(settings.getDataCentre()),
@@ -364,36 +334,15 @@
   }
 
   private RequestPath newRequestPath(RandomGenerator random) {
-    RequestSettings limits = settings.getRequests();
-    RetryBudget budget =
-        new RetryBudget(
-            limits.getRetryBudgetPercent() / PERCENT,
-            RETRIES_PER_SECOND,
-            RETRY_BURST,
-            clock.nowMs());
-    RequestAttempts attempts =
-        new RequestAttempts(
-            router,
-            state::snapshot,
-            loads,
-            new GuardedSender(
-                new LoadCountingGuard(requestGuard, sentLoad), new UpstreamSender(upstreamClient)),
-            new RelaySender(new PeerRelayRoutes(peers, coldStarts.gates()), metrics, clock),
-            new RetryPolicy(limits.getMaxAttempts(), MIN_ATTEMPT_MS, budget),
-            budget,
-            metrics,
-            clock,
-            this::schedule,
-            coldStarts.admission(),
-            new QueueLimits(limits.getQueueCapacity(), limits.getQueueTimeMs()));
-    return new RequestPath(
-        attempts,
-        state::snapshot,
-        new WorthThreshold(limits.getMaxInFlight()),
-        new ByteBudget(limits.getMaxBodyMemoryBytes()),
-        new RetryAfter(random),
-        metrics,
-        clock);
+    RequestPaths paths =
+        new RequestPaths(
+            settings.getRequests(), router, loads, state::snapshot, metrics, clock, this::schedule);
+    return paths.create(
+        new GuardedSender(
+            new LoadCountingGuard(requestGuard, sentLoad), new UpstreamSender(upstreamClient)),
+        new RelaySender(new PeerRelayRoutes(peers, coldStarts.gates()), metrics, clock),
+        coldStarts.admission(),
+        random);
   }
 
   private Runnable schedule(Runnable task, long delayMs) {
