--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -147,6 +147,9 @@
       metrics.leadershipGained();
       logger.atInfo().log("leads data centre %s", dataCentre);
     }
+    if (!now && leads) {
+      logger.atInfo().log("no longer leads data centre %s", dataCentre);
+    }
     leads = now;
   }
 
