Requests that wait are counted once; planned stop tested with a full queue

Cause: a planned stop was tested with one request in flight. The new test waits until ten requests are queued and found the meter foxtailford.queued at 15,170 for them: each look at the queue counted again.

Change: a request counts at its first wait. The test stops an entry VM with 4 requests at a full upstream and 10 in the queue.

Before: 15,170 for 10 requests.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestAttempts.java
@@ -217,7 +217,7 @@
   }
 
   private void enqueue(RequestCall call, String queue, RequestKind kind) {
-    if (call.lastFailure().isEmpty()) {
+    if (!call.hasWaited()) {
       metrics.queued(call.attributes().service());
     }
     queues.add(queue, call, kind.getWorth(), call.waitUntil(clock.nowMs(), queueTimeMs));
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestCall.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestCall.java
@@ -95,6 +95,11 @@
     return Optional.ofNullable(lastFailure);
   }
 
+  /** Tells whether it has waited for a slot before. */
+  boolean hasWaited() {
+    return waitUntilMs != Long.MIN_VALUE;
+  }
+
   /** Returns when it stops waiting for a slot, counted from its first wait. */
   long waitUntil(long nowMs, long limitMs) {
     if (waitUntilMs == Long.MIN_VALUE) {
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/EntryVmStopTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/EntryVmStopTests.java
@@ -9,6 +9,8 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -39,6 +41,8 @@
   private static final HttpLimits LIMITS = new HttpLimits(1 << 16, 1 << 20);
   private static final long PATIENCE_MS = 20_000;
   private static final int NO_END_MS = 600_000;
+  private static final int SLOTS = 4;
+  private static final int QUEUED = 10;
   private static final String CONFIGURATION =
       "{\"services\":[{\"name\":\"pantry\",\"selector\":\"vm=u1\",\"slotsPerUpstream\":4,"
           + "\"kinds\":[{\"name\":\"check\",\"idempotent\":true,\"worth\":50}]}]}";
@@ -55,7 +59,7 @@
   public void setUp() {
     atUpstream.clear();
     loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    client = new PooledHttpClient(loops, 8, 1 << 20);
+    client = new PooledHttpClient(loops, SLOTS + QUEUED, 1 << 20);
     upstream = new HttpServer(loops, LIMITS, new HeldAnswers());
     int upstreamPort = upstream.bind(local(0));
     PlatformStandIn standIn = new PlatformStandIn();
@@ -149,7 +153,7 @@
         .setDefaultTimeoutMs((int) PATIENCE_MS)
         .setMaxInFlight(100)
         .setMaxBodyMemoryBytes(1 << 20)
-        .setQueueCapacity(10)
+        .setQueueCapacity(QUEUED)
         .setQueueTimeMs((int) PATIENCE_MS)
         .setMaxAttempts(3)
         .setStopAnnounceMs(announceMs)
@@ -185,6 +189,38 @@
     assertThat(stopped).isNotDone();
   }
 
+  @Test
+  public void requestsAtAFullUpstreamAndInTheQueueAreFinishedBeforeTheStopEnds()
+      throws InterruptedException {
+    startVm(0);
+    List<CompletableFuture<HttpAnswer>> running = new ArrayList<>();
+    for (int i = 0; i < SLOTS + QUEUED; i++) {
+      running.add(check());
+    }
+    awaitQueued();
+    CompletableFuture<Void> stopped = vm.stop(PATIENCE_MS);
+    for (int i = 0; i < running.size(); i++) {
+      assertThat(stopped).isNotDone();
+      answerNext();
+    }
+    assertThat(running).allMatch(answer -> answer.join().status() == 200);
+    stopped.join();
+  }
+
+  private void awaitQueued() {
+    String queued = "foxtailford_queued_total{service=\"pantry\"} " + (double) QUEUED;
+    long giveUpNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+    while (!metrics().contains(queued) && System.nanoTime() < giveUpNanos) {
+      Thread.onSpinWait();
+    }
+    assertThat(metrics()).contains(queued);
+  }
+
+  private List<String> metrics() {
+    HttpAnswer scraped = client.send(local(vm.operatorPort()), get("/metrics"), PATIENCE_MS).join();
+    return scraped.bodyText().lines().toList();
+  }
+
   @Test
   public void requestInFlightIsFinishedBeforeTheStopEnds() throws InterruptedException {
     startVm(0);
