Slices of keys have a package of their own; packages of core form no cycle

Cause: ownership and placement imported each other, and so did placement and load, against the rule that dependencies go one way. Conclusion: no behaviour changes.

--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/capacity/Slopes.java
@@ -17,9 +17,7 @@
 import org.foxtailford.core.load.HotKeySketch;
 import org.foxtailford.core.load.SliceLoadRecorder;
 import org.foxtailford.core.ownership.HomeDirectory;
-import org.foxtailford.core.ownership.KeyHashing;
 import org.foxtailford.core.ownership.OwnershipMap;
-import org.foxtailford.core.ownership.SliceRange;
 import org.foxtailford.core.placement.LoadAwarePolicy;
 import org.foxtailford.core.placement.PlacedSlice;
 import org.foxtailford.core.placement.PlacementRound;
@@ -31,6 +29,8 @@
 import org.foxtailford.core.routing.RoutingSnapshot;
 import org.foxtailford.core.routing.ServiceLoads;
 import org.foxtailford.core.routing.TwoChoicesChooser;
+import org.foxtailford.core.slice.KeyHashing;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.ConfigurationDocument;
 import org.foxtailford.schema.OwnershipCheckpoint;
 
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/BoundedLoadHashingPolicy.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/BoundedLoadHashingPolicy.java
@@ -9,10 +9,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.foxtailford.core.ownership.KeyHashing;
 import org.foxtailford.core.placement.PlacedSlice;
 import org.foxtailford.core.placement.PlacementPolicy;
 import org.foxtailford.core.placement.SliceMove;
+import org.foxtailford.core.slice.KeyHashing;
 
 /**
  * Baseline: consistent hashing with bounded loads. A slice belongs to the first upstream after it
--- a/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/KeyWorkload.java
+++ b/foxtailford-benchmarks/src/main/java/org/foxtailford/benchmarks/placement/KeyWorkload.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
-import org.foxtailford.core.load.KeyLoad;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 
 /**
  * Requests by key: a Zipf distribution whose most popular keys are explicit and whose tail is
--- a/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/GateKeeper.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/coldstart/GateKeeper.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.foxtailford.core.ownership.KeyHashing;
+import org.foxtailford.core.slice.KeyHashing;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/dissemination/OwnershipFeed.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/dissemination/OwnershipFeed.java
@@ -8,7 +8,7 @@
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.SliceAssignment;
-import org.foxtailford.core.ownership.SliceKey;
+import org.foxtailford.core.slice.SliceKey;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.OwnershipDelta;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/load/HotKeySketch.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/load/HotKeySketch.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.apache.datasketches.frequencies.ErrorType;
 import org.apache.datasketches.frequencies.LongsSketch;
+import org.foxtailford.core.slice.KeyLoad;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/load/SliceLoadBook.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/load/SliceLoadBook.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.foxtailford.core.placement.LoadAwarePolicy;
 import org.foxtailford.core.placement.SliceLayout;
+import org.foxtailford.core.slice.KeyLoad;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.KeyLoadValue;
@@ -25,7 +27,7 @@
 public final class SliceLoadBook {
 
   /** Usual time in which the weight of a request halves, in milliseconds. */
-  public static final long HALF_LIFE_MS = 5000;
+  public static final long HALF_LIFE_MS = LoadAwarePolicy.LOAD_HALF_LIFE_MS;
 
   private static final int REMEMBERED_LAYOUTS = 8;
   private static final int HOT_KEYS = 1024;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -8,6 +8,7 @@
 import org.foxtailford.core.configuration.Upstream;
 import org.foxtailford.core.load.SliceLoadBook;
 import org.foxtailford.core.placement.PlacementPolicy;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.jspecify.annotations.Nullable;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/GrantExchange.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.foxtailford.core.slice.SliceKey;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.GrantReply;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.foxtailford.core.platform.TableRow;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.HomeRange;
 import org.foxtailford.schema.HomeRanges;
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomePlanner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.HomeRange;
 import org.foxtailford.schema.HomeRanges;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeSlices.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeSlices.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.foxtailford.core.configuration.ServiceView;
+import org.foxtailford.core.slice.SliceKey;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaderTerm.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseCandidates.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/LeaseCandidates.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
+import org.foxtailford.core.slice.KeyHashing;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/PlanExecution.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/PlanExecution.java
@@ -8,6 +8,8 @@
 import org.foxtailford.core.placement.SliceMerge;
 import org.foxtailford.core.placement.SliceMove;
 import org.foxtailford.core.placement.SliceSplit;
+import org.foxtailford.core.slice.SliceKey;
+import org.foxtailford.core.slice.SliceRange;
 
 /**
  * Carries out a plan on the slices of a term.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceAssignment.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceAssignment.java
@@ -1,5 +1,6 @@
 package org.foxtailford.core.ownership;
 
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.SliceAssignmentValue;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceIndex.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceIndex.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
+import org.foxtailford.core.slice.SliceRange;
 
 /**
  * Finds the entry whose range holds a hash. Immutable.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
@@ -15,6 +15,7 @@
 import org.foxtailford.core.placement.PlacementRound;
 import org.foxtailford.core.placement.SliceLayout;
 import org.foxtailford.core.placement.UpstreamCapacity;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceState.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceState.java
@@ -1,6 +1,7 @@
 package org.foxtailford.core.ownership;
 
 import java.util.Optional;
+import org.foxtailford.core.slice.SliceKey;
 
 /**
  * What a leader knows of one slice: its owner, or the reading of the clock from which it may be
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceTable.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceTable.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.foxtailford.core.slice.SliceKey;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/UpstreamSession.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.foxtailford.core.configuration.Upstream;
+import org.foxtailford.core.slice.SliceKey;
 import org.foxtailford.schema.GrantReply;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/ColdSliceMerger.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/ColdSliceMerger.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 
 /** Keeps the number of slices bounded by joining cold neighbours of one owner. */
 final class ColdSliceMerger {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/LoadAwarePolicy.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/LoadAwarePolicy.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntFunction;
-import org.foxtailford.core.load.SliceLoadBook;
 import org.foxtailford.core.placement.PlacementDraft.Holder;
 import org.foxtailford.core.placement.PlacementDraft.Piece;
 import org.foxtailford.core.util.Assert;
@@ -43,6 +42,9 @@
    */
   private static final double MAX_REMAINDER = 0.9;
 
+  /** Usual time in which the weight of a request in a load halves, in milliseconds. */
+  public static final long LOAD_HALF_LIFE_MS = 5000;
+
   /** Imbalance of widths above which slices move while no load is known. */
   private static final double IDLE_TRIGGER_IMBALANCE = 2;
 
@@ -59,7 +61,7 @@
 
   /** Creates the policy with the usual limits, for loads of the usual half-life. */
   public LoadAwarePolicy() {
-    this(PlacementLimits::forUpstreams, SliceLoadBook.HALF_LIFE_MS);
+    this(PlacementLimits::forUpstreams, LOAD_HALF_LIFE_MS);
   }
 
   /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacedSlice.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacedSlice.java
@@ -1,7 +1,7 @@
 package org.foxtailford.core.placement;
 
 import java.util.Optional;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 
 /**
  * A slice as the placement policy sees it.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementDraft.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementDraft.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import org.foxtailford.core.load.KeyLoad;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 import org.jspecify.annotations.Nullable;
 
 /** Owners and loads while one round is planned. Not thread-safe. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementRound.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/PlacementRound.java
@@ -2,7 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
-import org.foxtailford.core.load.KeyLoad;
+import org.foxtailford.core.slice.KeyLoad;
 
 /**
  * What one round of placement decides on, for one service in one data centre.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceLayout.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceLayout.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import org.foxtailford.core.load.KeyLoad;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceMerge.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceMerge.java
@@ -1,7 +1,7 @@
 package org.foxtailford.core.placement;
 
 import java.util.List;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 
 /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceMove.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/placement/SliceMove.java
@@ -1,6 +1,6 @@
 package org.foxtailford.core.placement;
 
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 
 /**
  * A change of owner that a policy asks for.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/routing/RequestRouter.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/routing/RequestRouter.java
@@ -7,9 +7,9 @@
 import java.util.function.ToDoubleFunction;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
-import org.foxtailford.core.ownership.KeyHashing;
 import org.foxtailford.core.ownership.SliceAssignment;
 import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.slice.KeyHashing;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.RequestKind;
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/KeyHashing.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/slice/KeyHashing.java
@@ -1,4 +1,4 @@
-package org.foxtailford.core.ownership;
+package org.foxtailford.core.slice;
 
 import net.openhft.hashing.LongHashFunction;
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/load/KeyLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/slice/KeyLoad.java
@@ -1,4 +1,4 @@
-package org.foxtailford.core.load;
+package org.foxtailford.core.slice;
 
 /**
  * Load of one key.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SliceRange.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/slice/SliceRange.java
@@ -1,4 +1,4 @@
-package org.foxtailford.core.ownership;
+package org.foxtailford.core.slice;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/foxtailford-core/src/test/java/org/foxtailford/core/dissemination/OwnershipFeedProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/dissemination/OwnershipFeedProperties.java
@@ -9,7 +9,7 @@
 import net.jqwik.api.Property;
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.ownership.SliceAssignment;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.ServiceAssignment;
--- a/foxtailford-core/src/test/java/org/foxtailford/core/load/HotKeySketchTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/load/HotKeySketchTests.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import org.foxtailford.core.slice.KeyLoad;
 import org.testng.annotations.Test;
 
 public class HotKeySketchTests {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/load/SliceLoadBookTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/load/SliceLoadBookTests.java
@@ -4,9 +4,10 @@
 import static org.assertj.core.api.Assertions.within;
 
 import java.util.List;
-import org.foxtailford.core.ownership.SliceRange;
 import org.foxtailford.core.placement.SliceLayout;
 import org.foxtailford.core.placement.SliceSplit;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/foxtailford-core/src/test/java/org/foxtailford/core/ownership/HomePlannerTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/ownership/HomePlannerTests.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.HomeRange;
 import org.foxtailford.schema.HomeRanges;
 import org.testng.annotations.Test;
--- a/foxtailford-core/src/test/java/org/foxtailford/core/ownership/SliceTableTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/ownership/SliceTableTests.java
@@ -4,6 +4,8 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
+import org.foxtailford.core.slice.SliceKey;
+import org.foxtailford.core.slice.SliceRange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/foxtailford-core/src/test/java/org/foxtailford/core/placement/LoadAwarePolicyProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/placement/LoadAwarePolicyProperties.java
@@ -13,8 +13,8 @@
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.foxtailford.core.load.KeyLoad;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 
 class LoadAwarePolicyProperties {
 
--- a/foxtailford-core/src/test/java/org/foxtailford/core/placement/LoadAwarePolicyTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/placement/LoadAwarePolicyTests.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.foxtailford.core.load.KeyLoad;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 import org.testng.annotations.Test;
 
 public class LoadAwarePolicyTests {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/placement/SliceLayoutProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/placement/SliceLayoutProperties.java
@@ -9,8 +9,8 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.foxtailford.core.load.KeyLoad;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.KeyLoad;
+import org.foxtailford.core.slice.SliceRange;
 
 class SliceLayoutProperties {
 
--- a/foxtailford-core/src/test/java/org/foxtailford/core/ownership/SliceRangeProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/slice/SliceRangeProperties.java
@@ -1,4 +1,4 @@
-package org.foxtailford.core.ownership;
+package org.foxtailford.core.slice;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/HandOverProgress.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/HandOverProgress.java
@@ -9,8 +9,8 @@
 import java.util.stream.Collectors;
 import org.foxtailford.core.configuration.ServiceView;
 import org.foxtailford.core.configuration.Upstream;
-import org.foxtailford.core.ownership.SliceRange;
 import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.HomeRange;
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/operator/RoutingResources.java
@@ -7,13 +7,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.configuration.ServiceView;
-import org.foxtailford.core.ownership.KeyHashing;
 import org.foxtailford.core.ownership.SliceAssignment;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.routing.RequestAttributes;
 import org.foxtailford.core.routing.RouteDecision;
 import org.foxtailford.core.routing.RoutingSnapshot;
+import org.foxtailford.core.slice.KeyHashing;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpAnswer;
 
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/control/GrantTimesTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/control/GrantTimesTests.java
@@ -5,7 +5,7 @@
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.SliceAssignment;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.ServiceAssignment;
 import org.testng.annotations.BeforeMethod;
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/LayoutChangingPolicy.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/LayoutChangingPolicy.java
@@ -7,7 +7,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import org.foxtailford.core.ownership.SliceRange;
 import org.foxtailford.core.placement.PlacedSlice;
 import org.foxtailford.core.placement.PlacementPlan;
 import org.foxtailford.core.placement.PlacementPolicy;
@@ -15,6 +14,7 @@
 import org.foxtailford.core.placement.SliceMerge;
 import org.foxtailford.core.placement.SliceMove;
 import org.foxtailford.core.placement.SliceSplit;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 
 /** Adds splits and merges without need to the plans of another policy while a condition holds. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipChecker.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/OwnershipChecker.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.foxtailford.core.ownership.Fence;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.GrantReply;
 import org.foxtailford.schema.GrantRequest;
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -15,7 +15,7 @@
 import org.foxtailford.core.ownership.LeaseElection;
 import org.foxtailford.core.ownership.OwnershipMap;
 import org.foxtailford.core.ownership.OwnershipTiming;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.OwnershipCheckpoint;
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedGuard.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedGuard.java
@@ -4,11 +4,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.foxtailford.core.idempotency.ClaimContent;
-import org.foxtailford.core.ownership.KeyHashing;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.poison.PoisonVerdict;
 import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.slice.KeyHashing;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.PoisonReport;
 
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/GrantHolder.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/upstream/GrantHolder.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.foxtailford.core.ownership.Fence;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.GrantReply;
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/homes/HomeTakeOverTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/homes/HomeTakeOverTests.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/HomeMoveTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/HomeMoveTests.java
@@ -4,7 +4,7 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LeaderLayoutTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/LeaderLayoutTests.java
@@ -8,7 +8,6 @@
 import java.util.stream.Collectors;
 import org.foxtailford.core.ownership.Fence;
 import org.foxtailford.core.ownership.SliceAssignment;
-import org.foxtailford.core.ownership.SliceRange;
 import org.foxtailford.core.placement.EvenCountPolicy;
 import org.foxtailford.core.placement.PlacedSlice;
 import org.foxtailford.core.placement.PlacementPlan;
@@ -17,6 +16,7 @@
 import org.foxtailford.core.placement.SliceMerge;
 import org.foxtailford.core.placement.SliceMove;
 import org.foxtailford.core.placement.SliceSplit;
+import org.foxtailford.core.slice.SliceRange;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/SliceReleaseTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/simulation/SliceReleaseTests.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.foxtailford.core.ownership.HomeDirectory;
-import org.foxtailford.core.ownership.SliceRange;
+import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.schema.HomeRange;
 import org.foxtailford.schema.HomeRanges;
 import org.testng.annotations.BeforeMethod;
