--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/EntryVm.java
@@ -10,8 +10,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
@@ -22,7 +20,6 @@
 import org.foxtailford.core.configuration.PropagationTiming;
 import org.foxtailford.core.idempotency.RecordLimits;
 import org.foxtailford.core.load.SliceLoadRecorder;
-import org.foxtailford.core.membership.Member;
 import org.foxtailford.core.membership.MembershipTracker;
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.ownership.CheckpointReader;
@@ -41,9 +38,11 @@
 import org.foxtailford.daemon.coldstart.ColdStarts;
 import org.foxtailford.daemon.coldstart.PeerRelayRoutes;
 import org.foxtailford.daemon.coldstart.TrackedMembership;
+import org.foxtailford.daemon.control.CertificateReload;
 import org.foxtailford.daemon.control.ConfigurationExchange;
 import org.foxtailford.daemon.control.ConfigurationPoller;
 import org.foxtailford.daemon.control.ConfigurationSightings;
+import org.foxtailford.daemon.control.ControlLoop;
 import org.foxtailford.daemon.control.GrantTimes;
 import org.foxtailford.daemon.control.HomesPoller;
 import org.foxtailford.daemon.control.KnownHomes;
@@ -58,10 +57,12 @@
 import org.foxtailford.daemon.operator.OperatorHandler;
 import org.foxtailford.daemon.peer.HeartbeatExchange;
 import org.foxtailford.daemon.peer.HomesSpread;
+import org.foxtailford.daemon.peer.OwnerPublication;
 import org.foxtailford.daemon.peer.OwnerSpread;
 import org.foxtailford.daemon.peer.PeerDispatcher;
 import org.foxtailford.daemon.peer.PeerFrameHandler;
 import org.foxtailford.daemon.peer.PeerNetwork;
+import org.foxtailford.daemon.peer.PoisonReports;
 import org.foxtailford.daemon.peer.SharedVersions;
 import org.foxtailford.daemon.request.CallerHandler;
 import org.foxtailford.daemon.request.GuardedSender;
@@ -84,7 +85,6 @@
 import org.foxtailford.schema.DaemonSettings;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.schema.HomesRow;
-import org.foxtailford.schema.OwnershipCheckpoint;
 import org.foxtailford.schema.PeerFrame;
 import org.foxtailford.schema.RequestSettings;
 import org.foxtailford.schema.VmList;
@@ -107,7 +107,7 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final EventLoopGroup loops;
-  private final ScheduledExecutorService control;
+  private final ControlLoop control = new ControlLoop();
   private final Optional<TlsContexts> tls;
   private final RoutingState state;
   private final ConfigurationInForce inForce;
@@ -128,8 +128,7 @@
   private final PooledHttpClient upstreamClient;
   private final ColdStarts coldStarts;
   private final Leadership leadership;
-  private final CheckpointWriter checkpoints;
-  private final CheckpointReader savedOwners;
+  private final OwnerPublication publication;
   private final ConfigurationPoller poller;
   private final HomesSpread homesSpread;
   private final HomesPoller homesPoller;
@@ -137,7 +136,6 @@
   private final RouterMetrics metrics;
   private final MembershipTracker tracker;
   private final OwnerSpread owners;
-  private final GrantTimes grantTimes;
   private final HeartbeatExchange heartbeats;
   private final SliceLoadRecorder sentLoad;
   private final LoadReporting loadReports;
@@ -158,7 +156,6 @@
     RandomGenerator random = new SecureRandom();
     metrics = new RouterMetrics(registry);
     loops = new MultiThreadIoEventLoopGroup(eventLoopThreads, NioIoHandler.newFactory());
-    control = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
     tls =
         DaemonSettingsReader.isProtected(settings)
             ? Optional.of(new TlsContexts(TlsFiles.of(settings.getTls())))
@@ -175,7 +172,6 @@
         new MembershipTracker(
             settings.getVm(), settings.getDataCentre(), PEER_LOST_AFTER_MS, clock);
     owners = new OwnerSpread(self, tracker, peers, state, metrics);
-    grantTimes = new GrantTimes(() -> state.snapshot().owners(), System::currentTimeMillis);
     heartbeats =
         new HeartbeatExchange(
             self,
@@ -201,13 +197,11 @@
     callers = new HttpServer(loops, callerLimits(), callerHandler);
     poller = newPoller(table);
     KnownHomes homes = new KnownHomes(state, this::announceHomes);
-    homesSpread = new HomesSpread(self, homes, peers, heartbeats::tree, this::remotePeers);
+    homesSpread = new HomesSpread(self, homes, peers, heartbeats::tree, peers::openElsewhere);
     homesPoller =
         new HomesPoller(table, () -> state.snapshot().configuration(), homes, metrics, clock);
     configurations = newConfigurationExchange(random);
-    ObjectStore objects = platform.objects();
-    savedOwners = new CheckpointReader(table, objects);
-    checkpoints = newCheckpointWriter(table, objects, random);
+    publication = newOwnerPublication(table, random);
     leadership = newLeadership(self, table, random);
     loadReports = newLoadReporting(self);
     peerServer = newPeerServer(self, maxFrameBytes, classifier);
@@ -254,7 +248,7 @@
         settings.getOwnership(),
         new Leadership.Tables(platform.leaseTable(), table),
         platform.grants(),
-        this::publish,
+        publication,
         state,
         () -> tracker.usableIn(settings.getDataCentre()),
         this::pollHomes,
@@ -264,10 +258,16 @@
         control);
   }
 
-  private CheckpointWriter newCheckpointWriter(
-      TableService table, ObjectStore objects, RandomGenerator random) {
-    return new CheckpointWriter(
-        settings.getDataCentre(), table, objects, clock, random::nextLong, control);
+  private OwnerPublication newOwnerPublication(TableService table, RandomGenerator random) {
+    String dataCentre = settings.getDataCentre();
+    ObjectStore objects = platform.objects();
+    return new OwnerPublication(
+        dataCentre,
+        new GrantTimes(() -> state.snapshot().owners(), System::currentTimeMillis),
+        owners,
+        new CheckpointWriter(dataCentre, table, objects, clock, random::nextLong, control),
+        new CheckpointReader(table, objects),
+        control);
   }
 
   private LoadReporting newLoadReporting(PeerIdentity self) {
@@ -301,14 +301,7 @@
         homesSpread,
         coldStarts.gates()::onFrame,
         loadReports::onFrame,
-        (sender, frame) -> receivePoisonReport(frame));
-  }
-
-  private boolean receivePoisonReport(PeerFrame frame) {
-    if (frame.hasPoisonReport()) {
-      poison.receive(frame.getPoisonReport());
-    }
-    return frame.hasPoisonReport();
+        new PoisonReports(poison));
   }
 
   private PooledHttpClient newUpstreamClient(int maxAnswerBytes) {
@@ -359,20 +352,6 @@
         clock);
   }
 
-  private void publish(OwnershipCheckpoint checkpoint) {
-    OwnershipCheckpoint noted = grantTimes.note(checkpoint);
-    owners.publish(noted);
-    checkpoints.publish(noted);
-  }
-
-  /** Takes the owners that an earlier leader saved, until a peer has newer ones. */
-  private void loadSavedOwners() {
-    savedOwners
-        .load(settings.getDataCentre())
-        .thenAcceptAsync(saved -> saved.ifPresent(owners::publish), control)
-        .exceptionally(EntryVm::reportFailedPoll);
-  }
-
   private Optional<Long> leadingEpoch() {
     return leadership.leadingEpoch();
   }
@@ -406,7 +385,7 @@
             sightings::versions,
             new SecureRandom()::nextLong,
             tls.isPresent(),
-            () -> control.execute(guarded(configurations::refresh)));
+            () -> control.execute(configurations::refresh));
     OperatorHandler handler = new OperatorHandler(context, registry);
     HttpLimits limits =
         new HttpLimits(settings.getRequests().getMaxHeaderBytes(), OPERATOR_BODY_BYTES);
@@ -422,21 +401,13 @@
     peerPort = peerServer.bind(settings.getPeerListener());
     operatorPort = operators.bind(settings.getOperatorListener());
     callerPort = callers.bind(settings.getCallerListener());
-    int pollMs = settings.getPlatform().getPollIntervalMs();
-    int renewMs = settings.getOwnership().getRenewIntervalMs();
-    control.execute(guarded(this::loadSavedOwners));
-    control.scheduleWithFixedDelay(guarded(this::poll), 0, pollMs, TimeUnit.MILLISECONDS);
-    control.scheduleAtFixedRate(
-        guarded(heartbeats::tick), 0, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
-    control.scheduleAtFixedRate(guarded(this::tick), 0, renewMs, TimeUnit.MILLISECONDS);
+    control.execute(() -> publication.loadSaved().exceptionally(EntryVm::reportFailedPoll));
+    control.withDelay(this::poll, 0, settings.getPlatform().getPollIntervalMs());
+    control.atRate(heartbeats::tick, HEARTBEAT_INTERVAL_MS);
+    control.atRate(this::tick, settings.getOwnership().getRenewIntervalMs());
     int reloadMs = settings.getTls().getReloadIntervalMs();
-    tls.ifPresent(
-        contexts ->
-            control.scheduleWithFixedDelay(
-                guarded(() -> reloadCertificates(contexts)),
-                reloadMs,
-                reloadMs,
-                TimeUnit.MILLISECONDS));
+    tls.map(contexts -> new CertificateReload(contexts, metrics))
+        .ifPresent(reload -> control.withDelay(reload, reloadMs, reloadMs));
     logger.atInfo().log(
         "started %s in %s, callers at %s:%d",
         settings.getVm(),
@@ -460,26 +431,8 @@
     return operatorPort;
   }
 
-  private static Runnable guarded(Runnable step) {
-    return () -> {
-      try {
-        step.run();
-      } catch (RuntimeException e) {
-        logger.atSevere().withCause(e).log("control step failed");
-      }
-    };
-  }
-
-  private void reloadCertificates(TlsContexts contexts) {
-    TlsContexts.Reload outcome = contexts.reload();
-    if (outcome != TlsContexts.Reload.UNCHANGED) {
-      metrics.certificateReload(outcome.name());
-      logger.atInfo().log("changed certificate files: %s", outcome);
-    }
-  }
-
   private void announceHomes(HomesRow row) {
-    control.execute(guarded(() -> homesSpread.announce(row)));
+    control.execute(() -> homesSpread.announce(row));
   }
 
   private void poll() {
@@ -500,19 +453,11 @@
   private void tick() {
     leadership.tick();
     loadReports.tick();
-    checkpoints.tick();
+    publication.tick();
     coldStarts.tick();
     records.tick();
-    configurations.tick(heartbeats.tree(), peers.openIn(settings.getDataCentre()), remotePeers());
-  }
-
-  private List<String> remotePeers() {
-    return tracker.members().stream()
-        .map(Member::dataCentre)
-        .distinct()
-        .filter(dataCentre -> !dataCentre.equals(settings.getDataCentre()))
-        .flatMap(dataCentre -> peers.openIn(dataCentre).stream())
-        .toList();
+    configurations.tick(
+        heartbeats.tree(), peers.openIn(settings.getDataCentre()), peers.openElsewhere());
   }
 
   /**
@@ -536,7 +481,7 @@
     if (!closed.compareAndSet(false, true)) {
       return;
     }
-    control.shutdownNow();
+    control.close();
     callers.close();
     operators.close();
     peerServer.close();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/peer/PeerNetwork.java
@@ -125,6 +125,15 @@
         .toList();
   }
 
+  /** Returns the names of the entry VMs of other data centres with an open link. */
+  public List<String> openElsewhere() {
+    return links.entrySet().stream()
+        .filter(entry -> entry.getValue().remote().isPresent())
+        .filter(entry -> !isIn(entry.getValue(), self.dataCentre()))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** Returns the number of entry VMs of a data centre that are linked to this one. */
   public int countIn(String dataCentre) {
     return (int) links.values().stream().filter(link -> isIn(link, dataCentre)).count();
