--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/ColdAllowance.java
@@ -0,0 +1,51 @@
+package org.foxtailford.core.overload;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.core.util.RendezvousHashing;
+
+/**
+ * This VM's part of the requests that a cold upstream bears.
+ *
+ * <p>As many entry VMs as the upstream bears requests a second may send one each second. They are
+ * drawn by the upstream's id, so that all VMs agree without a message. Answers the load pattern of
+ * a data centre whose upstreams come back cold together. Not thread-safe.
+ */
+public final class ColdAllowance {
+
+  private final String node;
+  private final Map<String, Long> nextMs = new HashMap<>();
+
+  /** Creates the allowance of an entry VM. */
+  public ColdAllowance(String node) {
+    this.node = Assert.hasLength(node, "node");
+  }
+
+  /** Returns whether this VM may send a request to a cold upstream now. */
+  public boolean mayPass(
+      String upstream, double requestsPerSecond, Collection<String> entryVms, long nowMs) {
+    return nowMs >= nextMs.getOrDefault(upstream, Long.MIN_VALUE)
+        && intervalMs(upstream, requestsPerSecond, entryVms) > 0;
+  }
+
+  /** Counts a request to a cold upstream. */
+  public void passed(
+      String upstream, double requestsPerSecond, Collection<String> entryVms, long nowMs) {
+    nextMs.put(upstream, nowMs + intervalMs(upstream, requestsPerSecond, entryVms));
+    nextMs.values().removeIf(next -> next < nowMs - 60_000);
+  }
+
+  private long intervalMs(String upstream, double requestsPerSecond, Collection<String> entryVms) {
+    int senders = (int) Math.max(1, Math.min(entryVms.size(), requestsPerSecond));
+    List<String> drawn = new ArrayList<>(entryVms);
+    if (!drawn.contains(node)) {
+      drawn.add(node);
+    }
+    boolean chosen = RendezvousHashing.rank(upstream, drawn).indexOf(node) < senders;
+    return chosen && requestsPerSecond > 0 ? (long) (1000 * senders / requestsPerSecond) : 0;
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
@@ -0,0 +1,239 @@
+package org.foxtailford.core.range;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * Decides for one service which upstream is granted which keys; used by the present leader.
+ *
+ * <p>A range moves in three steps: it is released, or its hold time runs out, or its owner's
+ * process is known to be gone; the map with the new owner and a higher fence is written; only then
+ * it is granted. A renewal repeats a recorded grant, so that it harms nobody, whoever sends it. Not
+ * thread-safe; each order's outcome is told before the next order for the same range is given.
+ */
+public final class RangeKeeper {
+
+  private final RangeTiming timing;
+  private final LongSupplier fences;
+  private final RangePlanner planner = new RangePlanner();
+  private final KeyLoadBook loads;
+  private List<RangePiece> pieces = new ArrayList<>();
+  private long mapVersion;
+  private boolean writing;
+
+  /**
+   * Creates a keeper for a map that is stored already.
+   *
+   * @param timing times of grants
+   * @param fences source of fences, each above all that were given before
+   * @param loads load of the keys
+   * @param map stored map; empty for a service without one
+   * @param othersHoldUntilMs until when the owners may hold keys by grants of earlier leaders
+   */
+  public RangeKeeper(
+      RangeTiming timing,
+      LongSupplier fences,
+      KeyLoadBook loads,
+      RangeMap map,
+      long othersHoldUntilMs) {
+    this.timing = Assert.notNull(timing, "timing");
+    this.fences = Assert.notNull(fences, "fences");
+    this.loads = Assert.notNull(loads, "loads");
+    this.mapVersion = map.version();
+    int next = 0;
+    for (RangeAssignment assignment : map.assignments()) {
+      if (assignment.range().first() > next) {
+        pieces.add(new RangePiece(new KeyRange(next, assignment.range().first() - 1)));
+      }
+      pieces.add(RangePiece.owned(assignment, othersHoldUntilMs));
+      next = assignment.range().last() + 1;
+    }
+    if (next < KeyRange.KEYS) {
+      pieces.add(new RangePiece(new KeyRange(next, KeyRange.KEYS - 1)));
+    }
+  }
+
+  /**
+   * Decides what is due.
+   *
+   * @param candidates upstreams that may own keys now
+   * @param mayMove whether the store takes new maps, so that keys taken back find a new owner
+   * @param nowMs present time, in milliseconds
+   */
+  public List<RangeOrder> due(Collection<RangeCandidate> candidates, boolean mayMove, long nowMs) {
+    Map<RangeOwner, RangeCandidate> usable = new HashMap<>();
+    candidates.forEach(c -> usable.put(c.owner(), c));
+    startMoves(usable, nowMs);
+    List<RangeOrder> orders = new ArrayList<>();
+    for (RangePiece piece : pieces) {
+      advance(piece, nowMs, orders);
+    }
+    plan(usable, mayMove, nowMs);
+    write(usable, orders);
+    return orders;
+  }
+
+  private void startMoves(Map<RangeOwner, RangeCandidate> usable, long nowMs) {
+    if (usable.isEmpty()) {
+      return;
+    }
+    for (RangePiece piece : pieces) {
+      if (piece.isOwned() && !piece.owner().map(usable::containsKey).orElse(false)) {
+        piece.beginRelease(nowMs);
+      }
+      if (piece.target().isPresent() && !usable.containsKey(piece.target().get())) {
+        piece.setTarget(null);
+      }
+    }
+  }
+
+  private void advance(RangePiece piece, long nowMs, List<RangeOrder> orders) {
+    if (piece.isReleasing() && piece.isHoldOver(nowMs)) {
+      piece.free(Optional.empty());
+    } else if (piece.isReleasing() && piece.isDue(nowMs)) {
+      piece.sent(0);
+      orders.add(new RangeOrder.Release(piece.assignment(fences.getAsLong())));
+    } else if (piece.isOwned() && piece.isDue(nowMs)) {
+      piece.sent(timing.holdsUntil(nowMs));
+      orders.add(new RangeOrder.Grant(piece.assignment(), piece.handover(), !piece.isConfirmed()));
+    }
+  }
+
+  private void plan(Map<RangeOwner, RangeCandidate> usable, boolean mayMove, long nowMs) {
+    if (usable.isEmpty()) {
+      return;
+    }
+    pieces = planner.placeFree(pieces, usable.values(), loads);
+    if (!mayMove) {
+      return;
+    }
+    for (RangePlanner.Move move : planner.balance(pieces, usable.values(), loads, nowMs)) {
+      split(move.piece(), move.part(), move.target(), nowMs);
+    }
+  }
+
+  private void split(RangePiece piece, KeyRange part, RangeOwner target, long nowMs) {
+    int at = pieces.indexOf(piece);
+    pieces.remove(at);
+    if (part.last() < piece.range().last()) {
+      pieces.add(at, piece.part(new KeyRange(part.last() + 1, piece.range().last())));
+    }
+    RangePiece moved = piece.part(part);
+    moved.beginRelease(nowMs);
+    moved.setTarget(target);
+    pieces.add(at, moved);
+    if (part.first() > piece.range().first()) {
+      pieces.add(at, piece.part(new KeyRange(piece.range().first(), part.first() - 1)));
+    }
+  }
+
+  private void write(Map<RangeOwner, RangeCandidate> usable, List<RangeOrder> orders) {
+    boolean changed =
+        pieces.stream()
+            .anyMatch(p -> p.isFree() && p.target().map(usable::containsKey).orElse(false));
+    if (writing || !changed) {
+      return;
+    }
+    List<RangeAssignment> assignments = new ArrayList<>();
+    for (RangePiece piece : pieces) {
+      if (piece.isFree() && piece.target().isPresent()) {
+        piece.assign(fences.getAsLong());
+      }
+      if (piece.owner().isPresent()) {
+        assignments.add(piece.assignment());
+      }
+    }
+    writing = true;
+    orders.add(new RangeOrder.Write(joined(assignments), mapVersion));
+  }
+
+  /** Joins neighbours with the same owner and fence. */
+  private static List<RangeAssignment> joined(List<RangeAssignment> assignments) {
+    List<RangeAssignment> joined = new ArrayList<>();
+    for (RangeAssignment next : assignments) {
+      RangeAssignment last = joined.isEmpty() ? null : joined.get(joined.size() - 1);
+      if (last != null
+          && last.owner().equals(next.owner())
+          && last.fence() == next.fence()
+          && last.range().last() + 1 == next.range().first()) {
+        KeyRange both = new KeyRange(last.range().first(), next.range().last());
+        joined.set(joined.size() - 1, new RangeAssignment(both, last.owner(), last.fence()));
+      } else {
+        joined.add(next);
+      }
+    }
+    return joined;
+  }
+
+  /** Takes the outcome of a grant. */
+  public void onGrant(RangeOrder.Grant order, OrderOutcome outcome, long nowMs) {
+    Optional<RangePiece> found = find(order.assignment());
+    if (found.isEmpty()) {
+      return;
+    }
+    RangePiece piece = found.get();
+    long nextMs = nowMs + (outcome == OrderOutcome.DONE ? timing.renewMs() : timing.retryMs());
+    piece.answered(nextMs);
+    if (!piece.isOwned()) {
+      piece.answered(nowMs);
+    } else if (outcome == OrderOutcome.DONE) {
+      piece.confirm();
+    } else if (outcome == OrderOutcome.FENCED) {
+      RangeOwner same = order.assignment().owner();
+      piece.beginRelease(nowMs);
+      piece.setTarget(same);
+    } else if (outcome == OrderOutcome.NOBODY_LISTENS) {
+      piece.free(Optional.empty());
+    }
+  }
+
+  /** Takes the outcome of a release. */
+  public void onRelease(
+      RangeOrder.Release order, OrderOutcome outcome, Optional<String> handover, long nowMs) {
+    Optional<RangePiece> found = find(order.assignment());
+    if (found.isEmpty()) {
+      return;
+    }
+    RangePiece piece = found.get();
+    piece.answered(nowMs + timing.retryMs());
+    boolean released = outcome == OrderOutcome.DONE || outcome == OrderOutcome.NOBODY_LISTENS;
+    if (piece.isReleasing() && released) {
+      piece.free(handover);
+    }
+  }
+
+  /**
+   * Takes the success of a write of the map. A write without answer is to be repeated as it is: its
+   * first send may still be carried out.
+   *
+   * @param version version of the written map
+   */
+  public void onWritten(RangeOrder.Write order, long version, long nowMs) {
+    writing = false;
+    mapVersion = version;
+    pieces.stream()
+        .filter(piece -> piece.isFree() && piece.owner().isPresent())
+        .forEach(piece -> piece.written(nowMs));
+  }
+
+  private Optional<RangePiece> find(RangeAssignment assignment) {
+    return pieces.stream().filter(p -> p.range().equals(assignment.range())).findFirst();
+  }
+
+  /** Returns the owners as far as they are known, in order of their keys. */
+  public List<RangeAssignment> assignments() {
+    List<RangeAssignment> assignments = new ArrayList<>();
+    pieces.stream()
+        .filter(RangePiece::isOwned)
+        .sorted(Comparator.comparingInt(p -> p.range().first()))
+        .forEach(p -> assignments.add(p.assignment()));
+    return assignments;
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/route/RouteRule.java
@@ -0,0 +1,43 @@
+package org.foxtailford.core.route;
+
+import java.util.List;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * Where requests of one host and path prefix go, and within which limits.
+ *
+ * @param name name of the route
+ * @param host host in lower case, without port
+ * @param prefix path prefix; begins and ends with a slash
+ * @param kind what may be repeated
+ * @param timeoutMs longest time that a request is kept waiting, in milliseconds
+ * @param aimMs time within which an answer has its full use, in milliseconds
+ * @param priority rank; 0 is the highest
+ * @param maxAttempts most upstreams to which one request may be sent
+ * @param services services that share the requests; not empty
+ */
+public record RouteRule(
+    String name,
+    String host,
+    String prefix,
+    RequestKind kind,
+    long timeoutMs,
+    long aimMs,
+    int priority,
+    int maxAttempts,
+    List<WeightedService> services) {
+
+  /** Checks the fields. */
+  public RouteRule {
+    Assert.hasLength(name, "name");
+    Assert.hasLength(host, "host");
+    Assert.isTrue(
+        prefix.startsWith("/") && prefix.endsWith("/"), "prefix must begin and end with a slash");
+    Assert.notNull(kind, "kind");
+    Assert.isTrue(timeoutMs > 0, "timeoutMs must be positive");
+    Assert.isTrue(aimMs > 0, "aimMs must be positive");
+    Assert.isTrue(maxAttempts > 0, "maxAttempts must be positive");
+    services = List.copyOf(services);
+    Assert.isTrue(!services.isEmpty(), "services must not be empty");
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/route/WeightedService.java
@@ -0,0 +1,18 @@
+package org.foxtailford.core.route;
+
+import org.foxtailford.core.util.Assert;
+
+/**
+ * One service of a route and its share of the requests.
+ *
+ * @param service name of the service
+ * @param weight share, relative to the route's other services; positive
+ */
+public record WeightedService(String service, double weight) {
+
+  /** Checks the fields. */
+  public WeightedService {
+    Assert.hasLength(service, "service");
+    Assert.isTrue(weight >= 0, "weight must not be negative");
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/route/package-info.java
@@ -0,0 +1,5 @@
+/** Routes of callers' requests by host and path prefix. */
+@NullMarked
+package org.foxtailford.core.route;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
@@ -0,0 +1,124 @@
+package org.foxtailford.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.logging.Level;
+import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.settings.InvalidSettingsException;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.entry.log.JsonLog;
+import org.foxtailford.entry.log.LineWriter;
+import org.foxtailford.entry.settings.EntrySettings;
+import org.foxtailford.entry.settings.EntrySettingsReader;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import sun.misc.Signal;
+
+/** The {@code foxtailford-entry} command: runs one entry VM until it is told to stop. */
+public final class EntryCommand {
+
+  /** Exit status of a command line that is not valid. */
+  public static final int EXIT_USAGE = 64;
+
+  /** Exit status of a listener that can't be bound. */
+  public static final int EXIT_ADDRESS = 71;
+
+  /** Exit status of settings with faults. */
+  public static final int EXIT_SETTINGS = 78;
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final String NAME = "foxtailford-entry";
+
+  private final PrintStream out;
+  private final PrintStream err;
+
+  EntryCommand(PrintStream out, PrintStream err) {
+    this.out = Assert.notNull(out, "out");
+    this.err = Assert.notNull(err, "err");
+  }
+
+  /** Runs the command. */
+  public static void main(String[] args) {
+    System.setProperty("io.netty.machineId", "02:00:00:ff:fe:00:00:01"); // no interface tells one
+    int status = new EntryCommand(System.out, System.err).run(args);
+    if (status != 0) {
+      System.exit(status);
+    }
+  }
+
+  /** Returns the exit status; zero also while the entry VM goes on running. */
+  int run(String... args) {
+    EntryOptions options = new EntryOptions();
+    CmdLineParser parser = new CmdLineParser(options);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      return usage(parser, String.valueOf(e.getMessage()));
+    }
+    if (options.help()) {
+      out.println("usage: " + NAME + " --settings FILE [--check]");
+      parser.printUsage(out);
+      return 0;
+    }
+    if (options.settings().isEmpty()) {
+      return usage(parser, "option --settings is required");
+    }
+    return start(options.settings().get(), options.check());
+  }
+
+  private int usage(CmdLineParser parser, String message) {
+    err.println(NAME + ": " + message);
+    parser.printUsage(err);
+    return EXIT_USAGE;
+  }
+
+  private int start(Path file, boolean checkOnly) {
+    try {
+      EntrySettings settings = EntrySettingsReader.read(Files.readAllBytes(file));
+      if (checkOnly) {
+        out.println(file + ": no faults");
+        return 0;
+      }
+      run(file, settings);
+      return 0;
+    } catch (InvalidSettingsException e) {
+      err.println(NAME + ": " + file + " has faults:");
+      e.faults().forEach(fault -> err.println(fault.path() + ": " + fault.message()));
+      return EXIT_SETTINGS;
+    } catch (ResultCodeException e) {
+      err.println(NAME + ": " + e.getMessage());
+      return EXIT_ADDRESS;
+    } catch (IOException e) {
+      err.println(NAME + ": can't read " + file + ": " + e.getMessage());
+      return EXIT_SETTINGS;
+    }
+  }
+
+  private static void run(Path file, EntrySettings settings) {
+    JsonLog.configure(settings.node(), Level.INFO);
+    LineWriter writer = new LineWriter(JsonLog.lines(), new FileOutputStream(FileDescriptor.out));
+    writer.start();
+    EntryVm vm = new EntryVm(settings);
+    vm.start();
+    SettingsWatch watch = new SettingsWatch(file, vm::reload);
+    watch.start();
+    Signal.handle(new Signal("HUP"), signal -> watch.readAgain("signal"));
+    Signal.handle(new Signal("TERM"), signal -> vm.stop().thenRun(() -> end(vm, writer)));
+  }
+
+  private static void end(EntryVm vm, LineWriter writer) {
+    vm.close();
+    try {
+      writer.drain();
+    } catch (IOException e) {
+      System.err.println(NAME + ": the last lines of the log were not written: " + e);
+    }
+    Runtime.getRuntime().halt(0);
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/PeerHandler.java
@@ -0,0 +1,45 @@
+package org.foxtailford.entry;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.HttpExchangeHandler;
+import org.foxtailford.schema.entry.PeerReply;
+import org.foxtailford.schema.entry.PeerReport;
+
+/** Takes reports of other entry VMs. */
+final class PeerHandler implements HttpExchangeHandler {
+
+  private static final int BAD_REQUEST = 400;
+
+  private final Function<PeerReport, PeerReply> receiver;
+  private final Executor loop;
+
+  PeerHandler(Function<PeerReport, PeerReply> receiver, Executor loop) {
+    this.receiver = Assert.notNull(receiver, "receiver");
+    this.loop = Assert.notNull(loop, "loop");
+  }
+
+  @Override
+  public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
+    try {
+      PeerReport report = PeerReport.parseFrom(exchange.body());
+      return CompletableFuture.supplyAsync(
+          () -> new HttpAnswer(200, new DefaultHttpHeaders(), receiver.apply(report).toByteArray()),
+          loop);
+    } catch (InvalidProtocolBufferException e) {
+      return CompletableFuture.completedFuture(refuse(ResultCode.MALFORMED_REQUEST, "no report"));
+    }
+  }
+
+  @Override
+  public HttpAnswer refuse(ResultCode code, String message) {
+    return HttpAnswer.text(BAD_REQUEST, "text/plain", message);
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
@@ -0,0 +1,22 @@
+package org.foxtailford.entry.control;
+
+import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * Which entry VM this is.
+ *
+ * @param node name
+ * @param life start of the process, as Unix milliseconds
+ * @param dataCentre data centre
+ * @param address where it listens for peers
+ */
+public record EntryIdentity(String node, long life, String dataCentre, UpstreamAddress address) {
+
+  /** Checks the fields. */
+  public EntryIdentity {
+    Assert.hasLength(node, "node");
+    Assert.hasLength(dataCentre, "dataCentre");
+    Assert.notNull(address, "address");
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/log/JsonLogBackend.java
@@ -0,0 +1,98 @@
+package org.foxtailford.entry.log;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.google.common.flogger.LogContext;
+import com.google.common.flogger.MetadataKey;
+import com.google.common.flogger.backend.BaseMessageFormatter;
+import com.google.common.flogger.backend.LogData;
+import com.google.common.flogger.backend.LoggerBackend;
+import com.google.common.flogger.backend.Metadata;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import org.foxtailford.core.util.Assert;
+
+/** Turns log statements into lines of JSON and puts them into a queue. */
+final class JsonLogBackend extends LoggerBackend {
+
+  private static final JsonFactory FACTORY = new JsonFactory();
+  private static final int MOST_TEXT = 300;
+
+  private final String name;
+  private final JsonLog log;
+
+  JsonLogBackend(String name, JsonLog log) {
+    this.name = Assert.notNull(name, "name");
+    this.log = Assert.notNull(log, "log");
+  }
+
+  @Override
+  public String getLoggerName() {
+    return name;
+  }
+
+  @Override
+  public boolean isLoggable(Level level) {
+    return level.intValue() >= log.level().intValue();
+  }
+
+  @Override
+  public void log(LogData data) {
+    ByteArrayOutputStream line = new ByteArrayOutputStream(320);
+    try (JsonGenerator json = FACTORY.createGenerator(line)) {
+      json.writeStartObject();
+      json.writeNumberField("time", TimeUnit.NANOSECONDS.toMillis(data.getTimestampNanos()));
+      json.writeStringField("level", data.getLevel().getName());
+      json.writeStringField("process", log.process());
+      json.writeStringField("event", messageOf(data));
+      Metadata metadata = data.getMetadata();
+      for (int i = 0; i < metadata.size(); i++) {
+        writeField(json, metadata.getKey(i), metadata.getValue(i));
+      }
+      json.writeEndObject();
+      json.writeRaw('\n');
+    } catch (IOException e) {
+      throw new UncheckedIOException("a line of the log could not be built", e);
+    }
+    log.queue().add(line.toByteArray(), data.getLevel().intValue() <= Level.INFO.intValue());
+  }
+
+  private static String messageOf(LogData data) {
+    if (data.getTemplateContext() == null) {
+      return shortened(String.valueOf(data.getLiteralArgument()));
+    }
+    return shortened(
+        BaseMessageFormatter.appendFormattedMessage(data, new StringBuilder()).toString());
+  }
+
+  private static String shortened(String text) {
+    return text.length() <= MOST_TEXT ? text : text.substring(0, MOST_TEXT);
+  }
+
+  private static void writeField(JsonGenerator json, MetadataKey<?> key, Object value)
+      throws IOException {
+    if (key.equals(LogContext.Key.LOG_CAUSE)) {
+      writeCause(json, (Throwable) value);
+    } else if (value instanceof Long) {
+      json.writeNumberField(key.getLabel(), (Long) value);
+    } else if (value instanceof String) {
+      json.writeStringField(key.getLabel(), shortened((String) value));
+    }
+  }
+
+  private static void writeCause(JsonGenerator json, Throwable cause) throws IOException {
+    json.writeStringField("cause", shortened(cause.toString()));
+    StackTraceElement[] trace = cause.getStackTrace();
+    if (trace.length > 0) {
+      json.writeStringField("causeAt", trace[0].toString());
+    }
+  }
+
+  @Override
+  public void handleError(RuntimeException error, LogData badData) {
+    System.err.println("a line of the log could not be built: " + error);
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/log/LineWriter.java
@@ -0,0 +1,70 @@
+package org.foxtailford.entry.log;
+
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * Writes the lines of a queue on a thread of its own, so that a stuck reader stops nothing else.
+ */
+public final class LineWriter {
+
+  private static final int BUFFER_BYTES = 16 << 10;
+  private static final int STACK_BYTES = 128 << 10;
+
+  private final LineQueue queue;
+  private final OutputStream out;
+
+  /** Creates a writer that has not begun. */
+  public LineWriter(LineQueue queue, OutputStream out) {
+    this.queue = Assert.notNull(queue, "queue");
+    this.out = new BufferedOutputStream(Assert.notNull(out, "out"), BUFFER_BYTES);
+  }
+
+  /** Begins to write. */
+  public void start() {
+    Thread thread = new Thread(null, this::run, "log-writer", STACK_BYTES);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void run() {
+    try {
+      while (true) {
+        write(queue.take());
+        drain();
+      }
+    } catch (IOException e) {
+      System.err.println("standard output can't be written, no more lines follow: " + e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Writes what is queued; used at the end of the process too. */
+  public synchronized void drain() throws IOException {
+    Optional<byte[]> next = queue.poll();
+    while (next.isPresent()) {
+      write(next.get());
+      next = queue.poll();
+    }
+    LineQueue.Dropped dropped = queue.takeDropped();
+    if (dropped.routine() + dropped.failures() > 0) {
+      write(
+          ("{\"level\":\"WARNING\",\"event\":\"log lines dropped\",\"routine\":"
+                  + dropped.routine()
+                  + ",\"failures\":"
+                  + dropped.failures()
+                  + "}\n")
+              .getBytes(StandardCharsets.UTF_8));
+    }
+    out.flush();
+  }
+
+  private synchronized void write(byte[] line) throws IOException {
+    out.write(line);
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestEntrance.java
@@ -0,0 +1,125 @@
+package org.foxtailford.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.overload.WaitingRequest;
+import org.foxtailford.core.route.RouteRule;
+import org.foxtailford.core.route.RoutingConfiguration;
+import org.foxtailford.core.route.ServicePolicy;
+import org.foxtailford.core.route.WeightedTurns;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.proxy.CallerExchange;
+import org.foxtailford.net.proxy.CallerHandler;
+
+/** Finds the route of each request and hands it on, or answers it here. */
+public final class RequestEntrance implements CallerHandler {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+
+  /** Time after which a caller should come back while no configuration is known. */
+  private static final long UNKNOWN_RETRY_MS = 300;
+
+  private final RoutingView view;
+  private final RequestScheduler scheduler;
+  private final WeightedTurns turns = new WeightedTurns();
+
+  /** Creates an entrance. */
+  public RequestEntrance(RoutingView view, RequestScheduler scheduler) {
+    this.view = Assert.notNull(view, "view");
+    this.scheduler = Assert.notNull(scheduler, "scheduler");
+  }
+
+  @Override
+  public void onRequest(CallerExchange exchange) {
+    Optional<RoutingConfiguration> configuration = view.configuration();
+    if (configuration.isEmpty()) {
+      refuse(exchange, "no configuration is known");
+      return;
+    }
+    String host = exchange.headers().get(HttpHeaderNames.HOST, "");
+    Optional<RouteRule> route = configuration.get().find(host, exchange.path());
+    if (route.isEmpty()) {
+      answer(exchange, NOT_FOUND, "no route", configuration.get().version());
+      return;
+    }
+    String serviceName = turns.next(route.get());
+    Optional<ServicePolicy> service = configuration.get().service(serviceName);
+    if (service.isEmpty()) {
+      refuse(exchange, "service " + serviceName + " is not described");
+      return;
+    }
+    begin(exchange, route.get(), service.get(), configuration.get());
+  }
+
+  private void begin(
+      CallerExchange exchange,
+      RouteRule route,
+      ServicePolicy service,
+      RoutingConfiguration configuration) {
+    OptionalInt key =
+        service.keyed() ? scheduler.dialect().key(exchange.headers()) : OptionalInt.empty();
+    if (service.keyed() && key.isEmpty()) {
+      answer(exchange, BAD_REQUEST, "no key", configuration.version());
+      return;
+    }
+    OptionalLong left = scheduler.dialect().timeLeftMs(exchange.headers());
+    long arrivedMs = exchange.arrivedMs();
+    long callerMs = left.orElse(route.timeoutMs());
+    long deadlineMs = arrivedMs + Math.min(callerMs, route.timeoutMs());
+    WaitingRequest terms =
+        new WaitingRequest(route.priority(), arrivedMs, arrivedMs + route.aimMs(), deadlineMs);
+    RequestCall call =
+        new RequestCall(
+            exchange,
+            scheduler,
+            route,
+            service,
+            key,
+            scheduler.dialect().requestId(exchange.headers()).orElse(""),
+            terms,
+            arrivedMs + callerMs);
+    scheduler.register(call);
+    exchange.listen(call);
+    call.begin();
+  }
+
+  private void refuse(CallerExchange exchange, String reason) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    scheduler.dialect().comeBackAfter(headers, UNKNOWN_RETRY_MS);
+    send(exchange, RequestCall.SERVICE_UNAVAILABLE, headers, reason, 0);
+  }
+
+  private void answer(CallerExchange exchange, int status, String reason, long version) {
+    send(exchange, status, new DefaultHttpHeaders(), reason, version);
+  }
+
+  @Override
+  public void onUnreadable(CallerExchange exchange, int status, String reason) {
+    send(exchange, status, new DefaultHttpHeaders(), reason, 0);
+  }
+
+  private void send(
+      CallerExchange exchange, int status, HttpHeaders headers, String reason, long version) {
+    Optional<String> requestId = scheduler.dialect().requestId(exchange.headers());
+    requestId.ifPresent(id -> scheduler.dialect().answerTo(headers, id));
+    scheduler.metrics().refused(reason);
+    logger
+        .atInfo()
+        .with(EventFields.REQUEST, requestId.orElse(""))
+        .with(EventFields.STATUS, (long) status)
+        .with(EventFields.REASON, reason)
+        .with(EventFields.VERSION, version)
+        .log("request refused at the entrance");
+    exchange.answer(status, headers, Unpooled.EMPTY_BUFFER);
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -0,0 +1,439 @@
+package org.foxtailford.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.overload.ColdAllowance;
+import org.foxtailford.core.overload.RateMeter;
+import org.foxtailford.core.overload.RetryAllowance;
+import org.foxtailford.core.overload.WaitingOrder;
+import org.foxtailford.core.overload.WaitingRequest;
+import org.foxtailford.core.overload.WaitingRoom;
+import org.foxtailford.core.range.RangeAssignment;
+import org.foxtailford.core.route.RequestKind;
+import org.foxtailford.core.route.ServicePolicy;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.upstream.UpstreamChooser;
+import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.exchange.ExchangeDialect;
+
+/**
+ * Places requests at upstreams, lets them wait, sends them again or refuses them; the decisions are
+ * those of {@code core.overload} and {@code core.upstream}. Used on the event loop only.
+ */
+public final class RequestScheduler {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Time between two looks at the waiting requests, in milliseconds. */
+  private static final long TICK_MS = 10;
+
+  /** Requests of a service that may wait. */
+  private static final int ROOM = 256;
+
+  /** Usual time of a service without an answer yet, in milliseconds. */
+  private static final double FIRST_USUAL_MS = 100;
+
+  private static final double USUAL_WEIGHT = 0.05;
+
+  /** How many times the expected work an answer may take before another upstream is asked. */
+  private static final double PATIENCE = 3;
+
+  /** Shortest time before another upstream is asked, in milliseconds. */
+  private static final long LEAST_PATIENCE_MS = 120;
+
+  /** Longest idle time of a connection for a request that may run only once, in milliseconds. */
+  private static final long ONCE_IDLE_MS = 1000;
+
+  /** What another data centre costs, as part of the aim; large answers are paid by the byte. */
+  private static final double BULK_DISTANCE = 0.5;
+
+  private static final double DISTANCE = 0.03;
+
+  /** Requests that an owner of keys may have, in times of its slots: nobody else can take them. */
+  private static final double OWNER_ROOM = 2;
+
+  /** Time for which keys that their owner refused wait for a newer map, in milliseconds. */
+  private static final long MOVE_PAUSE_MS = 150;
+
+  /** Part of the aim that a request may wait once more after a failed send. */
+  private static final double AGAIN_WAIT_SHARE = 0.25;
+
+  /** Sends that never left this VM, beside the upstreams that a request may reach. */
+  private static final int UNREACHED_SENDS = 3;
+
+  /** Bounds of what is believed of an upstream's speed: times include waits. */
+  private static final double LEAST_SPEED = 0.5;
+
+  private static final double MOST_SPEED = 2;
+
+  private final EventLoop loop;
+  private final MillisClock clock;
+  private final RoutingView view;
+  private final UpstreamBook book;
+  private final ExchangeDialect dialect;
+  private final RequestMetrics metrics;
+  private final DoubleSupplier random;
+  private final String dataCentre;
+  private final UpstreamChooser chooser;
+  private final ColdAllowance cold;
+  private final WaitingRoom room = new WaitingRoom(ROOM);
+  private final Map<String, List<RequestCall>> waiting = new HashMap<>();
+  private final Map<String, Double> usualMs = new HashMap<>();
+  private final Map<String, RateMeter> sends = new HashMap<>();
+  private final Map<Long, Long> movingFences = new HashMap<>();
+  private RetryAllowance retries;
+  private int calls;
+  private boolean pumping;
+
+  /** Creates a scheduler. */
+  public RequestScheduler(
+      EventLoop loop,
+      MillisClock clock,
+      RoutingView view,
+      UpstreamBook book,
+      ExchangeDialect dialect,
+      RequestMetrics metrics,
+      RetryAllowance retries,
+      DoubleSupplier random,
+      String node,
+      String dataCentre) {
+    this.loop = Assert.notNull(loop, "loop");
+    this.clock = Assert.notNull(clock, "clock");
+    this.view = Assert.notNull(view, "view");
+    this.book = Assert.notNull(book, "book");
+    this.dialect = Assert.notNull(dialect, "dialect");
+    this.metrics = Assert.notNull(metrics, "metrics");
+    this.retries = Assert.notNull(retries, "retries");
+    this.random = Assert.notNull(random, "random");
+    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
+    this.chooser = new UpstreamChooser(random);
+    this.cold = new ColdAllowance(node);
+  }
+
+  /** Begins to look after the waiting requests. */
+  public void start() {
+    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Replaces the budget of further sends after a change of the settings. */
+  public void replaceRetries(RetryAllowance newRetries) {
+    retries = Assert.notNull(newRetries, "newRetries");
+  }
+
+  /** Returns the number of requests without an answer. */
+  public int calls() {
+    return calls;
+  }
+
+  /** Returns the number of requests that wait. */
+  public int waiting() {
+    return waiting.values().stream().mapToInt(List::size).sum();
+  }
+
+  long nowMs() {
+    return clock.nowMs();
+  }
+
+  ExchangeDialect dialect() {
+    return dialect;
+  }
+
+  RequestMetrics metrics() {
+    return metrics;
+  }
+
+  ScheduledFuture<?> later(long delayMs, Runnable task) {
+    return loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  long maxIdleMs(RequestKind kind) {
+    return kind.isRepeatable() ? Long.MAX_VALUE : ONCE_IDLE_MS;
+  }
+
+  /** Counts a new request. */
+  void register(RequestCall call) {
+    calls++;
+    retries.request(call.service().name(), nowMs());
+    call.key().ifPresent(key -> view.countKey(call.service().name(), key));
+  }
+
+  void forget(RequestCall call) {
+    calls--;
+    List<RequestCall> queue = waiting.get(call.service().name());
+    if (queue != null) {
+      queue.remove(call);
+    }
+  }
+
+  /** Sends a request, or lets it wait, or refuses it. */
+  void submit(RequestCall call) {
+    if (!tryPlace(call)) {
+      queue(call);
+    }
+  }
+
+  private void queue(RequestCall call) {
+    long nowMs = nowMs();
+    String service = call.service().name();
+    long workMs = (long) usual(service);
+    long until = room.waitsUntilMs(call.terms(), workMs);
+    if (call.sends() > 0) {
+      WaitingRequest terms = call.terms();
+      long again = (long) (AGAIN_WAIT_SHARE * (terms.aimMs() - terms.arrivedMs()));
+      until = Math.min(Math.max(until, nowMs + again), terms.deadlineMs() - workMs);
+    }
+    List<RequestCall> queue = waiting.computeIfAbsent(service, name -> new ArrayList<>());
+    WaitingOrder order = new WaitingOrder(nowMs, workMs);
+    int ahead = 0;
+    for (RequestCall other : queue) {
+      boolean sameUpstream = !call.service().keyed() || sameOwner(call, other);
+      if (sameUpstream && order.compare(other.terms(), call.terms()) <= 0) {
+        ahead++;
+      }
+    }
+    if (room.mayWait(ahead, rate(call), until, nowMs)) {
+      call.waitUntil(until, nowMs);
+      queue.add(call);
+    } else {
+      call.refuse("no room", RequestCall.BAD_GATEWAY);
+    }
+  }
+
+  private boolean sameOwner(RequestCall a, RequestCall b) {
+    Optional<RangeAssignment> ownerOfA = owner(a);
+    return ownerOfA.isPresent()
+        && b.key().isPresent()
+        && ownerOfA.get().owner().equals(owner(b).map(RangeAssignment::owner).orElse(null));
+  }
+
+  private Optional<RangeAssignment> owner(RequestCall call) {
+    return call.key().isPresent()
+        ? view.owners(call.service().name()).find(call.key().getAsInt())
+        : Optional.empty();
+  }
+
+  /** Returns the sends a second that a waiting request competes for. */
+  private double rate(RequestCall call) {
+    if (call.service().keyed()) {
+      return owner(call)
+          .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
+          .map(entry -> book.of(entry).sends().perSecond(nowMs()))
+          .orElse(0.0);
+    }
+    RateMeter meter = sends.get(call.service().name());
+    return meter == null ? 0 : meter.perSecond(nowMs());
+  }
+
+  private double usual(String service) {
+    return usualMs.getOrDefault(service, FIRST_USUAL_MS);
+  }
+
+  private boolean tryPlace(RequestCall call) {
+    Optional<UpstreamHandle> upstream =
+        call.service().keyed() ? placeAtOwner(call) : placeAnywhere(call, false);
+    upstream.ifPresent(handle -> place(call, handle));
+    return upstream.isPresent();
+  }
+
+  private void place(RequestCall call, UpstreamHandle handle) {
+    long nowMs = nowMs();
+    ServicePolicy service = call.service();
+    if (view.upstreams().isCold(handle.entry().id(), nowMs)) {
+      cold.passed(handle.entry().id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
+    }
+    handle.sends().count(nowMs);
+    sends.computeIfAbsent(service.name(), name -> new RateMeter()).count(nowMs);
+    call.send(handle);
+  }
+
+  private Optional<UpstreamHandle> placeAtOwner(RequestCall call) {
+    long nowMs = nowMs();
+    Optional<RangeAssignment> assignment = owner(call);
+    if (assignment.isEmpty()) {
+      return Optional.empty();
+    }
+    Long movingUntil = movingFences.get(assignment.get().fence());
+    if (movingUntil != null && nowMs < movingUntil) {
+      return Optional.empty();
+    }
+    Optional<UpstreamEntry> entry = view.upstreams().get(assignment.get().owner().upstream());
+    if (entry.isEmpty()
+        || entry.get().bornMs() != assignment.get().owner().bornMs()
+        || !view.upstreams().isUsable(entry.get())) {
+      return Optional.empty();
+    }
+    UpstreamHandle handle = book.of(entry.get());
+    boolean free =
+        !handle.load().isSuspended(nowMs)
+            && handle.load().occupied(nowMs) + 1 <= OWNER_ROOM * handle.load().slots()
+            && passesCold(call.service(), entry.get(), nowMs);
+    return free ? Optional.of(handle) : Optional.empty();
+  }
+
+  private boolean passesCold(ServicePolicy service, UpstreamEntry entry, long nowMs) {
+    return !view.upstreams().isCold(entry.id(), nowMs)
+        || cold.mayPass(entry.id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
+  }
+
+  private Optional<UpstreamHandle> placeAnywhere(RequestCall call, boolean idleOnly) {
+    long nowMs = nowMs();
+    ServicePolicy service = call.service();
+    double aimMs = call.route().aimMs();
+    double distance = aimMs * (call.route().kind() == RequestKind.BULK ? BULK_DISTANCE : DISTANCE);
+    Optional<UpstreamEntry> chosen =
+        chooser.choose(
+            view.upstreams().usable(service.name()),
+            entry -> book.of(entry).load(),
+            entry ->
+                !call.tried().contains(entry.id())
+                    && hasRoom(book.of(entry), idleOnly, nowMs)
+                    && passesCold(service, entry, nowMs),
+            entry -> entry.dataCentre().equals(dataCentre) ? 0 : distance,
+            usual(service.name()),
+            nowMs);
+    return chosen.map(book::of);
+  }
+
+  private static boolean hasRoom(UpstreamHandle handle, boolean idleOnly, long nowMs) {
+    double occupied = handle.load().occupied(nowMs);
+    return occupied + 1 <= handle.load().slots() + (idleOnly ? 0 : 0.5);
+  }
+
+  /** Returns how long to wait for an answer before another upstream is asked, in milliseconds. */
+  long patienceMs(RequestCall call, UpstreamHandle upstream) {
+    double work = upstream.load().workMs(usual(call.service().name()));
+    return Math.max(LEAST_PATIENCE_MS, (long) (PATIENCE * work));
+  }
+
+  /** Asks a second upstream while the first is silent, if the budget and its room allow. */
+  void hedge(RequestCall call) {
+    boolean wanted =
+        call.mayBeSentAgain() && call.exchange().isBodyWhole() && !hasWaiting(call.service());
+    Optional<UpstreamHandle> upstream = wanted ? placeAnywhere(call, true) : Optional.empty();
+    if (upstream.isEmpty()) {
+      metrics.notRepeated("silence");
+    } else if (tryRepeat(call, "silence")) {
+      place(call, upstream.get());
+    }
+  }
+
+  private boolean hasWaiting(ServicePolicy service) {
+    List<RequestCall> queue = waiting.get(service.name());
+    return queue != null && !queue.isEmpty();
+  }
+
+  private boolean tryRepeat(RequestCall call, String reason) {
+    boolean allowed = retries.tryRepeat(call.service().name(), view.entryVms().size(), nowMs());
+    if (allowed) {
+      metrics.repeated(reason);
+    } else {
+      metrics.notRepeated(reason);
+    }
+    logger
+        .atInfo()
+        .with(EventFields.REQUEST, call.requestId())
+        .with(EventFields.SERVICE, call.service().name())
+        .with(EventFields.REASON, reason)
+        .with(EventFields.ATTEMPTS, (long) call.sends())
+        .log(allowed ? "request sent again" : "request not sent again: budget");
+    return allowed;
+  }
+
+  /** Decides what becomes of a request whose last send brought nothing. */
+  void afterFailure(RequestCall call, boolean notRun, String reason) {
+    boolean allowedToRun = call.route().kind().isRepeatable() || !call.mayHaveRun();
+    boolean possible =
+        allowedToRun
+            && call.mayBeSentAgain()
+            && call.sends() < call.route().maxAttempts() + UNREACHED_SENDS
+            && call.exchange().isBodyWhole()
+            && call.terms().deadlineMs() - nowMs() > usual(call.service().name()) / 2;
+    boolean reached = call.arrivals() > 0;
+    if (possible && (!reached || tryRepeat(call, reason))) {
+      submit(call);
+    } else if (call.mayHaveRun()) {
+      call.fail(RequestCall.BAD_GATEWAY, reason);
+    } else {
+      call.refuse(reason, RequestCall.BAD_GATEWAY);
+    }
+  }
+
+  /** Notes that an owner does not own a key as the map says: its keys wait for a newer map. */
+  void onMisdirected(RequestCall call, UpstreamHandle upstream) {
+    if (call.key().isEmpty()) {
+      upstream.load().unreachable(nowMs());
+      return;
+    }
+    owner(call)
+        .ifPresent(
+            assignment -> {
+              movingFences.put(assignment.fence(), nowMs() + MOVE_PAUSE_MS);
+              view.onWrongOwner(call.service().name(), call.key().getAsInt());
+            });
+  }
+
+  /** Returns how fast an upstream works, 1 for the usual of its service. */
+  public double speed(UpstreamEntry entry) {
+    double own = book.of(entry).load().usualMs();
+    double ofService = usual(entry.service());
+    return own == 0 ? 1 : Math.max(LEAST_SPEED, Math.min(MOST_SPEED, ofService / own));
+  }
+
+  /** Learns how long a service takes. */
+  void learn(String service, double tookMs) {
+    usualMs.merge(service, tookMs, (old, took) -> old + USUAL_WEIGHT * (took - old));
+  }
+
+  long retryAfterMs(RequestCall call) {
+    List<RequestCall> queue = waiting.get(call.service().name());
+    int before = queue == null ? 0 : queue.size();
+    return room.retryAfterMs(before, rate(call), call.callerLeftMs(nowMs()), random.getAsDouble());
+  }
+
+  /** Sends waiting requests of a service, as far as there is room. */
+  public void pump(String service) {
+    List<RequestCall> queue = waiting.get(service);
+    if (queue == null || queue.isEmpty() || pumping) {
+      return;
+    }
+    pumping = true;
+    long nowMs = nowMs();
+    WaitingOrder order = new WaitingOrder(nowMs, (long) usual(service));
+    List<RequestCall> due = new ArrayList<>(queue);
+    due.sort(Comparator.comparing(RequestCall::terms, order));
+    for (RequestCall call : due) {
+      if (call.isOver()) {
+        continue;
+      }
+      queue.remove(call);
+      if (tryPlace(call)) {
+        metrics.waited(service, nowMs - call.waitingSinceMs());
+      } else if (nowMs >= call.waitsUntilMs()) {
+        call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
+      } else if (!call.isOver()) {
+        queue.add(call);
+      }
+    }
+    pumping = false;
+  }
+
+  /** Looks at all waiting requests, after a change of what is known or of time. */
+  public void tick() {
+    List.copyOf(waiting.keySet()).forEach(this::pump);
+    if (!movingFences.isEmpty()) {
+      long nowMs = nowMs();
+      movingFences.values().removeIf(until -> nowMs >= until);
+    }
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamBook.java
@@ -0,0 +1,55 @@
+package org.foxtailford.entry.request;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.proxy.UpstreamPool;
+
+/** Handles of the upstreams that this VM has used. Used on the event loop only. */
+public final class UpstreamBook {
+
+  private final Function<UpstreamAddress, UpstreamPool> pools;
+  private final Map<String, UpstreamHandle> handles = new HashMap<>();
+  private long pastConnects;
+
+  /** Creates a book that opens pools with a function. */
+  public UpstreamBook(Function<UpstreamAddress, UpstreamPool> pools) {
+    this.pools = Assert.notNull(pools, "pools");
+  }
+
+  /** Returns the handle of an upstream; another life or address gets a new one. */
+  UpstreamHandle of(UpstreamEntry entry) {
+    UpstreamHandle present = handles.get(entry.id());
+    if (present != null && present.isFor(entry)) {
+      return present;
+    }
+    if (present != null) {
+      close(present);
+    }
+    UpstreamHandle fresh = new UpstreamHandle(entry, pools.apply(entry.address()));
+    handles.put(entry.id(), fresh);
+    return fresh;
+  }
+
+  /** Drops an upstream that is gone. */
+  public void drop(String id) {
+    UpstreamHandle handle = handles.remove(id);
+    if (handle != null) {
+      close(handle);
+    }
+  }
+
+  private void close(UpstreamHandle handle) {
+    pastConnects += handle.pool().connects();
+    handle.pool().close();
+  }
+
+  /** Returns how many connections were begun since the start. */
+  public long connects() {
+    return pastConnects
+        + handles.values().stream().mapToLong(handle -> handle.pool().connects()).sum();
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
@@ -0,0 +1,132 @@
+package org.foxtailford.entry.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailford.core.result.ResultCode;
+import org.foxtailford.core.settings.InvalidSettingsException;
+import org.foxtailford.core.settings.SettingsFault;
+import org.foxtailford.core.upstream.UpstreamAddress;
+
+/** Reads the settings of an entry VM and reports all faults at once, each with its path. */
+public final class EntrySettingsReader {
+
+  private static final UpstreamAddress NOWHERE = new UpstreamAddress("0.0.0.0", 1);
+
+  private final List<SettingsFault> faults = new ArrayList<>();
+
+  /**
+   * Reads settings.
+   *
+   * @throws InvalidSettingsException with all faults
+   */
+  public static EntrySettings read(byte[] file) {
+    return new EntrySettingsReader().parse(file);
+  }
+
+  private EntrySettings parse(byte[] file) {
+    JsonNode root;
+    try {
+      root = new ObjectMapper().readTree(file);
+    } catch (IOException e) {
+      faults.add(fault("", "the file is not JSON: " + e.getMessage()));
+      throw new InvalidSettingsException(ResultCode.INVALID_SETTINGS, faults);
+    }
+    EntrySettings settings =
+        new EntrySettings(
+            text(root, "/node"),
+            text(root, "/dataCentre"),
+            address(root, "/listen/callers"),
+            address(root, "/listen/readiness"),
+            address(root, "/listen/peers"),
+            addresses(root, "/seeds"),
+            address(root, "/store/address"),
+            (int) number(root, "/listen/metricsPort", 0, 65535),
+            new EntrySettings.Bounds(
+                number(root, "/bounds/retryRatio", 0, 100),
+                number(root, "/bounds/retrySlack", 0, 1_000_000),
+                millis(root, "/bounds/retryWindow"),
+                number(root, "/bounds/coldRatio", 0, 100),
+                number(root, "/bounds/coldSlack", 0, 1_000_000),
+                millis(root, "/bounds/maxHold"),
+                millis(root, "/bounds/stop")));
+    if (!faults.isEmpty()) {
+      throw new InvalidSettingsException(ResultCode.INVALID_SETTINGS, faults);
+    }
+    return settings;
+  }
+
+  private static SettingsFault fault(String path, String message) {
+    return new SettingsFault(path, 0, message);
+  }
+
+  private String text(JsonNode root, String path) {
+    JsonNode value = root.at(path);
+    if (value.isTextual() && !value.textValue().isEmpty()) {
+      return value.textValue();
+    }
+    faults.add(fault(path, "a text is missing"));
+    return "?";
+  }
+
+  private double number(JsonNode root, String path, double least, double most) {
+    JsonNode value = root.at(path);
+    if (!value.isNumber()) {
+      faults.add(fault(path, "a number is missing"));
+      return least;
+    }
+    if (value.doubleValue() < least || value.doubleValue() > most) {
+      faults.add(fault(path, value + " is not between " + least + " and " + most));
+    }
+    return value.doubleValue();
+  }
+
+  private long millis(JsonNode root, String path) {
+    String text = text(root, path);
+    Optional<Long> parsed = parseMillis(text);
+    if (parsed.isEmpty()) {
+      faults.add(fault(path, text + " is not a time such as 1500ms or 2.5s"));
+    }
+    return parsed.orElse(1L);
+  }
+
+  private static Optional<Long> parseMillis(String text) {
+    try {
+      if (text.endsWith("ms")) {
+        return Optional.of(Math.round(Double.parseDouble(text.substring(0, text.length() - 2))));
+      }
+      return text.endsWith("s")
+          ? Optional.of(Math.round(1000 * Double.parseDouble(text.substring(0, text.length() - 1))))
+          : Optional.empty();
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
+  private UpstreamAddress address(JsonNode root, String path) {
+    String text = text(root, path);
+    return parseAddress(path, text);
+  }
+
+  private UpstreamAddress parseAddress(String path, String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      return new UpstreamAddress(
+          text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+    } catch (IllegalArgumentException e) {
+      faults.add(fault(path, text + " is not HOST:PORT"));
+      return NOWHERE;
+    }
+  }
+
+  private List<UpstreamAddress> addresses(JsonNode root, String path) {
+    List<UpstreamAddress> addresses = new ArrayList<>();
+    for (JsonNode one : root.at(path)) {
+      addresses.add(parseAddress(path, one.asText()));
+    }
+    return addresses;
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/RequestDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/RequestDecoder.java
@@ -8,9 +8,10 @@
  * Decodes requests and rejects those that two implementations could divide in different ways: with
  * both a length and chunks, with several lengths, or with a bare line feed.
  */
-final class RequestDecoder extends HttpRequestDecoder {
+public final class RequestDecoder extends HttpRequestDecoder {
 
-  RequestDecoder(HttpLimits limits) {
+  /** Creates a decoder with the largest head that it accepts. */
+  public RequestDecoder(HttpLimits limits) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(limits.maxHeaderBytes())
--- /dev/null
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/package-info.java
@@ -0,0 +1,5 @@
+/** Requests and answers passed on in pieces between callers and upstreams. */
+@NullMarked
+package org.foxtailford.net.proxy;
+
+import org.jspecify.annotations.NullMarked;
