Keys are spread evenly at first, hot parts cut many at once, a single hot key moves to the strongest upstream

Ruled out: late knowledge at the VMs (87 misdirected of 3372). Change: the first upstreams are awaited; the planner cuts in place; speeds come from answers of all VMs. Replayed by RangeBalanceTests.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
@@ -20,6 +20,11 @@
  */
 public final class RangeKeeper {
 
+  /**
+   * Time for which the first upstreams are awaited, in milliseconds; over one of their heartbeats.
+   */
+  private static final long GATHER_MS = 2500;
+
   private final RangeTiming timing;
   private final LongSupplier fences;
   private final RangePlanner planner = new RangePlanner();
@@ -27,6 +32,7 @@
   private List<RangePiece> pieces = new ArrayList<>();
   private long mapVersion;
   private boolean writing;
+  private long firstCandidateMs = Long.MIN_VALUE;
 
   /**
    * Creates a keeper for a map that is stored already.
@@ -110,28 +116,21 @@
     if (usable.isEmpty()) {
       return;
     }
-    pieces = planner.placeFree(pieces, usable.values(), loads);
-    if (!mayMove) {
+    if (isGathering(nowMs)) {
       return;
     }
-    for (RangePlanner.Move move : planner.balance(pieces, usable.values(), loads, nowMs)) {
-      split(move.piece(), move.part(), move.target(), nowMs);
+    pieces = planner.placeFree(pieces, usable.values(), loads);
+    if (mayMove) {
+      pieces = planner.balance(pieces, usable.values(), loads, nowMs);
     }
   }
 
-  private void split(RangePiece piece, KeyRange part, RangeOwner target, long nowMs) {
-    int at = pieces.indexOf(piece);
-    pieces.remove(at);
-    if (part.last() < piece.range().last()) {
-      pieces.add(at, piece.part(new KeyRange(part.last() + 1, piece.range().last())));
-    }
-    RangePiece moved = piece.part(part);
-    moved.beginRelease(nowMs);
-    moved.setTarget(target);
-    pieces.add(at, moved);
-    if (part.first() > piece.range().first()) {
-      pieces.add(at, piece.part(new KeyRange(piece.range().first(), part.first() - 1)));
+  /** Returns whether the first upstreams are still coming: the first one must not get all keys. */
+  private boolean isGathering(long nowMs) {
+    if (firstCandidateMs == Long.MIN_VALUE) {
+      firstCandidateMs = nowMs;
     }
+    return mapVersion == 0 && nowMs - firstCandidateMs < GATHER_MS;
   }
 
   private void write(Map<RangeOwner, RangeCandidate> usable, List<RangeOrder> orders) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,14 +23,22 @@
   /** Load, in fading requests, below which nothing moves; a few requests a second. */
   private static final double LEAST_MOVED_LOAD = 4;
 
+  /**
+   * Load of the busiest upstream after a move, as part of what it was, for the move to be worth it.
+   */
+  private static final double LEAST_GAIN = 0.98;
+
+  /** How much stronger an upstream must be for a single hot key to move to it. */
+  private static final double STRONGER = 1.25;
+
   /** Time for which moved keys stay, in milliseconds; some round trips and a warm-up. */
   private static final long SETTLE_MS = 2500;
 
   /** Time between two rounds, in milliseconds; the loads change little in less. */
   private static final long ROUND_MS = 500;
 
-  /** Most moves at once: their keys wait meanwhile. */
-  private static final int MOST_MOVES = 3;
+  /** Most moves begun at once: their keys wait meanwhile. */
+  private static final int MOST_MOVES = 16;
 
   private long nextRoundMs;
 
@@ -110,30 +119,51 @@
     return best;
   }
 
-  /** Chooses parts that move to balance the load. */
-  List<Move> balance(
+  /**
+   * Begins moves that balance the load.
+   *
+   * @return the pieces, those that are cut in their parts
+   */
+  List<RangePiece> balance(
       List<RangePiece> pieces,
       Collection<RangeCandidate> candidates,
       KeyLoadBook loads,
       long nowMs) {
     boolean moving = pieces.stream().anyMatch(RangePiece::isFree);
     if (nowMs < nextRoundMs || moving || candidates.size() < 2) {
-      return List.of();
+      return pieces;
     }
     nextRoundMs = nowMs + ROUND_MS;
     loads.fade(nowMs);
     Map<RangeOwner, Share> shares = shares(pieces, candidates, loads);
     double capacity = shares.values().stream().mapToDouble(s -> s.candidate.capacity()).sum();
     double mean = loads.total() / capacity;
-    List<Move> moves = new ArrayList<>();
+    List<RangePiece> planned = new ArrayList<>(pieces);
     for (int i = 0; i < MOST_MOVES; i++) {
-      Optional<Move> move = next(pieces, shares, loads, mean, moves, nowMs);
+      Optional<Move> move = next(planned, shares, loads, mean, nowMs);
       if (move.isEmpty()) {
         break;
       }
-      moves.add(move.get());
+      begin(planned, move.get(), nowMs);
+    }
+    return planned;
+  }
+
+  private static void begin(List<RangePiece> pieces, Move move, long nowMs) {
+    KeyRange range = move.piece().range();
+    KeyRange part = move.part();
+    int at = pieces.indexOf(move.piece());
+    pieces.remove(at);
+    if (part.last() < range.last()) {
+      pieces.add(at, move.piece().part(new KeyRange(part.last() + 1, range.last())));
+    }
+    RangePiece moved = move.piece().part(part);
+    moved.beginRelease(nowMs);
+    moved.setTarget(move.target());
+    pieces.add(at, moved);
+    if (part.first() > range.first()) {
+      pieces.add(at, move.piece().part(new KeyRange(range.first(), part.first() - 1)));
     }
-    return moves;
   }
 
   private static Optional<Move> next(
@@ -141,16 +171,14 @@
       Map<RangeOwner, Share> shares,
       KeyLoadBook loads,
       double mean,
-      List<Move> planned,
       long nowMs) {
-    Share most = null;
-    Share least = null;
-    for (Share share : shares.values()) {
-      most = most == null || share.relativeLoad() > most.relativeLoad() ? share : most;
-      boolean warm = !share.candidate.cold();
-      least =
-          warm && (least == null || share.relativeLoad() < least.relativeLoad()) ? share : least;
-    }
+    Share most =
+        shares.values().stream().max(Comparator.comparingDouble(Share::relativeLoad)).orElse(null);
+    Share least =
+        shares.values().stream()
+            .filter(share -> !share.candidate.cold())
+            .min(Comparator.comparingDouble(Share::relativeLoad))
+            .orElse(null);
     if (most == null || least == null || most == least) {
       return Optional.empty();
     }
@@ -162,43 +190,87 @@
     if (!busy && !idle || wanted < LEAST_MOVED_LOAD) {
       return Optional.empty();
     }
-    Optional<Move> move = cut(pieces, most, least, loads, wanted, planned, nowMs);
+    Optional<Move> move =
+        hotKey(pieces, most, shares, loads, wanted, nowMs)
+            .or(() -> cut(pieces, most, least, loads, wanted, nowMs));
     if (move.isPresent()) {
       double moved = loads.of(move.get().part());
+      Share target = shares.get(move.get().target());
       most.load -= moved;
-      least.load += moved;
-      least.width += move.get().part().width();
+      target.load += moved;
+      target.width += move.get().part().width();
     }
     return move;
   }
 
-  private static Optional<Move> cut(
+  /** Moves a key that no upstream can share with others to a clearly stronger upstream. */
+  private static Optional<Move> hotKey(
       List<RangePiece> pieces,
       Share from,
-      Share to,
+      Map<RangeOwner, Share> shares,
       KeyLoadBook loads,
       double wanted,
-      List<Move> planned,
       long nowMs) {
-    @Nullable RangePiece bestPiece = null;
-    @Nullable KeyRange best = null;
+    Share strongest = from;
+    for (Share share : shares.values()) {
+      boolean stronger = share.candidate.capacity() > strongest.candidate.capacity();
+      strongest = stronger && !share.candidate.cold() ? share : strongest;
+    }
+    if (strongest.candidate.capacity() < from.candidate.capacity() * STRONGER) {
+      return Optional.empty();
+    }
     for (RangePiece piece : pieces) {
-      boolean movable =
-          piece.isOwnedBy(from.candidate.owner())
-              && piece.isSettled(nowMs - SETTLE_MS)
-              && planned.stream().noneMatch(m -> m.piece() == piece);
-      if (movable && loads.of(piece.range()) >= wanted) {
+      if (piece.isOwnedBy(from.candidate.owner()) && piece.isSettled(nowMs - SETTLE_MS)) {
         KeyRange part = loads.narrowest(piece.range(), wanted);
-        boolean moderate = loads.of(part) < wanted * 1.8;
-        if (moderate && (best == null || part.width() < best.width())) {
-          bestPiece = piece;
-          best = part;
+        if (part.width() == 1 && loads.of(part) > from.load / 2) {
+          return Optional.of(new Move(piece, part, strongest.candidate.owner()));
         }
       }
     }
-    return bestPiece == null || best == null
-        ? Optional.empty()
-        : Optional.of(new Move(bestPiece, best, to.candidate.owner()));
+    return Optional.empty();
+  }
+
+  /** Finds the part of the busiest upstream's keys whose move helps most; narrow ones first. */
+  private static Optional<Move> cut(
+      List<RangePiece> pieces, Share from, Share to, KeyLoadBook loads, double wanted, long nowMs) {
+    @Nullable Move best = null;
+    double bestPeak = from.relativeLoad() * LEAST_GAIN;
+    for (RangePiece piece : pieces) {
+      if (!piece.isOwnedBy(from.candidate.owner()) || !piece.isSettled(nowMs - SETTLE_MS)) {
+        continue;
+      }
+      for (KeyRange part : parts(piece.range(), loads, wanted)) {
+        double load = loads.of(part);
+        double peak =
+            Math.max(
+                (from.load - load) / from.candidate.capacity(),
+                (to.load + load) / to.candidate.capacity());
+        boolean better = peak < bestPeak * LEAST_GAIN;
+        boolean narrower =
+            best != null && peak < bestPeak / LEAST_GAIN && part.width() < best.part().width();
+        if (load >= LEAST_MOVED_LOAD && (best == null ? peak < bestPeak : better || narrower)) {
+          best = new Move(piece, part, to.candidate.owner());
+          bestPeak = peak;
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Returns parts with about the wanted load: the narrowest, and those beside a single hot key. */
+  private static List<KeyRange> parts(KeyRange range, KeyLoadBook loads, double wanted) {
+    List<KeyRange> parts = new ArrayList<>();
+    KeyRange narrowest = loads.narrowest(range, wanted);
+    parts.add(narrowest);
+    if (narrowest.width() == 1) {
+      if (narrowest.first() > range.first()) {
+        parts.add(loads.narrowest(new KeyRange(range.first(), narrowest.first() - 1), wanted));
+      }
+      if (narrowest.last() < range.last()) {
+        parts.add(loads.narrowest(new KeyRange(narrowest.last() + 1, range.last()), wanted));
+      }
+    }
+    return parts;
   }
 
   private static Map<RangeOwner, Share> shares(
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
@@ -156,6 +156,11 @@
     return inFlight + others * trust;
   }
 
+  /** Returns how long work takes on its machine now, 1 as usual. */
+  public double slowness() {
+    return slowness;
+  }
+
   /** Returns how long its work takes with usual slowness, in milliseconds; 0 if unknown. */
   public double usualMs() {
     return usualMs;
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -0,0 +1,188 @@
+package org.foxtailford.core.range;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Replays load patterns on the real keeper, with upstreams that carry out every order at once. */
+public class RangeBalanceTests {
+
+  private static final RangeTiming TIMING = new RangeTiming(4000, 1100, 300, 700, 3000, 100);
+  private static final int UPSTREAMS = 16;
+  private static final int REQUESTS_PER_SECOND = 160;
+
+  private final List<RangeCandidate> candidates = new ArrayList<>();
+  private KeyLoadBook loads = new KeyLoadBook();
+  private Random random = new Random(7);
+  private long fence;
+  private long version = 10;
+  private long nowMs;
+  private int moves;
+  private RangeKeeper keeper = newKeeper();
+
+  private RangeKeeper newKeeper() {
+    return new RangeKeeper(TIMING, () -> ++fence, loads, RangeMap.EMPTY, 0);
+  }
+
+  private void reset(int upstreams) {
+    candidates.clear();
+    loads = new KeyLoadBook();
+    random = new Random(7);
+    for (int i = 0; i < upstreams; i++) {
+      candidates.add(new RangeCandidate(new RangeOwner("u" + i, 1), 4, false));
+    }
+    nowMs = 0;
+    moves = 0;
+    keeper = newKeeper();
+  }
+
+  private void tick() {
+    nowMs += 50;
+    for (RangeOrder order : keeper.due(candidates, true, nowMs)) {
+      if (order instanceof RangeOrder.Grant) {
+        keeper.onGrant((RangeOrder.Grant) order, OrderOutcome.DONE, nowMs);
+      } else if (order instanceof RangeOrder.Release) {
+        moves++;
+        keeper.onRelease((RangeOrder.Release) order, OrderOutcome.DONE, Optional.of("h"), nowMs);
+      } else {
+        keeper.onWritten((RangeOrder.Write) order, ++version, nowMs);
+      }
+    }
+  }
+
+  private void settle() {
+    for (int i = 0; i < 80; i++) {
+      tick();
+    }
+  }
+
+  /** Plays requests for a time and returns each owner's share of those of the last second. */
+  private Map<RangeOwner, Integer> play(int seconds, double hotShare, int firstHot, int hotKeys) {
+    Map<RangeOwner, Integer> lastSecond = new HashMap<>();
+    for (int second = 0; second < seconds; second++) {
+      lastSecond.clear();
+      for (int step = 0; step < 20; step++) {
+        for (int i = 0; i < REQUESTS_PER_SECOND / 20; i++) {
+          int key =
+              random.nextDouble() < hotShare
+                  ? firstHot + random.nextInt(hotKeys)
+                  : random.nextInt(KeyRange.KEYS);
+          loads.add(key, 1, nowMs);
+          owner(key).ifPresent(owner -> lastSecond.merge(owner, 1, Integer::sum));
+        }
+        tick();
+      }
+    }
+    return lastSecond;
+  }
+
+  private Optional<RangeOwner> owner(int key) {
+    return keeper.assignments().stream()
+        .filter(a -> a.range().first() <= key && key <= a.range().last())
+        .map(RangeAssignment::owner)
+        .findFirst();
+  }
+
+  private static double busiest(Map<RangeOwner, Integer> shares) {
+    return shares.values().stream().mapToInt(n -> n).max().orElseThrow();
+  }
+
+  @Test
+  public void firstUpstreamsShareTheKeysEvenlyAlthoughTheyComeOneByOne() {
+    reset(1);
+    for (int i = 1; i <= UPSTREAMS; i++) {
+      tick();
+      tick();
+      if (i < UPSTREAMS) {
+        candidates.add(new RangeCandidate(new RangeOwner("u" + i, 1), 4, false));
+      }
+    }
+    settle();
+    Map<RangeOwner, Integer> widths = new HashMap<>();
+    keeper.assignments().forEach(a -> widths.merge(a.owner(), a.range().width(), Integer::sum));
+    assertThat(widths).hasSize(UPSTREAMS);
+    assertThat(widths.values()).allSatisfy(width -> assertThat(width).isBetween(2048, 8192));
+  }
+
+  @Test
+  public void hotKeysThatLieCloseTogetherAreSpreadWithinTwoSeconds() {
+    reset(UPSTREAMS);
+    settle();
+    play(4, 0, 0, 1);
+    RangeOwner hot = owner(30100).orElseThrow();
+    double after = busiest(play(3, 0.45, 30000, 200));
+    long moved =
+        keeper.assignments().stream()
+            .filter(a -> a.range().first() >= 29900 && a.range().last() < 30300)
+            .filter(a -> !a.owner().equals(hot))
+            .count();
+    assertThat(moved).isGreaterThan(3);
+    assertThat(after).isLessThan(0.2 * REQUESTS_PER_SECOND);
+  }
+
+  @Test
+  public void othersLeaveTheOwnerOfASingleHotKey() {
+    reset(UPSTREAMS);
+    settle();
+    play(4, 0, 0, 1);
+    play(6, 0.3, 30000, 1);
+    RangeOwner hot = owner(30000).orElseThrow();
+    double others =
+        keeper.assignments().stream()
+                .filter(a -> a.owner().equals(hot))
+                .mapToDouble(a -> loads.of(a.range()))
+                .sum()
+            - loads.of(30000);
+    assertThat(others).isLessThan(0.5 * loads.total() / UPSTREAMS);
+  }
+
+  @Test
+  public void singleHotKeyMovesToAClearlyStrongerUpstream() {
+    reset(UPSTREAMS);
+    RangeOwner strong = new RangeOwner("strong", 1);
+    candidates.add(new RangeCandidate(strong, 6, false));
+    settle();
+    play(4, 0, 0, 1);
+    play(4, 0.4, 30000, 1);
+    assertThat(owner(30000)).contains(strong);
+  }
+
+  @Test
+  public void evenLoadMovesLittle() {
+    reset(UPSTREAMS);
+    settle();
+    play(4, 0, 0, 1);
+    moves = 0;
+    play(20, 0, 0, 1);
+    assertThat(moves).isLessThan(20);
+  }
+
+  @Test
+  public void newUpstreamGetsPartOfTheLoad() {
+    reset(UPSTREAMS);
+    settle();
+    play(4, 0, 0, 1);
+    RangeOwner joined = new RangeOwner("joined", 1);
+    candidates.add(new RangeCandidate(joined, 4, false));
+    Map<RangeOwner, Integer> shares = play(4, 0, 0, 1);
+    assertThat(shares).containsKey(joined);
+  }
+
+  @Test
+  public void keysOfALeavingUpstreamAreSharedByOthers() {
+    reset(UPSTREAMS);
+    settle();
+    play(4, 0, 0, 1);
+    RangeCandidate leaving = candidates.remove(3);
+    play(1, 0, 0, 1);
+    assertThat(keeper.assignments()).noneMatch(a -> a.owner().equals(leaving.owner()));
+    int owned = keeper.assignments().stream().mapToInt(a -> a.range().width()).sum();
+    assertThat(owned).isEqualTo(KeyRange.KEYS);
+  }
+}
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -121,7 +121,6 @@
                 GRANT_CALL_MS,
                 RELEASE_CALL_MS,
                 HOLD_MARGIN_MS),
-            entry -> scheduler.speed(entry),
             new ControlClocks(clock, System::currentTimeMillis),
             loop,
             random);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
-import java.util.function.ToDoubleFunction;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.range.LeadershipTiming;
 import org.foxtailford.core.range.RangeTiming;
@@ -24,7 +23,6 @@
 import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
-import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpClient;
 import org.foxtailford.schema.entry.KeyLoad;
@@ -89,7 +87,6 @@
   private final PeerClient peers;
   private final PeerBook book;
   private final RangeTiming timing;
-  private final ToDoubleFunction<UpstreamEntry> speed;
   private final MillisClock clock;
   private final MillisClock timeOfDay;
   private final ScheduledExecutorService loop;
@@ -125,7 +122,6 @@
       EntryKnowledge knowledge,
       HttpClient peerCalls,
       RangeTiming timing,
-      ToDoubleFunction<UpstreamEntry> speed,
       ControlClocks clocks,
       ScheduledExecutorService loop,
       Random random) {
@@ -141,7 +137,6 @@
     this.peers = new PeerClient(peerCalls);
     this.book = new PeerBook(node, knowledge.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
-    this.speed = Assert.notNull(speed, "speed");
     this.loop = Assert.notNull(loop, "loop");
     this.upstreamTable = platform.upstreamTable();
     this.election =
@@ -192,6 +187,7 @@
     if (leads) {
       duty.tick();
       loads.add(knowledge.takeKeyCounts(), nowMs);
+      loads.addWork(knowledge.takeWorkTimes(), nowMs);
       knowledge.setLiveNodes(book.alive(nowMs).keySet());
     } else {
       report(nowMs);
@@ -274,7 +270,7 @@
     }
     reporting = true;
     LeaderSeat seat = leader.get();
-    PeerReport.Builder report = newReport();
+    PeerReport.Builder report = newReport().addAllWorkTimes(knowledge.takeWorkTimes());
     knowledge
         .takeKeyCounts()
         .forEach(
@@ -453,7 +449,7 @@
     started = true;
     duty =
         new LeaderDuty(
-            seat, store, orders, knowledge, loads, timing, speed, this, clock, loop, holdUntilMs);
+            seat, store, orders, knowledge, loads, timing, this, clock, loop, holdUntilMs);
     tell(List.of());
   }
 
@@ -533,6 +529,7 @@
       knowledge.applyRows(rows.getTable(), RecordCodec.toPage(rows));
     }
     loads.add(report.getKeyLoadsList(), nowMs);
+    loads.addWork(report.getWorkTimesList(), nowMs);
     return reply(report, nowMs);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryKnowledge.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryKnowledge.java
@@ -14,6 +14,7 @@
 import org.foxtailford.core.range.RangeMap;
 import org.foxtailford.core.route.CallerLimits;
 import org.foxtailford.core.route.RoutingConfiguration;
+import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.RowPage;
@@ -24,6 +25,7 @@
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.entry.request.RoutingView;
+import org.foxtailford.schema.entry.WorkTime;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -53,6 +55,7 @@
   private final UpstreamDirectory upstreams = new UpstreamDirectory();
   private final Map<String, RangeMap> owners = new HashMap<>();
   private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
+  private final Map<String, WorkTime.Builder> workTimes = new HashMap<>();
   private final Set<String> evacuated = new HashSet<>();
   private Collection<String> liveNodes = List.of();
   private @Nullable RoutingConfiguration configuration;
@@ -271,6 +274,14 @@
     return taken;
   }
 
+  /** Returns the counted answers of upstreams, and begins anew. */
+  List<WorkTime> takeWorkTimes() {
+    List<WorkTime> taken = new ArrayList<>();
+    workTimes.values().forEach(time -> taken.add(time.build()));
+    workTimes.clear();
+    return taken;
+  }
+
   /** Returns whether callers can be served. */
   public boolean isComplete() {
     return configuration != null && upstreamsKnown;
@@ -319,6 +330,20 @@
     keyCounts.computeIfAbsent(service, name -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
+  @Override
+  public void countWork(UpstreamEntry upstream, double tookMs) {
+    boolean keyed =
+        configuration != null
+            && configuration.service(upstream.service()).map(ServicePolicy::keyed).orElse(false);
+    if (keyed) {
+      WorkTime.Builder time =
+          workTimes.computeIfAbsent(
+              upstream.id(),
+              id -> WorkTime.newBuilder().setUpstream(id).setService(upstream.service()));
+      time.setAnswers(time.getAnswers() + 1).setTotalMs(time.getTotalMs() + Math.round(tookMs));
+    }
+  }
+
   @Override
   public void onWrongOwner(String service, int key) {
     logger
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
@@ -5,13 +5,18 @@
 import java.util.Map;
 import org.foxtailford.core.range.KeyLoadBook;
 import org.foxtailford.core.range.KeyRange;
+import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.upstream.WorkTimeBook;
 import org.foxtailford.schema.entry.KeyLoad;
+import org.foxtailford.schema.entry.WorkTime;
 
-/** Load of the keys of all services, as the leader gathers it. */
+/** Load of the keys and speed of the upstreams of all services, as the leader gathers them. */
 final class KeyLoads {
 
   private final Map<String, KeyLoadBook> books = new HashMap<>();
 
+  private final Map<String, WorkTimeBook> workTimes = new HashMap<>();
+
   KeyLoadBook of(String service) {
     return books.computeIfAbsent(service, name -> new KeyLoadBook());
   }
@@ -21,6 +26,20 @@
         (service, keys) -> keys.forEach((key, count) -> of(service).add(key, count, nowMs)));
   }
 
+  /** Returns how fast an upstream works, 1 for the usual of its service. */
+  double speed(UpstreamEntry upstream) {
+    WorkTimeBook times = workTimes.get(upstream.service());
+    return times == null ? 1 : times.speed(upstream.id());
+  }
+
+  void addWork(List<WorkTime> times, long nowMs) {
+    for (WorkTime time : times) {
+      workTimes
+          .computeIfAbsent(time.getService(), name -> new WorkTimeBook())
+          .add(time.getUpstream(), time.getAnswers(), time.getTotalMs(), nowMs);
+    }
+  }
+
   void add(List<KeyLoad> loads, long nowMs) {
     for (KeyLoad load : loads) {
       if (load.getKey() >= 0 && load.getKey() < KeyRange.KEYS) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderDuty.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderDuty.java
@@ -10,7 +10,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.function.ToDoubleFunction;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.range.LeadershipTiming;
 import org.foxtailford.core.range.RangeCandidate;
@@ -57,7 +56,6 @@
   private final EntryKnowledge knowledge;
   private final KeyLoads loads;
   private final RangeTiming timing;
-  private final ToDoubleFunction<UpstreamEntry> speed;
   private final Listener listener;
   private final MillisClock clock;
   private final Executor loop;
@@ -79,7 +77,6 @@
       EntryKnowledge knowledge,
       KeyLoads loads,
       RangeTiming timing,
-      ToDoubleFunction<UpstreamEntry> speed,
       Listener listener,
       MillisClock clock,
       Executor loop,
@@ -90,7 +87,6 @@
     this.knowledge = knowledge;
     this.loads = loads;
     this.timing = timing;
-    this.speed = speed;
     this.listener = Assert.notNull(listener, "listener");
     this.clock = Assert.notNull(clock, "clock");
     this.loop = Assert.notNull(loop, "loop");
@@ -159,7 +155,7 @@
       RangeOwner owner = new RangeOwner(entry.id(), entry.bornMs());
       addresses.put(owner, entry.address());
       boolean cold = knowledge.upstreams().isCold(entry.id(), clock.nowMs());
-      double capacity = entry.slots() * speed.applyAsDouble(entry);
+      double capacity = entry.slots() * loads.speed(entry);
       candidates.add(new RangeCandidate(owner, capacity, cold));
     }
     return candidates;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -72,11 +72,6 @@
   /** Sends that never left this VM, beside the upstreams that a request may reach. */
   private static final int UNREACHED_SENDS = 3;
 
-  /** Bounds of what is believed of an upstream's speed: times include waits. */
-  private static final double LEAST_SPEED = 0.5;
-
-  private static final double MOST_SPEED = 2;
-
   private final EventLoop loop;
   private final MillisClock clock;
   private final RoutingView view;
@@ -383,16 +378,17 @@
             });
   }
 
-  /** Returns how fast an upstream works, 1 for the usual of its service. */
-  public double speed(UpstreamEntry entry) {
-    double own = book.of(entry).load().usualMs();
-    double ofService = usual(entry.service());
-    return own == 0 ? 1 : Math.max(LEAST_SPEED, Math.min(MOST_SPEED, ofService / own));
-  }
-
-  /** Learns how long a service takes. */
-  void learn(String service, double tookMs) {
-    usualMs.merge(service, tookMs, (old, took) -> old + USUAL_WEIGHT * (took - old));
+  /**
+   * Learns how long a service takes.
+   *
+   * @param waited whether the upstream had requests waiting, so that the time is not all work
+   */
+  void learn(UpstreamHandle upstream, double tookMs, boolean waited) {
+    UpstreamEntry entry = upstream.entry();
+    usualMs.merge(entry.service(), tookMs, (old, took) -> old + USUAL_WEIGHT * (took - old));
+    if (!waited) {
+      view.countWork(entry, tookMs / upstream.load().slowness());
+    }
   }
 
   long retryAfterMs(RequestCall call) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -5,6 +5,7 @@
 import org.foxtailford.core.range.RangeMap;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.upstream.UpstreamDirectory;
+import org.foxtailford.core.upstream.UpstreamEntry;
 
 /** What the way of a request needs to know. */
 public interface RoutingView {
@@ -24,6 +25,9 @@
   /** Counts a request for a key. */
   void countKey(String service, int key);
 
+  /** Counts an answer and how long the upstream usually works on it, in milliseconds. */
+  void countWork(UpstreamEntry upstream, double tookMs);
+
   /** Notes that an owner does not own a key as the map says. */
   void onWrongOwner(String service, int key);
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -219,7 +219,9 @@
       upstream.load().faulty(scheduler.nowMs());
     } else {
       upstream.load().succeeded(tookMs, timed);
-      scheduler.learn(call.service().name(), tookMs);
+      boolean waited =
+          scheduler.dialect().load(answer.headers()).map(l -> l.waiting() > 0).orElse(true);
+      scheduler.learn(upstream, tookMs, waited);
     }
   }
 
