A refused connect proves nothing: keys are free after a release or the end of the hold

Change: an order without connection does not extend a hold, and an owner out of reach is shunned once its hold is over; holds of 3 s renewed each 0.8 s, a vacant seat is taken after 1.4 s.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/LeadershipTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/LeadershipTiming.java
@@ -4,16 +4,16 @@
 public final class LeadershipTiming {
 
   /** Time between two renewals of the seat, in milliseconds; each one is a paid call. */
-  public static final long RENEW_MS = 1000;
+  public static final long RENEW_MS = 800;
 
   /** Time between two tries while a renewal is not confirmed, in milliseconds. */
   public static final long RETRY_MS = 300;
 
   /** Time for which a seat must stand without renewal before another may take it. */
-  public static final long VACANT_MS = 2300;
+  public static final long VACANT_MS = 1400;
 
   /** Time without a word from the leader after which its row is looked at, in milliseconds. */
-  public static final long SUSPECT_MS = 1000;
+  public static final long SUSPECT_MS = 800;
 
   /** Time between two looks at the row of a suspected leader, in milliseconds. */
   public static final long LOOK_MS = 450;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/OrderOutcome.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/OrderOutcome.java
@@ -6,8 +6,11 @@
   DONE,
   /** The upstream has seen a higher fence. */
   FENCED,
-  /** Nothing listens at the upstream's address: its process is gone. */
-  NOBODY_LISTENS,
+  /**
+   * There was no connection, so that the order surely did not arrive. It proves nothing else: a cut
+   * refuses connections too.
+   */
+  UNREACHED,
   /** The order may have been carried out, or may be later. */
   UNKNOWN
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
@@ -13,10 +13,10 @@
 /**
  * Decides for one service which upstream is granted which keys; used by the present leader.
  *
- * <p>A range moves in three steps: it is released, or its hold time runs out, or its owner's
- * process is known to be gone; the map with the new owner and a higher fence is written; only then
- * it is granted. A renewal repeats a recorded grant, so that it harms nobody, whoever sends it. Not
- * thread-safe; each order's outcome is told before the next order for the same range is given.
+ * <p>A range moves in three steps: it is released, or its hold time runs out; the map with the new
+ * owner and a higher fence is written; only then it is granted. A renewal repeats a recorded grant,
+ * so that it harms nobody, whoever sends it. Not thread-safe; each order's outcome is told before
+ * the next order for the same range is given.
  */
 public final class RangeKeeper {
 
@@ -25,12 +25,16 @@
    */
   private static final long GATHER_MS = 2500;
 
+  /** Time for which an upstream that can't be reached gets no keys, in milliseconds. */
+  private static final long SHUN_MS = 3000;
+
   private final RangeTiming timing;
   private final LongSupplier fences;
   private final RangePlanner planner = new RangePlanner();
   private final KeyLoadBook loads;
   private List<RangePiece> pieces = new ArrayList<>();
   private long mapVersion;
+  private final Map<RangeOwner, Long> shunned = new HashMap<>();
   private boolean writing;
   private long firstCandidateMs = Long.MIN_VALUE;
 
@@ -75,7 +79,12 @@
    */
   public List<RangeOrder> due(Collection<RangeCandidate> candidates, boolean mayMove, long nowMs) {
     Map<RangeOwner, RangeCandidate> usable = new HashMap<>();
-    candidates.forEach(c -> usable.put(c.owner(), c));
+    shunned.values().removeIf(until -> nowMs >= until);
+    for (RangeCandidate candidate : candidates) {
+      if (!shunned.containsKey(candidate.owner())) {
+        usable.put(candidate.owner(), candidate);
+      }
+    }
     startMoves(usable, nowMs);
     List<RangeOrder> orders = new ArrayList<>();
     for (RangePiece piece : pieces) {
@@ -104,10 +113,10 @@
     if (piece.isReleasing() && piece.isHoldOver(nowMs)) {
       piece.free(Optional.empty());
     } else if (piece.isReleasing() && piece.isDue(nowMs)) {
-      piece.sent(0);
+      piece.releaseSent();
       orders.add(new RangeOrder.Release(piece.assignment(fences.getAsLong())));
     } else if (piece.isOwned() && piece.isDue(nowMs)) {
-      piece.sent(timing.holdsUntil(nowMs));
+      piece.grantSent(timing.holdsUntil(nowMs + timing.callMs()));
       orders.add(new RangeOrder.Grant(piece.assignment(), piece.handover(), !piece.isConfirmed()));
     }
   }
@@ -184,12 +193,17 @@
       piece.answered(nowMs);
     } else if (outcome == OrderOutcome.DONE) {
       piece.confirm();
+      piece.grantHolds(timing.holdsUntil(nowMs));
     } else if (outcome == OrderOutcome.FENCED) {
       RangeOwner same = order.assignment().owner();
       piece.beginRelease(nowMs);
       piece.setTarget(same);
-    } else if (outcome == OrderOutcome.NOBODY_LISTENS) {
-      piece.free(Optional.empty());
+    } else if (outcome == OrderOutcome.UNREACHED) {
+      piece.grantHolds(0);
+      if (piece.isHoldOver(nowMs)) {
+        shunned.put(order.assignment().owner(), nowMs + SHUN_MS);
+        piece.free(Optional.empty());
+      }
     }
   }
 
@@ -202,8 +216,7 @@
     }
     RangePiece piece = found.get();
     piece.answered(nowMs + timing.retryMs());
-    boolean released = outcome == OrderOutcome.DONE || outcome == OrderOutcome.NOBODY_LISTENS;
-    if (piece.isReleasing() && released) {
+    if (piece.isReleasing() && outcome == OrderOutcome.DONE) {
       piece.free(handover);
     }
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
@@ -21,6 +21,7 @@
   private long fence;
   private boolean confirmed;
   private long mayHoldUntilMs;
+  private long heldBeforeMs;
   private long nextSendMs;
   private boolean inCall;
   private @Nullable RangeOwner target;
@@ -50,6 +51,7 @@
     copy.fence = fence;
     copy.confirmed = confirmed;
     copy.mayHoldUntilMs = mayHoldUntilMs;
+    copy.heldBeforeMs = heldBeforeMs;
     copy.nextSendMs = nextSendMs;
     copy.target = target;
     copy.movedAtMs = movedAtMs;
@@ -118,11 +120,22 @@
     return nowMs >= mayHoldUntilMs;
   }
 
-  void sent(long holdsUntilMs) {
+  /** Notes that a grant goes out; it may hold until a time if it arrives. */
+  void grantSent(long holdsUntilMs) {
     inCall = true;
+    heldBeforeMs = mayHoldUntilMs;
     mayHoldUntilMs = Math.max(mayHoldUntilMs, holdsUntilMs);
   }
 
+  /** Notes that the last grant holds only until an earlier time, or did not arrive at all. */
+  void grantHolds(long holdsUntilMs) {
+    mayHoldUntilMs = Math.max(heldBeforeMs, holdsUntilMs);
+  }
+
+  void releaseSent() {
+    inCall = true;
+  }
+
   void answered(long nextMs) {
     inCall = false;
     nextSendMs = nextMs;
@@ -159,6 +172,7 @@
     target = null;
     confirmed = false;
     mayHoldUntilMs = 0;
+    heldBeforeMs = 0;
     nextSendMs = nowMs;
     movedAtMs = nowMs;
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeTiming.java
@@ -26,8 +26,8 @@
         retryMs > 0 && callMs > 0 && releaseMs > 0 && marginMs >= 0, "times must be positive");
   }
 
-  /** Returns until when a grant may hold that was sent at a time and arrived within a call. */
-  public long holdsUntil(long sentAtMs) {
-    return sentAtMs + callMs + (long) Math.ceil(holdMs * (1 + CLOCK_ERROR)) + marginMs;
+  /** Returns until when a grant may hold that arrived at a time at the latest. */
+  public long holdsUntil(long arrivedMs) {
+    return arrivedMs + (long) Math.ceil(holdMs * (1 + CLOCK_ERROR)) + marginMs;
   }
 }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -13,7 +13,7 @@
 /** Replays load patterns on the real keeper, with upstreams that carry out every order at once. */
 public class RangeBalanceTests {
 
-  private static final RangeTiming TIMING = new RangeTiming(4000, 1100, 300, 700, 3000, 100);
+  private static final RangeTiming TIMING = new RangeTiming(3000, 800, 300, 700, 3000, 100);
   private static final int UPSTREAMS = 16;
   private static final int REQUESTS_PER_SECOND = 160;
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -46,9 +46,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Longest hold time of a grant, in milliseconds; less if the upstreams allow less. */
-  private static final long HOLD_MS = 4000;
+  private static final long HOLD_MS = 3000;
 
-  private static final long RENEW_GRANT_MS = 1100;
+  private static final long RENEW_GRANT_MS = 800;
   private static final long GRANT_RETRY_MS = 300;
   private static final long GRANT_CALL_MS = 700;
   private static final long RELEASE_CALL_MS = 3000;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -406,7 +406,7 @@
   private void onSeatTaken(LeaderElection.Taken taken) {
     long nowMs = clock.nowMs();
     long othersRenewMs = taken.holderGone() ? 0 : LeadershipTiming.RENEW_GRANTS_MS;
-    long holdUntilMs = timing.holdsUntil(nowMs) + othersRenewMs;
+    long holdUntilMs = timing.holdsUntil(nowMs + timing.callMs()) + othersRenewMs;
     logger
         .atInfo()
         .with(EventFields.NODE, node)
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
@@ -106,7 +106,7 @@
     boolean pastSelf = record.getNode().equals(node) && record.getLife() != life;
     long nowMs = clock.nowMs();
     if (watch.look(record.getTerm(), renewal, pastSelf, nobodyListens, nowMs)) {
-      boolean gone = record.getTerm() == 0 || pastSelf || nobodyListens;
+      boolean gone = record.getTerm() == 0 || pastSelf;
       take(record.getTerm() + 1, holder.map(Row::version).orElse(0L), gone);
     } else if (record.getTerm() > 0) {
       onSeen.accept(
