Orders name their upstream, and a request given up resets its connection

Ruled out: two leaders (one term in the log). Change: the target header on orders; 421 counts as proof that the process is gone; connections of given-up requests end with a reset (GivenUpRequestTests fails without).

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/OrderOutcome.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/OrderOutcome.java
@@ -11,6 +11,8 @@
    * refuses connections too.
    */
   UNREACHED,
+  /** Another upstream has the address: the process of the meant one is gone. */
+  OTHER_UPSTREAM,
   /** The order may have been carried out, or may be later. */
   UNKNOWN
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
@@ -198,6 +198,9 @@
       RangeOwner same = order.assignment().owner();
       piece.beginRelease(nowMs);
       piece.setTarget(same);
+    } else if (outcome == OrderOutcome.OTHER_UPSTREAM) {
+      shunned.put(order.assignment().owner(), nowMs + SHUN_MS);
+      piece.free(Optional.empty());
     } else if (outcome == OrderOutcome.UNREACHED) {
       piece.grantHolds(0);
       if (piece.isHoldOver(nowMs)) {
@@ -216,7 +219,8 @@
     }
     RangePiece piece = found.get();
     piece.answered(nowMs + timing.retryMs());
-    if (piece.isReleasing() && outcome == OrderOutcome.DONE) {
+    boolean released = outcome == OrderOutcome.DONE || outcome == OrderOutcome.OTHER_UPSTREAM;
+    if (piece.isReleasing() && released) {
       piece.free(handover);
     }
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/UpstreamOrders.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/UpstreamOrders.java
@@ -18,12 +18,14 @@
   /**
    * Grants keys, or renews a grant.
    *
+   * @param upstream id of the upstream; another at the same address does not take the order
    * @param holdMs time for which the grant holds, in milliseconds
    * @param handover what the last owner handed over
    * @param timeoutMs longest time for the call, in milliseconds
    * @return never fails; {@link OrderOutcome#UNKNOWN} stands for every failure of the call
    */
   CompletableFuture<OrderOutcome> grant(
+      String upstream,
       UpstreamAddress address,
       KeyRange range,
       long fence,
@@ -38,5 +40,5 @@
    * @return never fails; {@link OrderOutcome#UNKNOWN} stands for every failure of the call
    */
   CompletableFuture<Released> release(
-      UpstreamAddress address, KeyRange range, long fence, long timeoutMs);
+      String upstream, UpstreamAddress address, KeyRange range, long fence, long timeoutMs);
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -108,6 +108,7 @@
     }
     upstreams
         .grant(
+            assignment.owner().upstream(),
             address.get(),
             assignment.range(),
             assignment.fence(),
@@ -134,7 +135,12 @@
       return;
     }
     upstreams
-        .release(address.get(), assignment.range(), assignment.fence(), timing.releaseMs())
+        .release(
+            assignment.owner().upstream(),
+            address.get(),
+            assignment.range(),
+            assignment.fence(),
+            timing.releaseMs())
         .thenAcceptAsync(released -> onRelease(order, released), loop);
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.net.tcp.ConnectionResets;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -171,7 +172,7 @@
     pending = null;
     received = null;
     decoder.finish();
-    channel.close();
+    ConnectionResets.reset(channel);
     if (answer != null) {
       answer.completeExceptionally(failure);
     }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -23,6 +23,7 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
+import org.foxtailford.net.tcp.ConnectionResets;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -133,7 +134,7 @@
   /** Gives the request up; nothing more is told of it. */
   void abandon() {
     listener = null;
-    context().close();
+    ConnectionResets.reset(context().channel());
   }
 
   @Override
@@ -229,7 +230,7 @@
   private void fail(UpstreamFailure failure, String reason) {
     UpstreamListener present = listener;
     listener = null;
-    context().close();
+    ConnectionResets.reset(context().channel());
     if (present != null) {
       present.onFailure(failure, reason);
     }
