--- a/foxtailford-core/src/main/java/org/foxtailford/core/route/RoutingConfiguration.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/route/RoutingConfiguration.java
@@ -39,6 +39,15 @@
     return limits;
   }
 
+  /** Returns the longest time that a route keeps a request waiting, in milliseconds. */
+  public long longestTimeoutMs() {
+    return routes.values().stream()
+        .flatMap(ofHost -> ofHost.values().stream())
+        .mapToLong(RouteRule::timeoutMs)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns all services. */
   public Collection<ServicePolicy> services() {
     return services.values();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
@@ -1,6 +1,8 @@
 package org.foxtailford.entry;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -46,6 +48,7 @@
   /** Runs the command. */
   public static void main(String[] args) {
     System.setProperty("io.netty.machineId", "02:00:00:ff:fe:00:00:01"); // no interface tells one
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // no search for others
     int status = new EntryCommand(System.out, System.err).run(args);
     if (status != 0) {
       System.exit(status);
@@ -66,6 +69,9 @@
       parser.printUsage(out);
       return 0;
     }
+    if (options.rehearsal().isPresent()) {
+      return rehearse(options.rehearsal().get());
+    }
     if (options.settings().isEmpty()) {
       return usage(parser, "option --settings is required");
     }
@@ -78,6 +84,21 @@
     return EXIT_USAGE;
   }
 
+  private int rehearse(Path file) {
+    JsonLog.configure("rehearsal", Level.INFO);
+    new LineWriter(JsonLog.lines(), out).start();
+    try {
+      new EntryRehearsal(file).play();
+      return 0;
+    } catch (IOException e) {
+      err.println(NAME + ": can't rehearse with " + file + ": " + e.getMessage());
+      return EXIT_SETTINGS;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return EXIT_SETTINGS;
+    }
+  }
+
   private int start(Path file, boolean checkOnly) {
     try {
       EntrySettings settings = EntrySettingsReader.read(Files.readAllBytes(file));
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryOptions.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryOptions.java
@@ -14,6 +14,12 @@
   @Option(name = "--check", usage = "only check the settings")
   private boolean check;
 
+  @Option(
+      name = "--rehearse",
+      metaVar = "FILE",
+      usage = "run for a moment against answers from a file, for an archive of classes")
+  private @Nullable Path rehearsal;
+
   @Option(name = "--help", usage = "print this help")
   private boolean help;
 
@@ -21,6 +27,10 @@
     return Optional.ofNullable(settings);
   }
 
+  Optional<Path> rehearsal() {
+    return Optional.ofNullable(rehearsal);
+  }
+
   boolean check() {
     return check;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -14,7 +14,9 @@
 import java.util.function.Supplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.RetryAllowance;
+import org.foxtailford.core.overload.StopPlan;
 import org.foxtailford.core.range.RangeTiming;
+import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
@@ -165,7 +167,6 @@
     callers.bind(endpoint(settings.callers()));
     loop.execute(
         () -> {
-          scheduler.start();
           control.start();
         });
     logger
@@ -215,7 +216,9 @@
     loop.execute(
         () -> {
           control.stop();
-          progress.begin(settings.bounds().stopMs(), stopped);
+          long longestMs =
+              knowledge.configuration().map(RoutingConfiguration::longestTimeoutMs).orElse(0L);
+          progress.begin(StopPlan.of(settings.bounds().stopMs(), longestMs), stopped);
         });
     return stopped;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/StopProgress.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/StopProgress.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.overload.StopPlan;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.entry.request.RequestScheduler;
@@ -15,12 +16,6 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Part of the time to stop after which open connections without a request are closed. */
-  private static final double CLOSE_IDLE_SHARE = 0.4;
-
-  /** Part of the time to stop after which the process ends, whatever is left. */
-  private static final double END_SHARE = 0.93;
-
   private static final long LOOK_MS = 50;
 
   private final CallerServer callers;
@@ -28,6 +23,7 @@
   private final MillisClock clock;
   private final EventLoop loop;
   private volatile boolean stopping;
+  private boolean listening = true;
   private long beganMs;
 
   StopProgress(
@@ -42,7 +38,8 @@
     return stopping;
   }
 
-  void begin(long stopMs, CompletableFuture<Void> stopped) {
+  /** Begins to stop; the future is completed when the process may end. */
+  void begin(StopPlan plan, CompletableFuture<Void> stopped) {
     if (stopping) {
       return;
     }
@@ -52,17 +49,20 @@
     logger
         .atInfo()
         .with(EventFields.COUNT, (long) scheduler.calls())
-        .with(EventFields.LEFT_MS, stopMs)
+        .with(EventFields.LEFT_MS, plan.endMs())
         .log("stopping");
-    look(stopMs, stopped);
+    look(plan, stopped);
   }
 
-  private void look(long stopMs, CompletableFuture<Void> stopped) {
+  private void look(StopPlan plan, CompletableFuture<Void> stopped) {
     long passedMs = clock.nowMs() - beganMs;
-    boolean closing = passedMs > CLOSE_IDLE_SHARE * stopMs;
-    int connections = closing ? callers.closeIdle() : callers.connections();
-    boolean done = closing && connections == 0 && scheduler.calls() == 0;
-    if (done || passedMs > END_SHARE * stopMs) {
+    if (listening && passedMs >= plan.listenMs()) {
+      listening = false;
+      callers.stopListening();
+    }
+    int connections = listening ? callers.connections() : callers.closeIdle();
+    boolean done = !listening && connections == 0 && scheduler.calls() == 0;
+    if (done || passedMs > plan.endMs()) {
       logger
           .atInfo()
           .with(EventFields.COUNT, (long) scheduler.calls())
@@ -70,7 +70,7 @@
           .log("stopped");
       stopped.complete(null);
     } else {
-      loop.schedule(() -> look(stopMs, stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> look(plan, stopped), LOOK_MS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -90,6 +90,7 @@
   private RetryAllowance retries;
   private int calls;
   private boolean pumping;
+  private boolean looking;
 
   /** Creates a scheduler. */
   public RequestScheduler(
@@ -116,11 +117,6 @@
     this.cold = new ColdAllowance(node);
   }
 
-  /** Begins to look after the waiting requests. */
-  public void start() {
-    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-  }
-
   /** Replaces the budget of further sends after a change of the settings. */
   public void replaceRetries(RetryAllowance newRetries) {
     retries = Assert.notNull(newRetries, "newRetries");
@@ -188,6 +184,9 @@
       long again = (long) (AGAIN_WAIT_SHARE * (terms.aimMs() - terms.arrivedMs()));
       until = Math.min(Math.max(until, nowMs + again), terms.deadlineMs() - workMs);
     }
+    if (call.service().keyed() && !isOwnerInSight(call, nowMs)) {
+      until = Math.min(until, nowMs + MOVE_PAUSE_MS);
+    }
     List<RequestCall> queue = waiting.computeIfAbsent(service, name -> new ArrayList<>());
     WaitingOrder order = new WaitingOrder(nowMs, workMs);
     int ahead = 0;
@@ -200,11 +199,37 @@
     if (room.mayWait(ahead, rate(call), until, nowMs)) {
       call.waitUntil(until, nowMs);
       queue.add(call);
+      lookLater();
     } else {
       call.refuse("no room", RequestCall.BAD_GATEWAY);
     }
   }
 
+  /** Looks at the waiting requests again soon; an idle VM is not woken. */
+  private void lookLater() {
+    if (!looking) {
+      looking = true;
+      loop.schedule(this::look, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void look() {
+    looking = false;
+    tick();
+    if (waiting() > 0) {
+      lookLater();
+    }
+  }
+
+  /** Returns whether the owner of a request's key is known and can be reached. */
+  private boolean isOwnerInSight(RequestCall call, long nowMs) {
+    return owner(call)
+        .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
+        .filter(view.upstreams()::isUsable)
+        .map(entry -> !book.of(entry).load().isSuspended(nowMs))
+        .orElse(false);
+  }
+
   private boolean sameOwner(RequestCall a, RequestCall b) {
     Optional<RangeAssignment> ownerOfA = owner(a);
     return ownerOfA.isPresent()
