Renewals keep their connection, else a new fence; lasting unevenness is evened out slowly

Change: grants go over numbered connections (SessionClient); a renewal without its connection, and each range of a new leader, gets a new fence first.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/KeyLoadBook.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/KeyLoadBook.java
@@ -1,16 +1,27 @@
 package org.foxtailford.core.range;
 
+import org.foxtailford.core.util.Assert;
+
 /** Recent requests for each key of a service, older ones fading. Not thread-safe. */
 public final class KeyLoadBook {
 
-  private static final double FADE_PER_SECOND = 0.7;
-
   private static final long FADE_EVERY_MS = 1000;
 
+  private final double keptPerSecond;
   private final float[] counts = new float[KeyRange.KEYS];
   private long fadedAtMs = Long.MIN_VALUE;
   private double total;
 
+  /**
+   * Creates a book without requests.
+   *
+   * @param keptPerSecond part of the requests that counts a second later, below 1
+   */
+  public KeyLoadBook(double keptPerSecond) {
+    Assert.isTrue(keptPerSecond > 0 && keptPerSecond < 1, "keptPerSecond must be between 0 and 1");
+    this.keptPerSecond = keptPerSecond;
+  }
+
   /** Adds requests for a key. */
   public void add(int key, int requests, long nowMs) {
     fade(nowMs);
@@ -27,7 +38,7 @@
       fadedAtMs += FADE_EVERY_MS;
       total = 0;
       for (int key = 0; key < counts.length; key++) {
-        counts[key] = counts[key] < 0.01 ? 0 : (float) (counts[key] * FADE_PER_SECOND);
+        counts[key] = counts[key] < 0.01 ? 0 : (float) (counts[key] * keptPerSecond);
         total += counts[key];
       }
     }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeKeeper.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.foxtailford.core.util.Assert;
 
@@ -31,7 +32,7 @@
   private final RangeTiming timing;
   private final LongSupplier fences;
   private final RangePlanner planner = new RangePlanner();
-  private final KeyLoadBook loads;
+  private final KeyLoadHistory loads;
   private List<RangePiece> pieces = new ArrayList<>();
   private long mapVersion;
   private final Map<RangeOwner, Long> shunned = new HashMap<>();
@@ -50,7 +51,7 @@
   public RangeKeeper(
       RangeTiming timing,
       LongSupplier fences,
-      KeyLoadBook loads,
+      KeyLoadHistory loads,
       RangeMap map,
       long othersHoldUntilMs) {
     this.timing = Assert.notNull(timing, "timing");
@@ -91,7 +92,7 @@
       advance(piece, nowMs, orders);
     }
     plan(usable, mayMove, nowMs);
-    write(usable, orders);
+    write(usable, nowMs, orders);
     return orders;
   }
 
@@ -115,9 +116,9 @@
     } else if (piece.isReleasing() && piece.isDue(nowMs)) {
       piece.releaseSent();
       orders.add(new RangeOrder.Release(piece.assignment(fences.getAsLong())));
-    } else if (piece.isOwned() && piece.isDue(nowMs)) {
+    } else if (piece.isGrantDue(nowMs)) {
       piece.grantSent(timing.holdsUntil(nowMs + timing.callMs()));
-      orders.add(new RangeOrder.Grant(piece.assignment(), piece.handover(), !piece.isConfirmed()));
+      orders.add(new RangeOrder.Grant(piece.assignment(), piece.handover(), piece.session()));
     }
   }
 
@@ -142,10 +143,13 @@
     return mapVersion == 0 && nowMs - firstCandidateMs < GATHER_MS;
   }
 
-  private void write(Map<RangeOwner, RangeCandidate> usable, List<RangeOrder> orders) {
+  private void write(Map<RangeOwner, RangeCandidate> usable, long nowMs, List<RangeOrder> orders) {
     boolean changed =
         pieces.stream()
-            .anyMatch(p -> p.isFree() && p.target().map(usable::containsKey).orElse(false));
+            .anyMatch(
+                p ->
+                    p.isFenceDue(nowMs)
+                        || p.isFree() && p.target().map(usable::containsKey).orElse(false));
     if (writing || !changed) {
       return;
     }
@@ -153,6 +157,8 @@
     for (RangePiece piece : pieces) {
       if (piece.isFree() && piece.target().isPresent()) {
         piece.assign(fences.getAsLong());
+      } else if (piece.isFenceDue(nowMs)) {
+        piece.renewFence(fences.getAsLong());
       }
       if (piece.owner().isPresent()) {
         assignments.add(piece.assignment());
@@ -180,36 +186,58 @@
     return joined;
   }
 
-  /** Takes the outcome of a grant. */
-  public void onGrant(RangeOrder.Grant order, OrderOutcome outcome, long nowMs) {
+  /**
+   * Takes the outcome of a grant.
+   *
+   * @param session connection over which it was answered
+   */
+  public void onGrant(
+      RangeOrder.Grant order, OrderOutcome outcome, OptionalLong session, long nowMs) {
     Optional<RangePiece> found = find(order.assignment());
     if (found.isEmpty()) {
       return;
     }
     RangePiece piece = found.get();
-    long nextMs = nowMs + (outcome == OrderOutcome.DONE ? timing.renewMs() : timing.retryMs());
-    piece.answered(nextMs);
     if (!piece.isOwned()) {
       piece.answered(nowMs);
-    } else if (outcome == OrderOutcome.DONE) {
-      piece.confirm();
-      piece.grantHolds(timing.holdsUntil(nowMs));
-    } else if (outcome == OrderOutcome.FENCED) {
-      RangeOwner same = order.assignment().owner();
-      piece.beginRelease(nowMs);
-      piece.setTarget(same);
-    } else if (outcome == OrderOutcome.OTHER_UPSTREAM) {
-      shunned.put(order.assignment().owner(), nowMs + SHUN_MS);
-      piece.free(Optional.empty());
-    } else if (outcome == OrderOutcome.UNREACHED) {
-      piece.grantHolds(0);
-      if (piece.isHoldOver(nowMs)) {
-        shunned.put(order.assignment().owner(), nowMs + SHUN_MS);
-        piece.free(Optional.empty());
-      }
+      return;
+    }
+    piece.answered(nowMs + (outcome == OrderOutcome.DONE ? timing.renewMs() : timing.retryMs()));
+    switch (outcome) {
+      case DONE:
+        piece.confirm(session);
+        piece.grantHolds(timing.holdsUntil(nowMs));
+        break;
+      case FENCED:
+        piece.distrust();
+        break;
+      case OTHER_UPSTREAM:
+        shun(piece, order.assignment().owner(), nowMs);
+        break;
+      case UNREACHED:
+        onUnreached(piece, order, nowMs);
+        break;
+      default:
+        piece.distrust();
     }
   }
 
+  /** A renewal without its connection needs a new fence at once; a first grant is sent again. */
+  private void onUnreached(RangePiece piece, RangeOrder.Grant order, long nowMs) {
+    piece.grantHolds(0);
+    if (order.session().isPresent()) {
+      piece.distrust();
+      piece.answered(nowMs);
+    } else if (piece.isHoldOver(nowMs)) {
+      shun(piece, order.assignment().owner(), nowMs);
+    }
+  }
+
+  private void shun(RangePiece piece, RangeOwner owner, long nowMs) {
+    shunned.put(owner, nowMs + SHUN_MS);
+    piece.free(Optional.empty());
+  }
+
   /** Takes the outcome of a release. */
   public void onRelease(
       RangeOrder.Release order, OrderOutcome outcome, Optional<String> handover, long nowMs) {
@@ -234,9 +262,7 @@
   public void onWritten(RangeOrder.Write order, long version, long nowMs) {
     writing = false;
     mapVersion = version;
-    pieces.stream()
-        .filter(piece -> piece.isFree() && piece.owner().isPresent())
-        .forEach(piece -> piece.written(nowMs));
+    pieces.stream().filter(RangePiece::isWritePending).forEach(piece -> piece.written(nowMs));
   }
 
   private Optional<RangePiece> find(RangeAssignment assignment) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeOrder.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeOrder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** What the leader has to do next for the ranges of a service. */
 public interface RangeOrder {
@@ -11,9 +12,10 @@
    *
    * @param assignment the keys, their owner and fence
    * @param handover what the last owner handed over
-   * @param first whether it is the first grant under this fence
+   * @param session connection over which the keys were granted under this fence; empty for the
+   *     first grant. A renewal over another one might reach another life of the upstream
    */
-  record Grant(RangeAssignment assignment, Optional<String> handover, boolean first)
+  record Grant(RangeAssignment assignment, Optional<String> handover, OptionalLong session)
       implements RangeOrder {}
 
   /**
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
@@ -1,6 +1,7 @@
 package org.foxtailford.core.range;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,7 +20,9 @@
   private State state = State.FREE;
   private @Nullable RangeOwner owner;
   private long fence;
-  private boolean confirmed;
+  private OptionalLong session = OptionalLong.empty();
+  private boolean needsFence;
+  private boolean fencePending;
   private long mayHoldUntilMs;
   private long heldBeforeMs;
   private long nextSendMs;
@@ -40,6 +43,7 @@
     piece.owner = assignment.owner();
     piece.fence = assignment.fence();
     piece.mayHoldUntilMs = mayHoldUntilMs;
+    piece.needsFence = true;
     return piece;
   }
 
@@ -49,7 +53,8 @@
     copy.state = state;
     copy.owner = owner;
     copy.fence = fence;
-    copy.confirmed = confirmed;
+    copy.session = session;
+    copy.needsFence = needsFence;
     copy.mayHoldUntilMs = mayHoldUntilMs;
     copy.heldBeforeMs = heldBeforeMs;
     copy.nextSendMs = nextSendMs;
@@ -99,11 +104,37 @@
 
   /** Returns whether the owner confirmed its grant, and nothing is on its way to it. */
   boolean isSettled(long sinceMs) {
-    return state == State.OWNED && confirmed && !inCall && movedAtMs <= sinceMs;
+    return state == State.OWNED
+        && session.isPresent()
+        && !needsFence
+        && !inCall
+        && movedAtMs <= sinceMs;
   }
 
-  boolean isConfirmed() {
-    return confirmed;
+  /** Returns the connection over which the keys were granted under the present fence. */
+  OptionalLong session() {
+    return session;
+  }
+
+  /** Returns whether the keys are to be granted to their owner under a new fence. */
+  boolean isFenceDue(long nowMs) {
+    return state == State.OWNED && needsFence && isDue(nowMs);
+  }
+
+  boolean isGrantDue(long nowMs) {
+    return state == State.OWNED && !needsFence && isDue(nowMs);
+  }
+
+  /** Notes that the owner may be another life by now, which must not get an old fence. */
+  void distrust() {
+    needsFence = true;
+    session = OptionalLong.empty();
+  }
+
+  /** Takes a new fence for the same owner; it counts once the map is written. */
+  void renewFence(long newFence) {
+    fence = newFence;
+    fencePending = true;
   }
 
   Optional<String> handover() {
@@ -141,13 +172,14 @@
     nextSendMs = nextMs;
   }
 
-  void confirm() {
-    confirmed = true;
+  void confirm(OptionalLong newSession) {
+    session = newSession;
     handover = Optional.empty();
   }
 
   void beginRelease(long nowMs) {
     state = State.RELEASING;
+    fencePending = false;
     nextSendMs = nowMs;
     movedAtMs = nowMs;
     handover = Optional.empty();
@@ -156,7 +188,8 @@
   void free(Optional<String> newHandover) {
     state = State.FREE;
     owner = null;
-    confirmed = false;
+    distrust();
+    fencePending = false;
     handover = newHandover;
   }
 
@@ -166,14 +199,24 @@
     fence = newFence;
   }
 
-  /** Makes the assigned owner the owner, once the map is written. */
+  /** Returns whether the written map gives it a new owner or fence. */
+  boolean isWritePending() {
+    return state == State.FREE && owner != null || state == State.OWNED && fencePending;
+  }
+
+  /** Takes the new owner or fence, once the map is written. */
   void written(long nowMs) {
+    session = OptionalLong.empty();
+    needsFence = false;
+    fencePending = false;
+    nextSendMs = nowMs;
+    if (state == State.OWNED) {
+      return;
+    }
     state = State.OWNED;
     target = null;
-    confirmed = false;
     mayHoldUntilMs = 0;
     heldBeforeMs = 0;
-    nextSendMs = nowMs;
     movedAtMs = nowMs;
   }
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
@@ -17,8 +17,11 @@
  */
 final class RangePlanner {
 
-  /** Load of an upstream over the mean at which a part of it moves. */
-  private static final double BUSY_RATIO = 1.35;
+  /** Keys that have just become hot: many moves at once, but not for a difference by chance. */
+  private static final Urgency HOT = new Urgency(1.5, 0, 16);
+
+  /** Lasting differences: few moves at once, also for small parts. */
+  private static final Urgency UNEVEN = new Urgency(1.12, 0.05, 4);
 
   /** Load, in fading requests, below which nothing moves; a few requests a second. */
   private static final double LEAST_MOVED_LOAD = 4;
@@ -37,11 +40,17 @@
   /** Time between two rounds, in milliseconds; the loads change little in less. */
   private static final long ROUND_MS = 500;
 
-  /** Most moves begun at once: their keys wait meanwhile. */
-  private static final int MOST_MOVES = 16;
-
   private long nextRoundMs;
 
+  /**
+   * How much unevenness is worth how many moves.
+   *
+   * @param busyRatio load of an upstream over the mean at which a part of it moves
+   * @param leastShare least load that moves, as part of the mean load of an upstream
+   * @param mostMoves most moves begun at once: their keys wait meanwhile
+   */
+  private record Urgency(double busyRatio, double leastShare, int mostMoves) {}
+
   /**
    * Move of a part of a piece.
    *
@@ -72,7 +81,8 @@
 
   /** Gives a target to each free piece without one; wide pieces are split over several. */
   List<RangePiece> placeFree(
-      List<RangePiece> pieces, Collection<RangeCandidate> candidates, KeyLoadBook loads) {
+      List<RangePiece> pieces, Collection<RangeCandidate> candidates, KeyLoadHistory history) {
+    KeyLoadBook loads = history.lasting();
     if (pieces.stream().noneMatch(RangePiece::needsTarget)) {
       return pieces;
     }
@@ -127,7 +137,7 @@
   List<RangePiece> balance(
       List<RangePiece> pieces,
       Collection<RangeCandidate> candidates,
-      KeyLoadBook loads,
+      KeyLoadHistory loads,
       long nowMs) {
     boolean moving = pieces.stream().anyMatch(RangePiece::isFree);
     if (nowMs < nextRoundMs || moving || candidates.size() < 2) {
@@ -135,18 +145,33 @@
     }
     nextRoundMs = nowMs + ROUND_MS;
     loads.fade(nowMs);
-    Map<RangeOwner, Share> shares = shares(pieces, candidates, loads);
+    List<RangePiece> planned = new ArrayList<>(pieces);
+    int moves = balance(planned, candidates, loads.recent(), HOT, nowMs);
+    if (moves == 0) {
+      balance(planned, candidates, loads.lasting(), UNEVEN, nowMs);
+    }
+    return planned;
+  }
+
+  private static int balance(
+      List<RangePiece> planned,
+      Collection<RangeCandidate> candidates,
+      KeyLoadBook loads,
+      Urgency urgency,
+      long nowMs) {
+    Map<RangeOwner, Share> shares = shares(planned, candidates, loads);
     double capacity = shares.values().stream().mapToDouble(s -> s.candidate.capacity()).sum();
     double mean = loads.total() / capacity;
-    List<RangePiece> planned = new ArrayList<>(pieces);
-    for (int i = 0; i < MOST_MOVES; i++) {
-      Optional<Move> move = next(planned, shares, loads, mean, nowMs);
+    int moves = 0;
+    while (moves < urgency.mostMoves()) {
+      Optional<Move> move = next(planned, shares, loads, mean, urgency, nowMs);
       if (move.isEmpty()) {
         break;
       }
       begin(planned, move.get(), nowMs);
+      moves++;
     }
-    return planned;
+    return moves;
   }
 
   private static void begin(List<RangePiece> pieces, Move move, long nowMs) {
@@ -171,6 +196,7 @@
       Map<RangeOwner, Share> shares,
       KeyLoadBook loads,
       double mean,
+      Urgency urgency,
       long nowMs) {
     Share most =
         shares.values().stream().max(Comparator.comparingDouble(Share::relativeLoad)).orElse(null);
@@ -184,15 +210,15 @@
     }
     double excess = (most.relativeLoad() - mean) * most.candidate.capacity();
     double lack = (mean - least.relativeLoad()) * least.candidate.capacity();
-    boolean busy = most.relativeLoad() > BUSY_RATIO * mean;
+    boolean busy = most.relativeLoad() > urgency.busyRatio() * mean;
     boolean idle = least.width == 0;
     double wanted = Math.min(excess, lack);
-    if (!busy && !idle || wanted < LEAST_MOVED_LOAD) {
+    if (!busy && !idle || wanted < least(urgency, mean, least)) {
       return Optional.empty();
     }
     Optional<Move> move =
         hotKey(pieces, most, shares, loads, wanted, nowMs)
-            .or(() -> cut(pieces, most, least, loads, wanted, nowMs));
+            .or(() -> cut(pieces, most, least, loads, wanted, least(urgency, mean, least), nowMs));
     if (move.isPresent()) {
       double moved = loads.of(move.get().part());
       Share target = shares.get(move.get().target());
@@ -203,6 +229,11 @@
     return move;
   }
 
+  /** Returns the least load that is worth a move. */
+  private static double least(Urgency urgency, double mean, Share to) {
+    return Math.max(LEAST_MOVED_LOAD, urgency.leastShare() * mean * to.candidate.capacity());
+  }
+
   /** Moves a key that no upstream can share with others to a clearly stronger upstream. */
   private static Optional<Move> hotKey(
       List<RangePiece> pieces,
@@ -232,7 +263,13 @@
 
   /** Finds the part of the busiest upstream's keys whose move helps most; narrow ones first. */
   private static Optional<Move> cut(
-      List<RangePiece> pieces, Share from, Share to, KeyLoadBook loads, double wanted, long nowMs) {
+      List<RangePiece> pieces,
+      Share from,
+      Share to,
+      KeyLoadBook loads,
+      double wanted,
+      double leastLoad,
+      long nowMs) {
     @Nullable Move best = null;
     double bestPeak = from.relativeLoad() * LEAST_GAIN;
     for (RangePiece piece : pieces) {
@@ -248,7 +285,7 @@
         boolean better = peak < bestPeak * LEAST_GAIN;
         boolean narrower =
             best != null && peak < bestPeak / LEAST_GAIN && part.width() < best.part().width();
-        if (load >= LEAST_MOVED_LOAD && (best == null ? peak < bestPeak : better || narrower)) {
+        if (load >= leastLoad && (best == null ? peak < bestPeak : better || narrower)) {
           best = new Move(piece, part, to.candidate.owner());
           bestPeak = peak;
         }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/UpstreamOrders.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/UpstreamOrders.java
@@ -1,12 +1,21 @@
 package org.foxtailford.core.range;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.upstream.UpstreamAddress;
 
 /** Sends the leader's orders to upstreams. */
 public interface UpstreamOrders {
 
+  /**
+   * Outcome of a grant.
+   *
+   * @param outcome how it ended
+   * @param session connection over which it was answered; another one may lead to another process
+   */
+  record Granted(OrderOutcome outcome, OptionalLong session) {}
+
   /**
    * Outcome of a release.
    *
@@ -21,16 +30,18 @@
    * @param upstream id of the upstream; another at the same address does not take the order
    * @param holdMs time for which the grant holds, in milliseconds
    * @param handover what the last owner handed over
+   * @param session connection that the grant must go over; empty for any
    * @param timeoutMs longest time for the call, in milliseconds
    * @return never fails; {@link OrderOutcome#UNKNOWN} stands for every failure of the call
    */
-  CompletableFuture<OrderOutcome> grant(
+  CompletableFuture<Granted> grant(
       String upstream,
       UpstreamAddress address,
       KeyRange range,
       long fence,
       long holdMs,
       Optional<String> handover,
+      OptionalLong session,
       long timeoutMs);
 
   /**
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.testng.annotations.Test;
 
@@ -18,7 +19,7 @@
   private static final int REQUESTS_PER_SECOND = 160;
 
   private final List<RangeCandidate> candidates = new ArrayList<>();
-  private KeyLoadBook loads = new KeyLoadBook();
+  private KeyLoadHistory loads = new KeyLoadHistory();
   private Random random = new Random(7);
   private long fence;
   private long version = 10;
@@ -32,7 +33,7 @@
 
   private void reset(int upstreams) {
     candidates.clear();
-    loads = new KeyLoadBook();
+    loads = new KeyLoadHistory();
     random = new Random(7);
     for (int i = 0; i < upstreams; i++) {
       candidates.add(new RangeCandidate(new RangeOwner("u" + i, 1), 4, false));
@@ -46,7 +47,7 @@
     nowMs += 50;
     for (RangeOrder order : keeper.due(candidates, true, nowMs)) {
       if (order instanceof RangeOrder.Grant) {
-        keeper.onGrant((RangeOrder.Grant) order, OrderOutcome.DONE, nowMs);
+        keeper.onGrant((RangeOrder.Grant) order, OrderOutcome.DONE, OptionalLong.of(1), nowMs);
       } else if (order instanceof RangeOrder.Release) {
         moves++;
         keeper.onRelease((RangeOrder.Release) order, OrderOutcome.DONE, Optional.of("h"), nowMs);
@@ -136,10 +137,10 @@
     double others =
         keeper.assignments().stream()
                 .filter(a -> a.owner().equals(hot))
-                .mapToDouble(a -> loads.of(a.range()))
+                .mapToDouble(a -> loads.recent().of(a.range()))
                 .sum()
-            - loads.of(30000);
-    assertThat(others).isLessThan(0.5 * loads.total() / UPSTREAMS);
+            - loads.recent().of(30000);
+    assertThat(others).isLessThan(0.5 * loads.recent().total() / UPSTREAMS);
   }
 
   @Test
@@ -163,6 +164,47 @@
     assertThat(moves).isLessThan(20);
   }
 
+  /** Plays requests whose keys are drawn around busy places, and returns the true peak of load. */
+  private double playSkewed(int seconds) {
+    double[] places = {0.1, 0.45, 0.47, 0.8};
+    double peak = 0;
+    int samples = 0;
+    int[] keys = new int[200_000];
+    Random draw = new Random(3);
+    for (int i = 0; i < keys.length; i++) {
+      double center = places[draw.nextInt(places.length)];
+      double at = draw.nextInt(3) == 0 ? draw.nextDouble() : center + 0.05 * draw.nextGaussian();
+      keys[i] = (int) (Math.floorMod((long) (at * KeyRange.KEYS), KeyRange.KEYS));
+    }
+    for (int second = 0; second < seconds; second++) {
+      for (int step = 0; step < 20; step++) {
+        for (int i = 0; i < REQUESTS_PER_SECOND / 20; i++) {
+          loads.add(keys[random.nextInt(keys.length)], 1, nowMs);
+        }
+        tick();
+      }
+      if (second >= seconds / 2) {
+        RangeMap map = new RangeMap(1, keeper.assignments());
+        Map<RangeOwner, Integer> shares = new HashMap<>();
+        for (int key : keys) {
+          map.find(key).ifPresent(a -> shares.merge(a.owner(), 1, Integer::sum));
+        }
+        peak += busiest(shares) * UPSTREAMS / keys.length;
+        samples++;
+      }
+    }
+    return peak / samples;
+  }
+
+  @Test
+  public void lastingSkewIsEvenedOut() {
+    reset(UPSTREAMS);
+    settle();
+    moves = 0;
+    double peak = playSkewed(24);
+    assertThat(peak).isLessThan(1.25);
+  }
+
   @Test
   public void newUpstreamGetsPartOfTheLoad() {
     reset(UPSTREAMS);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -34,6 +34,7 @@
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.net.http.SessionClient;
 import org.foxtailford.net.proxy.CallerServer;
 import org.foxtailford.net.proxy.UpstreamPool;
 import org.foxtailford.platform.HeaderDialect;
@@ -113,7 +114,9 @@
             new HttpRowStore(
                 new PooledHttpClient(loops, STORE_CONNECTIONS, LARGEST_ANSWER), settings.store()),
             rows,
-            new HttpUpstreamOrders(new PooledHttpClient(loops, CALL_CONNECTIONS, LARGEST_HEAD)),
+            new HttpUpstreamOrders(
+                new SessionClient(loops, LARGEST_HEAD),
+                new PooledHttpClient(loops, CALL_CONNECTIONS, LARGEST_HEAD)),
             knowledge,
             new PooledHttpClient(loops, CALL_CONNECTIONS, LARGEST_MESSAGE),
             new RangeTiming(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.foxtailford.core.range.KeyLoadBook;
+import org.foxtailford.core.range.KeyLoadHistory;
 import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.WorkTimeBook;
@@ -13,12 +13,12 @@
 /** Load of the keys and speed of the upstreams of all services, as the leader gathers them. */
 final class KeyLoads {
 
-  private final Map<String, KeyLoadBook> books = new HashMap<>();
+  private final Map<String, KeyLoadHistory> books = new HashMap<>();
 
   private final Map<String, WorkTimeBook> workTimes = new HashMap<>();
 
-  KeyLoadBook of(String service) {
-    return books.computeIfAbsent(service, name -> new KeyLoadBook());
+  KeyLoadHistory of(String service) {
+    return books.computeIfAbsent(service, name -> new KeyLoadHistory());
   }
 
   void add(Map<String, Map<Integer, Integer>> counts, long nowMs) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -103,7 +103,7 @@
     RangeAssignment assignment = order.assignment();
     Optional<UpstreamAddress> address = addresses.apply(assignment.owner());
     if (address.isEmpty()) {
-      keeper.onGrant(order, OrderOutcome.UNKNOWN, clock.nowMs());
+      keeper.onGrant(order, OrderOutcome.UNREACHED, OptionalLong.empty(), clock.nowMs());
       return;
     }
     upstreams
@@ -114,16 +114,17 @@
             assignment.fence(),
             timing.holdMs(),
             order.handover(),
+            order.session(),
             timing.callMs())
-        .thenAcceptAsync(outcome -> onGrant(order, outcome), loop);
+        .thenAcceptAsync(granted -> onGrant(order, granted), loop);
   }
 
-  private void onGrant(RangeOrder.Grant order, OrderOutcome outcome) {
-    if (order.first() || outcome != OrderOutcome.DONE) {
-      log(order.assignment(), "keys granted", outcome);
+  private void onGrant(RangeOrder.Grant order, UpstreamOrders.Granted granted) {
+    if (order.session().isEmpty() || granted.outcome() != OrderOutcome.DONE) {
+      log(order.assignment(), "keys granted", granted.outcome());
     }
     if (!stopped) {
-      keeper.onGrant(order, outcome, clock.nowMs());
+      keeper.onGrant(order, granted.outcome(), granted.session(), clock.nowMs());
     }
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
@@ -72,7 +72,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    addHandlers(channel);
+                    addHandlers(channel, maxAnswerBytes);
                   }
                 });
   }
@@ -90,7 +90,7 @@
     return senders.computeIfAbsent(endpoint, this::newSender);
   }
 
-  private void addHandlers(Channel channel) {
+  static void addHandlers(Channel channel, int maxAnswerBytes) {
     AnswerDecoder decoder = new AnswerDecoder();
     channel
         .pipeline()
