Hopeless waits end at once, short queues at owners, failures weigh by the usual work; decisions replayed by tests

Change: WaitingRoom.isHopeless; at most 1.5 times an owner's slots; waits of 0.4 of the aim. A quick upstream that fails part was still preferred (UpstreamChoiceTests).

--- a/foxtailford-core/src/main/java/org/foxtailford/core/overload/WaitingRoom.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/WaitingRoom.java
@@ -13,11 +13,14 @@
 public final class WaitingRoom {
 
   /** Part of a request's aim for which it may wait; what is left is for its work. */
-  public static final double WAIT_SHARE = 0.5;
+  public static final double WAIT_SHARE = 0.4;
 
   /** Part of a caller's remaining time within which it heeds a time to come back. */
   private static final double HEEDED_SHARE = 1.0 / 3;
 
+  /** How much longer than its time a wait must be expected to be hopeless: rates vary. */
+  private static final double HOPE = 1.2;
+
   private static final long LEAST_RETRY_AFTER_MS = 30;
 
   private final int capacity;
@@ -49,6 +52,17 @@
     return ahead == 0 || expectedWaitMs(ahead, sentPerSecond) <= waitsUntilMs - nowMs;
   }
 
+  /**
+   * Returns whether a waiting request would not be sent in time, since others came that go before
+   * it. It is refused now instead of at the end of its wait.
+   *
+   * @param ahead waiting requests that go before it
+   */
+  public boolean isHopeless(int ahead, double sentPerSecond, long waitsUntilMs, long nowMs) {
+    return ahead > 0
+        && expectedWaitMs(ahead, sentPerSecond) > HOPE * Math.max(0, waitsUntilMs - nowMs);
+  }
+
   private static double expectedWaitMs(int ahead, double sentPerSecond) {
     return sentPerSecond <= 0 ? 0 : 1000.0 * ahead / sentPerSecond;
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
@@ -18,7 +18,7 @@
   /** Longest time without use, in milliseconds; about a heartbeat of an upstream. */
   public static final long LONGEST_SUSPENSION_MS = 2000;
 
-  /** How many times its work a failed request costs: another send, or the request itself. */
+  /** How many times the usual work a failed request costs: another send, or the request itself. */
   private static final double FAILURE_COST = 10;
 
   /** Time in which half of the share of failures is forgotten, in milliseconds. */
@@ -176,6 +176,7 @@
     double work = workMs(serviceUsualMs);
     double ahead = Math.max(0, occupied(nowMs) + 1 - slots);
     double silence = inFlight == 0 ? 0 : nowMs - heardAtMs - SILENCE_FACTOR * work;
-    return work * (1 + ahead / slots + FAILURE_COST * failureShare(nowMs)) + Math.max(0, silence);
+    double failures = FAILURE_COST * failureShare(nowMs) * Math.max(work, serviceUsualMs);
+    return work * (1 + ahead / slots) + failures + Math.max(0, silence);
   }
 }
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/overload/SharedBudgetTests.java
@@ -0,0 +1,87 @@
+package org.foxtailford.core.overload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Budgets that all entry VMs keep together without a message. */
+public class SharedBudgetTests {
+
+  private static final int VMS = 9;
+  private static final long WINDOW_MS = 10_000;
+
+  @Test
+  public void retryStormStaysWithinTheSumOfAllVms() {
+    List<RetryAllowance> allowances = new ArrayList<>();
+    for (int i = 0; i < VMS; i++) {
+      allowances.add(new RetryAllowance(0.2, 60, WINDOW_MS));
+    }
+    Random random = new Random(3);
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    for (long nowMs = 0; nowMs < 60_000; nowMs += 5) {
+      RetryAllowance one = allowances.get(random.nextInt(VMS));
+      one.request("s", nowMs);
+      requests.add(nowMs);
+      if (one.tryRepeat("s", VMS, nowMs)) {
+        repeats.add(nowMs);
+      }
+    }
+    for (long from = 0; from < 50_000; from += 500) {
+      long begin = from;
+      long asked = requests.stream().filter(t -> t >= begin && t < begin + WINDOW_MS).count();
+      long sent = repeats.stream().filter(t -> t >= begin && t < begin + WINDOW_MS).count();
+      assertThat(sent).as("window from %d", begin).isLessThanOrEqualTo((long) (0.2 * asked) + 60);
+    }
+    assertThat(repeats.size()).isGreaterThan(requests.size() / 10);
+  }
+
+  @Test
+  public void coldUpstreamGetsItsRateFromAllVmsTogether() {
+    List<String> vms = new ArrayList<>();
+    List<ColdAllowance> allowances = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      vms.add("vm" + i);
+      allowances.add(new ColdAllowance("vm" + i));
+    }
+    List<Long> sent = new ArrayList<>();
+    for (long nowMs = 0; nowMs < 5000; nowMs += 10) {
+      for (ColdAllowance allowance : allowances) {
+        if (allowance.mayPass("u", 8, vms, nowMs)) {
+          allowance.passed("u", 8, vms, nowMs);
+          sent.add(nowMs);
+        }
+      }
+    }
+    for (long from = 0; from < 4000; from += 100) {
+      long begin = from;
+      assertThat(sent.stream().filter(t -> t >= begin && t < begin + 1000).count())
+          .isLessThanOrEqualTo(8);
+    }
+    assertThat(sent).hasSizeGreaterThan(30);
+  }
+
+  @Test
+  public void fewVmsShareTheWholeColdRate() {
+    ColdAllowance only = new ColdAllowance("vm");
+    int sent = 0;
+    for (long nowMs = 0; nowMs < 10_000; nowMs += 10) {
+      if (only.mayPass("u", 8, List.of("vm"), nowMs)) {
+        only.passed("u", 8, List.of("vm"), nowMs);
+        sent++;
+      }
+    }
+    assertThat(sent).isBetween(70, 81);
+  }
+
+  @Test
+  public void stopListensAsLongAsARequestHasItsTime() {
+    StopPlan plan = StopPlan.of(6000, 2000);
+    assertThat(plan.endMs()).isLessThan(6000);
+    assertThat(plan.endMs() - plan.listenMs()).isGreaterThanOrEqualTo(2000);
+    assertThat(StopPlan.of(6000, 60_000).listenMs()).isGreaterThan(2000);
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/route/RoutingConfigurationTests.java
@@ -0,0 +1,90 @@
+package org.foxtailford.core.route;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+
+public class RoutingConfigurationTests {
+
+  private static RouteRule route(String name, String host, String prefix) {
+    return new RouteRule(
+        name,
+        host,
+        prefix,
+        RequestKind.REPEATABLE,
+        1500,
+        500,
+        1,
+        2,
+        List.of(new WeightedService("a", 90), new WeightedService("b", 10)));
+  }
+
+  private static final RoutingConfiguration CONFIGURATION =
+      new RoutingConfiguration(
+          7,
+          List.of(
+              route("root", "one.example", "/"),
+              route("deep", "one.example", "/a/b/"),
+              route("short", "one.example", "/a/"),
+              route("other", "two.example", "/a/")),
+          List.of(),
+          CallerLimits.DEFAULT);
+
+  @Test
+  public void longestPrefixOfTheHostIsFound() {
+    assertThat(CONFIGURATION.find("one.example", "/a/b/c").orElseThrow().name()).isEqualTo("deep");
+    assertThat(CONFIGURATION.find("One.Example:8080", "/a/bc").orElseThrow().name())
+        .isEqualTo("short");
+    assertThat(CONFIGURATION.find("one.example", "/a").orElseThrow().name()).isEqualTo("root");
+  }
+
+  @Test
+  public void otherHostsAndPathsAreNotFound() {
+    assertThat(CONFIGURATION.find("three.example", "/a/")).isEmpty();
+    assertThat(CONFIGURATION.find("two.example", "/b/")).isEmpty();
+    assertThat(CONFIGURATION.find("two.example", "a/")).isEmpty();
+  }
+
+  @Test
+  public void sharesHoldOverShortSpans() {
+    WeightedTurns turns = new WeightedTurns();
+    RouteRule route = route("r", "h", "/");
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 20; i++) {
+      counts.merge(turns.next(route), 1, Integer::sum);
+    }
+    assertThat(counts).containsEntry("a", 18).containsEntry("b", 2);
+  }
+
+  @Test
+  public void sharesFollowANewConfiguration() {
+    WeightedTurns turns = new WeightedTurns();
+    turns.next(route("r", "h", "/"));
+    RouteRule moved =
+        new RouteRule(
+            "r",
+            "h",
+            "/",
+            RequestKind.ONCE,
+            1,
+            1,
+            0,
+            1,
+            List.of(new WeightedService("c", 1), new WeightedService("d", 1)));
+    assertThat(List.of(turns.next(moved), turns.next(moved))).containsExactlyInAnyOrder("c", "d");
+  }
+
+  @Test
+  public void faultyRuleNamesItsField() {
+    assertThatThrownBy(() -> route("r", "h", "/a")).hasMessageContaining("prefix");
+  }
+
+  @Test
+  public void longestTimeoutIsThatOfAnyRoute() {
+    assertThat(CONFIGURATION.longestTimeoutMs()).isEqualTo(1500);
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamChoiceTests.java
@@ -0,0 +1,128 @@
+package org.foxtailford.core.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Replays unequal, failing and silent upstreams on the choice. */
+public class UpstreamChoiceTests {
+
+  private static final double USUAL_MS = 100;
+
+  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final List<UpstreamEntry> upstreams = new ArrayList<>();
+  private UpstreamChooser chooser = newChooser();
+
+  private static UpstreamChooser newChooser() {
+    Random random = new Random(5);
+    return new UpstreamChooser(random::nextDouble);
+  }
+
+  private void reset(int count) {
+    loads.clear();
+    upstreams.clear();
+    chooser = newChooser();
+    for (int i = 0; i < count; i++) {
+      String id = "u" + i;
+      UpstreamAddress address = new UpstreamAddress("10.0.0." + (i + 1), 80);
+      upstreams.add(
+          new UpstreamEntry(id, 1, "s", address, i % 2 == 0 ? "near" : "far", 4, false, 0));
+      loads.put(id, new UpstreamLoad(4));
+    }
+  }
+
+  private Map<String, Integer> choose(int times, double farMs, long nowMs) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < times; i++) {
+      chooser
+          .choose(
+              upstreams,
+              u -> loads.get(u.id()),
+              u -> loads.get(u.id()).occupied(nowMs) + 1 <= 4,
+              u -> u.dataCentre().equals("far") ? farMs : 0.0,
+              USUAL_MS,
+              nowMs)
+          .ifPresent(u -> counts.merge(u.id(), 1, Integer::sum));
+    }
+    return counts;
+  }
+
+  @Test
+  public void upstreamsAlikeShareTheRequests() {
+    reset(4);
+    assertThat(choose(400, 0, 0).values()).allSatisfy(n -> assertThat(n).isGreaterThan(60));
+  }
+
+  @Test
+  public void fullAndSlowUpstreamsAreLeftAlone() {
+    reset(3);
+    loads.get("u0").reported(new LoadReport(4, 0, 4, 1), 0);
+    loads.get("u1").reported(new LoadReport(0, 0, 4, 3), 0);
+    assertThat(choose(100, 0, 10)).containsOnlyKeys("u2");
+  }
+
+  @Test
+  public void upstreamThatFailsPartOfItsRequestsLosesThemThoughItIsQuick() {
+    reset(2);
+    UpstreamLoad grey = loads.get("u0");
+    Random random = new Random(1);
+    for (int i = 0; i < 60; i++) {
+      if (random.nextDouble() < 0.45) {
+        grey.faulty(i);
+      } else {
+        grey.succeeded(20, true);
+      }
+      loads.get("u1").succeeded(USUAL_MS, true);
+    }
+    assertThat(choose(100, 0, 60).getOrDefault("u0", 0)).isLessThan(10);
+    assertThat(choose(100, 0, 60_000).getOrDefault("u0", 0)).isGreaterThan(50);
+  }
+
+  @Test
+  public void silentUpstreamIsExpectedToTakeLonger() {
+    reset(2);
+    loads.get("u0").sent(0);
+    assertThat(choose(100, 0, 1500)).containsOnlyKeys("u1");
+  }
+
+  @Test
+  public void unreachableUpstreamIsLeftAloneForAWhile() {
+    reset(2);
+    loads.get("u0").unreachable(0);
+    assertThat(choose(50, 0, UpstreamLoad.FIRST_SUSPENSION_MS - 1)).containsOnlyKeys("u1");
+    assertThat(loads.get("u0").isSuspended(UpstreamLoad.FIRST_SUSPENSION_MS)).isFalse();
+  }
+
+  @Test
+  public void farUpstreamsAreUsedOnlyWhenNearOnesAreFull() {
+    reset(2);
+    assertThat(choose(100, 200, 0)).containsOnlyKeys("u0");
+    loads.get("u0").reported(new LoadReport(4, 2, 4, 1), 0);
+    assertThat(choose(100, 200, 1)).containsOnlyKeys("u1");
+  }
+
+  @Test
+  public void reportsOfOthersFade() {
+    UpstreamLoad load = new UpstreamLoad(4);
+    load.reported(new LoadReport(3, 1, 4, 1), 0);
+    assertThat(load.occupied(0)).isEqualTo(4);
+    assertThat(load.occupied(UpstreamLoad.REPORT_FADE_MS)).isEqualTo(0);
+  }
+
+  @Test
+  public void speedIsLearntFromEnoughAnswers() {
+    WorkTimeBook book = new WorkTimeBook();
+    book.add("fast", 100, 7_000, 0);
+    book.add("slow", 100, 16_000, 0);
+    book.add("new", 1, 500, 0);
+    assertThat(book.speed("fast")).isGreaterThan(1.4);
+    assertThat(book.speed("slow")).isLessThan(0.8);
+    assertThat(book.speed("new")).isBetween(0.6, 1.1);
+    assertThat(book.speed("unknown")).isEqualTo(1);
+  }
+}
--- /dev/null
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamDirectoryTests.java
@@ -0,0 +1,86 @@
+package org.foxtailford.core.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+public class UpstreamDirectoryTests {
+
+  private static UpstreamEntry entry(String id, long born, boolean draining) {
+    return new UpstreamEntry(
+        id, born, "s", new UpstreamAddress("10.0.0.1", 80), "dc", 4, draining, 0);
+  }
+
+  private static UpstreamDirectory directory() {
+    UpstreamDirectory directory = new UpstreamDirectory();
+    directory.put(entry("u", 1, false), 0);
+    return directory;
+  }
+
+  @Test
+  public void removedUpstreamIsGoneAtOnceWhileTheStoreIsReached() {
+    UpstreamDirectory directory = directory();
+    assertThat(directory.remove("u", 100)).isTrue();
+    assertThat(directory.usable("s")).isEmpty();
+  }
+
+  @Test
+  public void entryThatLapsedInAnOutageStaysForTheGraceAfterIt() {
+    UpstreamDirectory directory = directory();
+    directory.storeLost();
+    assertThat(directory.remove("u", 100)).isFalse();
+    assertThat(directory.usable("s")).hasSize(1);
+    directory.storeRegained(5000);
+    assertThat(directory.dropLapsed(5000 + UpstreamDirectory.RETURN_GRACE_MS - 1)).isEmpty();
+    assertThat(directory.dropLapsed(5000 + UpstreamDirectory.RETURN_GRACE_MS))
+        .isEqualTo(List.of("u"));
+    assertThat(directory.usable("s")).isEmpty();
+  }
+
+  @Test
+  public void entryThatLapsesJustAfterTheReturnIsSparedToo() {
+    UpstreamDirectory directory = directory();
+    directory.storeLost();
+    directory.storeRegained(5000);
+    assertThat(directory.remove("u", 5100)).isFalse();
+    directory.put(entry("u", 1, false), 5600);
+    assertThat(directory.dropLapsed(9000)).isEmpty();
+    assertThat(directory.usable("s")).hasSize(1);
+  }
+
+  @Test
+  public void drainingUpstreamThatIsRemovedInAnOutageIsGone() {
+    UpstreamDirectory directory = directory();
+    directory.put(entry("u", 1, true), 10);
+    assertThat(directory.usable("s")).isEmpty();
+    directory.storeLost();
+    assertThat(directory.remove("u", 100)).isTrue();
+  }
+
+  @Test
+  public void evacuatedDataCentreGetsNothingUntilItIsTakenBack() {
+    UpstreamDirectory directory = directory();
+    directory.evacuate(List.of("dc"));
+    assertThat(directory.usable("s")).isEmpty();
+    directory.evacuate(List.of());
+    assertThat(directory.usable("s")).hasSize(1);
+  }
+
+  @Test
+  public void anotherLifeIsNotTheSameUpstream() {
+    UpstreamDirectory directory = directory();
+    directory.put(entry("u", 2, false), 50);
+    assertThat(directory.isUsable(entry("u", 1, false))).isFalse();
+    assertThat(directory.isUsable(entry("u", 2, false))).isTrue();
+  }
+
+  @Test
+  public void coldTimeRunsFromTheEntry() {
+    UpstreamDirectory directory = new UpstreamDirectory();
+    UpstreamAddress address = new UpstreamAddress("10.0.0.1", 80);
+    directory.put(new UpstreamEntry("u", 1, "s", address, "dc", 4, false, 3000), 1000);
+    assertThat(directory.isCold("u", 3999)).isTrue();
+    assertThat(directory.isCold("u", 4000)).isFalse();
+  }
+}
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -61,7 +61,7 @@
   private static final double DISTANCE = 0.03;
 
   /** Requests that an owner of keys may have, in times of its slots: nobody else can take them. */
-  private static final double OWNER_ROOM = 2;
+  private static final double OWNER_ROOM = 1.5;
 
   /** Time for which keys that their owner refused wait for a newer map, in milliseconds. */
   private static final long MOVE_PAUSE_MS = 150;
@@ -433,22 +433,37 @@
     WaitingOrder order = new WaitingOrder(nowMs, (long) usual(service));
     List<RequestCall> due = new ArrayList<>(queue);
     due.sort(Comparator.comparing(RequestCall::terms, order));
+    Map<String, Integer> ahead = new HashMap<>();
     for (RequestCall call : due) {
-      if (call.isOver()) {
-        continue;
-      }
-      queue.remove(call);
-      if (tryPlace(call)) {
-        metrics.waited(service, nowMs - call.waitingSinceMs());
-      } else if (nowMs >= call.waitsUntilMs()) {
-        call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
-      } else if (!call.isOver()) {
-        queue.add(call);
+      if (!call.isOver()) {
+        queue.remove(call);
+        if (tryPlace(call)) {
+          metrics.waited(service, nowMs - call.waitingSinceMs());
+        } else {
+          waitOn(call, queue, ahead, nowMs);
+        }
       }
     }
     pumping = false;
   }
 
+  /**
+   * Keeps a request in the queue, or refuses it if its time is up or those before it are too many.
+   */
+  private void waitOn(
+      RequestCall call, List<RequestCall> queue, Map<String, Integer> ahead, long nowMs) {
+    String upstream = owner(call).map(assignment -> assignment.owner().upstream()).orElse("");
+    int before = ahead.getOrDefault(upstream, 0);
+    if (nowMs >= call.waitsUntilMs()) {
+      call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
+    } else if (room.isHopeless(before, rate(call), call.waitsUntilMs(), nowMs)) {
+      call.refuse("others go before", RequestCall.BAD_GATEWAY);
+    } else if (!call.isOver()) {
+      ahead.put(upstream, before + 1);
+      queue.add(call);
+    }
+  }
+
   /** Looks at all waiting requests, after a change of what is known or of time. */
   public void tick() {
     List.copyOf(waiting.keySet()).forEach(this::pump);
