A leader out of touch with the store says so, owners that proved wrong are asked for at once, waits are judged by capacity

Change: LeadershipTiming.CLAIM_MS; refreshOwners; rate from slots, work and share. Ruled out: lost pushes of the map.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/LeadershipTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/LeadershipTiming.java
@@ -18,6 +18,12 @@
   /** Time between two looks at the row of a suspected leader, in milliseconds. */
   public static final long LOOK_MS = 450;
 
+  /**
+   * Time after its last confirmation for which a leader says that it leads, in milliseconds. Others
+   * may reach the store when it does not.
+   */
+  public static final long CLAIM_MS = 1500;
+
   /** Time after its last confirmation for which a leader renews grants, in milliseconds. */
   public static final long RENEW_GRANTS_MS = 6000;
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -147,6 +147,11 @@
       book.drop(id);
     }
 
+    @Override
+    public void onWrongOwner() {
+      control.refreshOwners();
+    }
+
     @Override
     public void onChange() {
       loop.execute(scheduler::tick);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -71,6 +71,9 @@
   /** Time between two reads of owners and members by a VM without leader, in milliseconds. */
   private static final long SYSTEM_MS = 500;
 
+  /** Time between two questions for owners that proved wrong, in milliseconds. */
+  private static final long REFRESH_MS = 120;
+
   /** Delay between two candidates for the seat, in milliseconds. */
   private static final int CANDIDATE_DELAY_MS = 400;
 
@@ -93,6 +96,7 @@
   private final LeaderElection election;
   private final KeyLoads loads = new KeyLoads();
   private final List<TablePoller> pollers = new ArrayList<>();
+  private final TablePoller ownersPoller;
   private final String upstreamTable;
   private Optional<LeaderSeat> leader = Optional.empty();
   private @Nullable LeaderDuty duty;
@@ -105,6 +109,7 @@
   private boolean stopping;
   private boolean storeReached = true;
   private long nextReportMs;
+  private long nextRefreshMs;
   private long nextAskMs;
   private long nextJoinMs;
   private long leaderHeardMs;
@@ -152,13 +157,16 @@
             this::onSeatTaken);
     addPoller(platform.upstreamTable(), UPSTREAMS_MS, 0, this::onUpstreamsRead);
     addPoller(platform.operatorTable(), 0, ORDERS_WAIT_MS, this::onStoreAnswer);
-    addPoller(SystemTables.RANGES, SYSTEM_MS, 0, this::onStoreAnswer);
+    ownersPoller = addPoller(SystemTables.RANGES, SYSTEM_MS, 0, this::onStoreAnswer);
     addPoller(SystemTables.MEMBERS, 2 * SYSTEM_MS, 0, this::onStoreAnswer);
   }
 
-  private void addPoller(String table, long intervalMs, long waitMs, LongConsumer onSuccess) {
-    pollers.add(
-        new TablePoller(table, intervalMs, waitMs, store, knowledge, clock, loop, onSuccess));
+  private TablePoller addPoller(
+      String table, long intervalMs, long waitMs, LongConsumer onSuccess) {
+    TablePoller poller =
+        new TablePoller(table, intervalMs, waitMs, store, knowledge, clock, loop, onSuccess);
+    pollers.add(poller);
+    return poller;
   }
 
   /** Begins. */
@@ -540,7 +548,7 @@
             .setLife(life)
             .setStoreReached(nowMs - freshMs < 2 * STORE_LOST_MS)
             .setStoreAgeMs(Math.max(0, nowMs - freshMs))
-            .setLeads(duty != null);
+            .setLeads(duty != null && duty.confirmedAgeMs() < LeadershipTiming.CLAIM_MS);
     leader.ifPresent(seat -> reply.setLeaderTerm(seat.term()));
     if (duty != null) {
       reply.addAllLiveNodes(book.alive(nowMs).keySet()).addLiveNodes(node);
@@ -556,6 +564,18 @@
     return reply.build();
   }
 
+  /** Asks for the owners of keys at once, since those that are known proved wrong. */
+  public void refreshOwners() {
+    long nowMs = clock.nowMs();
+    if (duty == null && nowMs >= nextRefreshMs) {
+      nextRefreshMs = nowMs + REFRESH_MS;
+      nextReportMs = Math.min(nextReportMs, nowMs);
+      if (nowMs - leaderHeardMs > REPORT_MS + PEER_CALL_MS) {
+        ownersPoller.pollNow();
+      }
+    }
+  }
+
   /** Replaces the addresses of entry VMs to begin with. */
   public void replaceSeeds(List<UpstreamAddress> seeds) {
     book.replaceSeeds(seeds);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryKnowledge.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryKnowledge.java
@@ -44,6 +44,9 @@
     /** An upstream is gone, or has started again. */
     void onUpstreamGone(String id);
 
+    /** The known owner of a key proved wrong. */
+    void onWrongOwner();
+
     /** Something changed that waiting requests may depend on. */
     void onChange();
   }
@@ -353,5 +356,8 @@
         .with(EventFields.KEY, (long) key)
         .with(EventFields.VERSION, owners(service).version())
         .log("owner refused a key");
+    if (listener != null) {
+      listener.onWrongOwner();
+    }
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -13,7 +14,6 @@
 import java.util.function.DoubleSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.ColdAllowance;
-import org.foxtailford.core.overload.RateMeter;
 import org.foxtailford.core.overload.RetryAllowance;
 import org.foxtailford.core.overload.WaitingOrder;
 import org.foxtailford.core.overload.WaitingRequest;
@@ -24,6 +24,7 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamChooser;
 import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.upstream.UpstreamLoad;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
 
@@ -61,7 +62,7 @@
   private static final double DISTANCE = 0.03;
 
   /** Requests that an owner of keys may have, in times of its slots: nobody else can take them. */
-  private static final double OWNER_ROOM = 1.5;
+  private static final double OWNER_ROOM = 1.75;
 
   /** Time for which keys that their owner refused wait for a newer map, in milliseconds. */
   private static final long MOVE_PAUSE_MS = 150;
@@ -85,7 +86,6 @@
   private final WaitingRoom room = new WaitingRoom(ROOM);
   private final Map<String, List<RequestCall>> waiting = new HashMap<>();
   private final Map<String, Double> usualMs = new HashMap<>();
-  private final Map<String, RateMeter> sends = new HashMap<>();
   private final Map<Long, Long> movingFences = new HashMap<>();
   private RetryAllowance retries;
   private int calls;
@@ -243,16 +243,32 @@
         : Optional.empty();
   }
 
-  /** Returns the sends a second that a waiting request competes for. */
+  /**
+   * Returns the sends a second that this VM's waiting requests probably get: what the upstreams can
+   * do, shared in proportion to the requests that this and other VMs have there.
+   */
   private double rate(RequestCall call) {
-    if (call.service().keyed()) {
-      return owner(call)
-          .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
-          .map(entry -> book.of(entry).sends().perSecond(nowMs()))
-          .orElse(0.0);
+    long nowMs = nowMs();
+    String service = call.service().name();
+    Collection<UpstreamEntry> entries =
+        call.service().keyed()
+            ? owner(call)
+                .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
+                .map(List::of)
+                .orElse(List.of())
+            : view.upstreams().usable(service);
+    double perSecond = 0;
+    double own = 1;
+    double all = 1;
+    for (UpstreamEntry entry : entries) {
+      UpstreamLoad load = book.of(entry).load();
+      if (!load.isSuspended(nowMs)) {
+        perSecond += load.slots() * 1000 / Math.max(1, load.workMs(usual(service)));
+        own += load.inFlight();
+        all += load.occupied(nowMs);
+      }
     }
-    RateMeter meter = sends.get(call.service().name());
-    return meter == null ? 0 : meter.perSecond(nowMs());
+    return perSecond * own / all;
   }
 
   private double usual(String service) {
@@ -272,8 +288,6 @@
     if (view.upstreams().isCold(handle.entry().id(), nowMs)) {
       cold.passed(handle.entry().id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
     }
-    handle.sends().count(nowMs);
-    sends.computeIfAbsent(service.name(), name -> new RateMeter()).count(nowMs);
     call.send(handle);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
@@ -1,6 +1,5 @@
 package org.foxtailford.entry.request;
 
-import org.foxtailford.core.overload.RateMeter;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
 import org.foxtailford.net.proxy.UpstreamPool;
@@ -11,7 +10,6 @@
   private final UpstreamEntry entry;
   private final UpstreamLoad load;
   private final UpstreamPool pool;
-  private final RateMeter sends = new RateMeter();
 
   UpstreamHandle(UpstreamEntry entry, UpstreamPool pool) {
     this.entry = entry;
@@ -31,10 +29,6 @@
     return pool;
   }
 
-  RateMeter sends() {
-    return sends;
-  }
-
   /** Returns whether an entry tells of the same process at the same address. */
   boolean isFor(UpstreamEntry other) {
     return entry.isSameLife(other) && entry.address().equals(other.address());
