Reports to the leader scale with the entry VMs, strong machines lead, connections to an upstream are shared

Change: at most 100 reports a second, no faster calls to the store, a candidate's delay grows with its weakness, this VM's part of max connections; unreachable owners are refused at once with the longest time to come back.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/overload/WaitingRoom.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/WaitingRoom.java
@@ -71,11 +71,13 @@
    * Returns after how long a refused caller should come back, in milliseconds: when those waiting
    * now are gone, as far as the caller heeds it.
    *
+   * @param sentPerSecond requests that this VM sends a second to the same upstreams; 0 while none
+   *     of them can be reached, which calls for the longest time
    * @param random number from 0 to 1, to spread the callers
    */
   public long retryAfterMs(int waiting, double sentPerSecond, long remainingMs, double random) {
-    double gone = expectedWaitMs(waiting + 1, sentPerSecond);
     double heeded = remainingMs * HEEDED_SHARE;
+    double gone = sentPerSecond <= 0 ? heeded : expectedWaitMs(waiting + 1, sentPerSecond);
     double spread = Math.min(gone, heeded) * (0.5 + random / 2);
     return (long) Math.min(heeded, Math.max(LEAST_RETRY_AFTER_MS, spread));
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/LeadershipTiming.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/LeadershipTiming.java
@@ -12,8 +12,8 @@
   /** Time for which a seat must stand without renewal before another may take it. */
   public static final long VACANT_MS = 1400;
 
-  /** Time without a word from the leader after which its row is looked at, in milliseconds. */
-  public static final long SUSPECT_MS = 800;
+  /** Time beyond a report without a word from the leader until its row is looked at. */
+  public static final long SUSPECT_MS = 450;
 
   /** Time between two looks at the row of a suspected leader, in milliseconds. */
   public static final long LOOK_MS = 450;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/VacancyWatch.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/VacancyWatch.java
@@ -43,10 +43,11 @@
       renewal = seenRenewal;
       unchangedSinceMs = nowMs;
     }
-    if (seenTerm == 0 || holderIsPastSelf) {
+    if (holderIsPastSelf) {
       return true;
     }
-    long needed = (nobodyListens ? 0 : LeadershipTiming.VACANT_MS) + delayMs;
+    boolean surelyVacant = seenTerm == 0 || nobodyListens;
+    long needed = (surelyVacant ? 0 : LeadershipTiming.VACANT_MS) + delayMs;
     return nowMs - unchangedSinceMs >= needed;
   }
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
@@ -139,6 +139,11 @@
     return nowMs < suspendedUntilMs;
   }
 
+  /** Returns until when the upstream is left alone, in milliseconds. */
+  public long suspendedUntilMs() {
+    return suspendedUntilMs;
+  }
+
   /** Returns the requests of this VM at the upstream. */
   public int inFlight() {
     return inFlight;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryRehearsal.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryRehearsal.java
@@ -116,6 +116,7 @@
             List.of(),
             free.get(1),
             0,
+            1,
             new EntrySettings.Bounds(0.2, 10, 10_000, 1, 1, 10_000, 1000));
     EntryVm vm = new EntryVm(settings);
     vm.start();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -109,7 +109,12 @@
     long holdMs = Math.min(HOLD_MS, settings.bounds().maxHoldMs());
     control =
         new EntryControl(
-            new EntryIdentity(settings.node(), life, settings.dataCentre(), settings.peers()),
+            new EntryIdentity(
+                settings.node(),
+                life,
+                settings.dataCentre(),
+                settings.peers(),
+                settings.processorShare()),
             settings.seeds(),
             new HttpRowStore(
                 new PooledHttpClient(loops, STORE_CONNECTIONS, LARGEST_ANSWER), settings.store()),
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -42,44 +42,6 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Time between two rounds, in milliseconds. */
-  private static final long TICK_MS = 50;
-
-  /** Time between two reports to the leader, in milliseconds. */
-  private static final long REPORT_MS = 400;
-
-  /** Longest time for a call to a peer, in milliseconds; many round trips between data centres. */
-  private static final long PEER_CALL_MS = 500;
-
-  /** Age at which rows are too old to wait for the leader, in milliseconds. */
-  private static final long STALE_MS = 900;
-
-  /** Age at which the store counts as lost for everybody in touch, in milliseconds. */
-  private static final long STORE_LOST_MS = 1500;
-
-  /** Time between two questions to peers while the store is out of reach, in milliseconds. */
-  private static final long ASK_MS = 250;
-
-  /**
-   * Time between two reads of the registrations, in milliseconds; changes in between come together.
-   */
-  private static final long UPSTREAMS_MS = 350;
-
-  /** Time for which the store may wait for an operator's order, in milliseconds. */
-  private static final long ORDERS_WAIT_MS = 1500;
-
-  /** Time between two reads of owners and members by a VM without leader, in milliseconds. */
-  private static final long SYSTEM_MS = 500;
-
-  /** Time between two questions for owners that proved wrong, in milliseconds. */
-  private static final long REFRESH_MS = 120;
-
-  /** Delay between two candidates for the seat, in milliseconds. */
-  private static final int CANDIDATE_DELAY_MS = 400;
-
-  /** Difference of the clocks that shows that this process stood still, in milliseconds. */
-  private static final long PAUSE_MS = 700;
-
   private final String node;
   private final long life;
   private final String dataCentre;
@@ -150,15 +112,20 @@
             life,
             address,
             store,
-            new VacancyWatch(random.nextInt(CANDIDATE_DELAY_MS)),
+            new VacancyWatch(random.nextInt(ControlTiming.CANDIDATE_DELAY_MS) + weaknessMs(self)),
             clock,
             loop,
             this::onSeatSeen,
             this::onSeatTaken);
-    addPoller(platform.upstreamTable(), UPSTREAMS_MS, 0, this::onUpstreamsRead);
-    addPoller(platform.operatorTable(), 0, ORDERS_WAIT_MS, this::onStoreAnswer);
-    ownersPoller = addPoller(SystemTables.RANGES, SYSTEM_MS, 0, this::onStoreAnswer);
-    addPoller(SystemTables.MEMBERS, 2 * SYSTEM_MS, 0, this::onStoreAnswer);
+    addPoller(platform.upstreamTable(), ControlTiming.UPSTREAMS_MS, 0, this::onUpstreamsRead);
+    addPoller(platform.operatorTable(), 0, ControlTiming.ORDERS_WAIT_MS, this::onStoreAnswer);
+    ownersPoller = addPoller(SystemTables.RANGES, ControlTiming.SYSTEM_MS, 0, this::onStoreAnswer);
+    addPoller(SystemTables.MEMBERS, 2 * ControlTiming.SYSTEM_MS, 0, this::onStoreAnswer);
+  }
+
+  /** Lets stronger machines take the seat first. */
+  private static long weaknessMs(EntryIdentity self) {
+    return (long) (ControlTiming.WEAKNESS_MS * Math.max(0, 1 / self.processorShare() - 1));
   }
 
   private TablePoller addPoller(
@@ -173,7 +140,7 @@
   public void start() {
     leaderHeardMs = clock.nowMs() - LeadershipTiming.SUSPECT_MS;
     clockGapMs = timeOfDay.nowMs() - clock.nowMs();
-    loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(this::tick, 0, ControlTiming.TICK_MS, TimeUnit.MILLISECONDS);
   }
 
   private void tick() {
@@ -189,7 +156,7 @@
     watchPause(nowMs);
     join(nowMs);
     boolean leads = duty != null;
-    if (leads || nowMs - freshMs > STALE_MS || !started) {
+    if (leads || nowMs - freshMs > staleMs() || !started) {
       pollers.forEach(TablePoller::poll);
     }
     if (leads) {
@@ -199,21 +166,31 @@
       knowledge.setLiveNodes(book.alive(nowMs).keySet());
     } else {
       report(nowMs);
-      boolean suspect = nowMs - leaderHeardMs > LeadershipTiming.SUSPECT_MS || nobodyListens;
+      boolean suspect =
+          nowMs - leaderHeardMs > reportMs() + LeadershipTiming.SUSPECT_MS || nobodyListens;
       if (suspect && !stopping) {
         election.look(nobodyListens);
       }
     }
-    if (nowMs - ownStoreMs > STALE_MS && nowMs - freshMs > STALE_MS / 2) {
+    if (nowMs - ownStoreMs > staleMs() && nowMs - freshMs > staleMs() / 2) {
       askAnyPeer(nowMs);
     }
     noteStore(nowMs);
   }
 
+  private long reportMs() {
+    long shared = 1000L * knowledge.entryVms().size() / ControlTiming.REPORTS_PER_SECOND;
+    return Math.max(ControlTiming.REPORT_MS, Math.min(ControlTiming.LONGEST_REPORT_MS, shared));
+  }
+
+  private long staleMs() {
+    return reportMs() + ControlTiming.STALE_MS;
+  }
+
   /** A process that stood still does not trust its seat: another may have taken it meanwhile. */
   private void watchPause(long nowMs) {
     long gapMs = timeOfDay.nowMs() - nowMs;
-    if (gapMs - clockGapMs > PAUSE_MS) {
+    if (gapMs - clockGapMs > ControlTiming.PAUSE_MS) {
       logger.atWarning().with(EventFields.TOOK_MS, gapMs - clockGapMs).log("process stood still");
       leaderHeardMs = nowMs;
       if (duty != null) {
@@ -224,7 +201,7 @@
   }
 
   private void noteStore(long nowMs) {
-    boolean reached = nowMs - Math.max(freshMs, ownStoreMs) < STORE_LOST_MS;
+    boolean reached = nowMs - Math.max(freshMs, ownStoreMs) < ControlTiming.STORE_LOST_MS;
     if (reached != storeReached) {
       storeReached = reached;
       logger
@@ -257,7 +234,7 @@
             (version, failure) -> {
               joining = false;
               joined = failure == null;
-              nextJoinMs = clock.nowMs() + SYSTEM_MS;
+              nextJoinMs = clock.nowMs() + ControlTiming.SYSTEM_MS;
             },
             loop);
   }
@@ -291,7 +268,7 @@
                                 .setKey(key)
                                 .setRequests(count))));
     peers
-        .send(seat.address(), report.build(), PEER_CALL_MS)
+        .send(seat.address(), report.build(), ControlTiming.PEER_CALL_MS)
         .whenCompleteAsync((reply, failure) -> onLeaderReply(seat, reply, failure, nowMs), loop);
   }
 
@@ -318,7 +295,7 @@
     reporting = false;
     long nowMs = clock.nowMs();
     if (failure != null) {
-      nextReportMs = nowMs + REPORT_MS / 2;
+      nextReportMs = nowMs + reportMs() / 2;
       boolean refused = isRefused(failure);
       if (refused && !nobodyListens || leaderHeardMs + LeadershipTiming.SUSPECT_MS > nowMs) {
         logger
@@ -332,7 +309,7 @@
       nobodyListens = refused;
       return;
     }
-    nextReportMs = sentMs + REPORT_MS;
+    nextReportMs = sentMs + reportMs();
     nobodyListens = false;
     boolean isLeader = reply.getLeads() && reply.getLife() == seat.life();
     if (isLeader) {
@@ -372,9 +349,9 @@
       return;
     }
     asking = true;
-    nextAskMs = nowMs + ASK_MS;
+    nextAskMs = nowMs + ControlTiming.ASK_MS;
     peers
-        .send(peer.get(), newReport().build(), PEER_CALL_MS)
+        .send(peer.get(), newReport().build(), ControlTiming.PEER_CALL_MS)
         .whenCompleteAsync(
             (reply, failure) -> {
               asking = false;
@@ -487,7 +464,7 @@
             .build();
     for (UpstreamAddress peer : tellTargets()) {
       peers
-          .send(peer, report, PEER_CALL_MS)
+          .send(peer, report, ControlTiming.PEER_CALL_MS)
           .whenCompleteAsync(
               (reply, failure) -> {
                 if (failure != null) {
@@ -546,7 +523,7 @@
         PeerReply.newBuilder()
             .setNode(node)
             .setLife(life)
-            .setStoreReached(nowMs - freshMs < 2 * STORE_LOST_MS)
+            .setStoreReached(nowMs - freshMs < 2 * ControlTiming.STORE_LOST_MS)
             .setStoreAgeMs(Math.max(0, nowMs - freshMs))
             .setLeads(duty != null && duty.confirmedAgeMs() < LeadershipTiming.CLAIM_MS);
     leader.ifPresent(seat -> reply.setLeaderTerm(seat.term()));
@@ -568,10 +545,10 @@
   public void refreshOwners() {
     long nowMs = clock.nowMs();
     if (duty == null && nowMs >= nextRefreshMs) {
-      nextRefreshMs = nowMs + REFRESH_MS;
+      nextRefreshMs = nowMs + ControlTiming.REFRESH_MS;
       nextReportMs = Math.min(nextReportMs, nowMs);
-      if (nowMs - leaderHeardMs > REPORT_MS + PEER_CALL_MS) {
-        ownersPoller.pollNow();
+      if (nowMs - leaderHeardMs > reportMs() + ControlTiming.PEER_CALL_MS) {
+        ownersPoller.poll();
       }
     }
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
@@ -10,13 +10,16 @@
  * @param life start of the process, as Unix milliseconds
  * @param dataCentre data centre
  * @param address where it listens for peers
+ * @param processorShare processor that it has, in cores
  */
-public record EntryIdentity(String node, long life, String dataCentre, UpstreamAddress address) {
+public record EntryIdentity(
+    String node, long life, String dataCentre, UpstreamAddress address, double processorShare) {
 
   /** Checks the fields. */
   public EntryIdentity {
     Assert.hasLength(node, "node");
     Assert.hasLength(dataCentre, "dataCentre");
     Assert.notNull(address, "address");
+    Assert.isTrue(processorShare > 0, "processorShare must be positive");
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -67,14 +67,6 @@
     this.onSuccess = Assert.notNull(onSuccess, "onSuccess");
   }
 
-  /** Calls the store as soon as it is not paused for a failure. */
-  void pollNow() {
-    if (pauseMs == FIRST_PAUSE_MS) {
-      nextMs = Math.min(nextMs, clock.nowMs());
-    }
-    poll();
-  }
-
   /** Calls the store if it is time. */
   void poll() {
     long nowMs = clock.nowMs();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -67,6 +67,9 @@
   /** Time for which keys that their owner refused wait for a newer map, in milliseconds. */
   private static final long MOVE_PAUSE_MS = 150;
 
+  /** Part of the connections to an upstream that are used for requests; the rest is for orders. */
+  private static final double CONNECTION_SHARE = 0.9;
+
   /** Part of the aim that a request may wait once more after a failed send. */
   private static final double AGAIN_WAIT_SHARE = 0.25;
 
@@ -184,8 +187,13 @@
       long again = (long) (AGAIN_WAIT_SHARE * (terms.aimMs() - terms.arrivedMs()));
       until = Math.min(Math.max(until, nowMs + again), terms.deadlineMs() - workMs);
     }
-    if (call.service().keyed() && !isOwnerInSight(call, nowMs)) {
-      until = Math.min(until, nowMs + MOVE_PAUSE_MS);
+    if (call.service().keyed()) {
+      long backMs = ownerBackMs(call, nowMs);
+      if (backMs > until) {
+        call.refuse("owner out of reach", RequestCall.BAD_GATEWAY);
+        return;
+      }
+      until = backMs < 0 ? Math.min(until, nowMs + MOVE_PAUSE_MS) : until;
     }
     List<RequestCall> queue = waiting.computeIfAbsent(service, name -> new ArrayList<>());
     WaitingOrder order = new WaitingOrder(nowMs, workMs);
@@ -221,13 +229,13 @@
     }
   }
 
-  /** Returns whether the owner of a request's key is known and can be reached. */
-  private boolean isOwnerInSight(RequestCall call, long nowMs) {
+  /** Returns until when the owner of a request's key is left alone; negative if it is not known. */
+  private long ownerBackMs(RequestCall call, long nowMs) {
     return owner(call)
         .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
         .filter(view.upstreams()::isUsable)
-        .map(entry -> !book.of(entry).load().isSuspended(nowMs))
-        .orElse(false);
+        .map(entry -> Math.max(nowMs, book.of(entry).load().suspendedUntilMs()))
+        .orElse(-1L);
   }
 
   private boolean sameOwner(RequestCall a, RequestCall b) {
@@ -308,8 +316,10 @@
       return Optional.empty();
     }
     UpstreamHandle handle = book.of(entry.get());
+    handle.pool().limit(connectionShare(call.service()));
     boolean free =
         !handle.load().isSuspended(nowMs)
+            && handle.pool().hasRoom()
             && handle.load().occupied(nowMs) + 1 <= OWNER_ROOM * handle.load().slots()
             && passesCold(call.service(), entry.get(), nowMs);
     return free ? Optional.of(handle) : Optional.empty();
@@ -323,6 +333,7 @@
   private Optional<UpstreamHandle> placeAnywhere(RequestCall call, boolean idleOnly) {
     long nowMs = nowMs();
     ServicePolicy service = call.service();
+    int share = connectionShare(service);
     double aimMs = call.route().aimMs();
     double distance = aimMs * (call.route().kind() == RequestKind.BULK ? BULK_DISTANCE : DISTANCE);
     Optional<UpstreamEntry> chosen =
@@ -331,7 +342,7 @@
             entry -> book.of(entry).load(),
             entry ->
                 !call.tried().contains(entry.id())
-                    && hasRoom(book.of(entry), idleOnly, nowMs)
+                    && hasRoom(book.of(entry), share, idleOnly, nowMs)
                     && passesCold(service, entry, nowMs),
             entry -> entry.dataCentre().equals(dataCentre) ? 0 : distance,
             usual(service.name()),
@@ -339,7 +350,17 @@
     return chosen.map(book::of);
   }
 
-  private static boolean hasRoom(UpstreamHandle handle, boolean idleOnly, long nowMs) {
+  /** Returns this VM's part of the connections that an upstream accepts from all of them. */
+  private int connectionShare(ServicePolicy service) {
+    return (int) (CONNECTION_SHARE * service.maxConnections() / view.entryVms().size());
+  }
+
+  private static boolean hasRoom(
+      UpstreamHandle handle, int connectionShare, boolean idleOnly, long nowMs) {
+    handle.pool().limit(connectionShare);
+    if (!handle.pool().hasRoom()) {
+      return false;
+    }
     double occupied = handle.load().occupied(nowMs);
     return occupied + 1 <= handle.load().slots() + (idleOnly ? 0 : 0.5);
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettings.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettings.java
@@ -15,6 +15,7 @@
  * @param seeds addresses of some entry VMs, which may be out of date
  * @param store address of the platform's store
  * @param metricsPort port of the metrics on the address for callers; 0 for none
+ * @param processorShare processor of this VM, in cores
  * @param bounds what the operators promise each other
  */
 public record EntrySettings(
@@ -26,6 +27,7 @@
     List<UpstreamAddress> seeds,
     UpstreamAddress store,
     int metricsPort,
+    double processorShare,
     Bounds bounds) {
 
   /**
@@ -52,6 +54,7 @@
   public EntrySettings {
     Assert.hasLength(node, "node");
     Assert.hasLength(dataCentre, "dataCentre");
+    Assert.isTrue(processorShare > 0, "processorShare must be positive");
     seeds = List.copyOf(seeds);
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
@@ -45,6 +45,7 @@
             addresses(root, "/seeds"),
             address(root, "/store/address"),
             (int) number(root, "/listen/metricsPort", 0, 65535),
+            number(root, "/processorShare", 0.01, 1024),
             new EntrySettings.Bounds(
                 number(root, "/bounds/retryRatio", 0, 100),
                 number(root, "/bounds/retrySlack", 0, 1_000_000),
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -44,6 +44,8 @@
   private final UpstreamAddress address;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private final Set<UpstreamConnection> open = new HashSet<>();
+  private int mostConnections = Integer.MAX_VALUE;
+  private int connecting;
   private boolean closed;
   private long connects;
 
@@ -73,6 +75,16 @@
                 });
   }
 
+  /** Bounds the open connections; those beyond it end when they become idle. */
+  public void limit(int newMostConnections) {
+    mostConnections = Math.max(1, newMostConnections);
+  }
+
+  /** Returns whether a request finds a connection, or may open one. */
+  public boolean hasRoom() {
+    return !idle.isEmpty() || open.size() + connecting < mostConnections;
+  }
+
   /** Sends a request; what becomes of it is told to the listener. */
   public UpstreamSend send(UpstreamRequest request, UpstreamListener listener) {
     UpstreamSend send = new UpstreamSend(request, listener);
@@ -82,7 +94,11 @@
     } else if (closed) {
       send.fail(UpstreamFailure.NOT_CONNECTED, "the upstream has left");
     } else {
+      if (!idle.isEmpty() && open.size() + connecting >= mostConnections) {
+        idle.pollLast().abandon();
+      }
       connects++;
+      connecting++;
       bootstrap
           .connect(address.host(), address.port())
           .addListener((ChannelFuture connected) -> onConnected(connected, send));
@@ -103,6 +119,7 @@
   }
 
   private void onConnected(ChannelFuture connected, UpstreamSend send) {
+    connecting--;
     if (!connected.isSuccess()) {
       Throwable cause = connected.cause();
       boolean refused =
@@ -126,7 +143,7 @@
   }
 
   void release(UpstreamConnection connection) {
-    if (closed) {
+    if (closed || open.size() > mostConnections) {
       connection.abandon();
     } else {
       idle.addFirst(connection);
