--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -81,6 +81,9 @@
             whole,
             call.requestId(),
             scheduler.maxIdleMs(call.route().kind()));
+    if (!whole) {
+      exchange.streamBody(); // what comes from now on is not part of the request above
+    }
     UpstreamSend started = upstream.pool().send(request, this);
     if (!over) {
       send = started;
@@ -90,9 +93,7 @@
   @Override
   public void onSent() {
     call.countArrival();
-    if (!call.exchange().isBodyWhole()) {
-      call.exchange().streamBody();
-    }
+    call.exchange().pauseBody(false);
   }
 
   void sendBody(ByteBuf part, boolean last) {
--- /dev/null
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryWorld.java
@@ -0,0 +1,158 @@
+package org.foxtailford.entry;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.entry.settings.EntrySettings;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.schema.Endpoint;
+import org.foxtailford.testkit.published.RowStoreStandIn;
+import org.foxtailford.testkit.published.UpstreamProcessStandIn;
+
+/** A small system on loopback: a store, upstreams and entry VMs. */
+final class EntryWorld implements AutoCloseable {
+
+  static final String CONFIGURATION =
+      """
+      {"version":"r%d","routes":{"columns":["name","host","prefix","kind","timeout",
+      "target_latency","priority","traffic_split","max_attempts","service"],"rows":[
+      ["keyed","127.0.0.1","/keyed/","safe","1500ms","500ms",2,null,2,"keyed"],
+      ["once","127.0.0.1","/once/","unsafe","1500ms","600ms",1,null,2,"plain"],
+      ["safe","127.0.0.1","/safe/","safe","1500ms","600ms",1,null,2,"plain"]]},
+      "services":{"columns":["name","health_check_path","max_connections","protocol","tls","warmup",
+      "warmup_per_s","sharded","warm","grants"],"rows":[
+      ["keyed","/health",110,"h1",false,"3s",8.0,true,"2s","direct_call"],
+      ["plain","/health",110,"h1",false,"3s",8.0,null,null,null]]},
+      "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"1000ms",
+      "idle_timeout":"15000ms"}}""";
+
+  private static final long CALL_MS = 4000;
+  private static final long PATIENCE_MS = 15_000;
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final PooledHttpClient client = new PooledHttpClient(loops, 64, 4 << 20);
+  private final RowStoreStandIn store = new RowStoreStandIn(loops).start();
+  private final Map<String, UpstreamProcessStandIn> upstreams = new HashMap<>();
+  private final List<EntryVm> vms = new ArrayList<>();
+  private final List<EntrySettings> settings = new ArrayList<>();
+
+  RowStoreStandIn store() {
+    return store;
+  }
+
+  UpstreamProcessStandIn upstream(String id) {
+    return upstreams.get(id);
+  }
+
+  UpstreamProcessStandIn addUpstream(String id, String service) {
+    UpstreamProcessStandIn upstream =
+        new UpstreamProcessStandIn(loops, id, service.equals("keyed")).start();
+    upstreams.put(id, upstream);
+    store.put("servers", id, upstream.entry(service, "dc", "ready"));
+    return upstream;
+  }
+
+  void configure(int version) {
+    store.put("op", "config", String.format(CONFIGURATION, version));
+  }
+
+  EntryVm addVm(String node, List<UpstreamAddress> seeds, UpstreamAddress storeAddress)
+      throws IOException {
+    EntrySettings one =
+        new EntrySettings(
+            node,
+            "dc",
+            freeAddress(),
+            freeAddress(),
+            freeAddress(),
+            seeds,
+            storeAddress,
+            0,
+            1,
+            new EntrySettings.Bounds(0.2, 50, 10_000, 1, 1, 10_000, 3000));
+    EntryVm vm = new EntryVm(one);
+    vm.start();
+    vms.add(vm);
+    settings.add(one);
+    return vm;
+  }
+
+  UpstreamAddress storeAddress() {
+    return new UpstreamAddress("127.0.0.1", store.port());
+  }
+
+  EntrySettings settings(int vm) {
+    return settings.get(vm);
+  }
+
+  static UpstreamAddress freeAddress() throws IOException {
+    InetAddress loopback = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+    try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
+      return new UpstreamAddress("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  CompletableFuture<HttpAnswer> send(
+      int vm, HttpMethod method, String path, String requestId, String body) {
+    HttpHeaders headers =
+        new DefaultHttpHeaders()
+            .set("Request-Id", requestId)
+            .set("Deadline-Ms", 2000)
+            .set("Shard-Key", Math.floorMod(requestId.hashCode(), 65536));
+    HttpExchange exchange =
+        new HttpExchange(method, path, headers, body.getBytes(StandardCharsets.UTF_8));
+    return client.send(endpoint(settings.get(vm).callers()), exchange, CALL_MS);
+  }
+
+  HttpAnswer get(int vm, String path, String requestId) {
+    return send(vm, HttpMethod.GET, path, requestId, "").join();
+  }
+
+  int readiness(int vm) {
+    HttpExchange exchange =
+        new HttpExchange(HttpMethod.GET, "/readiness", new DefaultHttpHeaders(), new byte[0]);
+    return client.send(endpoint(settings.get(vm).readiness()), exchange, CALL_MS).join().status();
+  }
+
+  private static Endpoint endpoint(UpstreamAddress address) {
+    return Endpoint.newBuilder().setHost(address.host()).setPort(address.port()).build();
+  }
+
+  /** Waits until something holds; fails if it never does. */
+  static void await(String what, BooleanSupplier holds) throws InterruptedException {
+    long untilMs = System.currentTimeMillis() + PATIENCE_MS;
+    while (!holds.getAsBoolean()) {
+      if (System.currentTimeMillis() > untilMs) {
+        throw new AssertionError("in vain: " + what);
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
+  @Override
+  public void close() {
+    vms.forEach(EntryVm::close);
+    upstreams.values().forEach(UpstreamProcessStandIn::close);
+    store.close();
+    client.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/log/LogReferenceTests.java
@@ -0,0 +1,73 @@
+package org.foxtailford.entry.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Each event in the code of the entry VM is on the page of the log, and the other way round. */
+public class LogReferenceTests {
+
+  private static final Path ROOT = Path.of("..");
+  private static final Pattern STATEMENT =
+      Pattern.compile("logger\\s*\\.at(?:Info|Warning|Severe)\\(\\)(.*?);", Pattern.DOTALL);
+  private static final Pattern LOG = Pattern.compile("\\.log\\((.*)\\)$", Pattern.DOTALL);
+  private static final Pattern TEXT = Pattern.compile("\"([a-z][^\"%]*)\"");
+
+  @Test
+  public void eventsOfTheCodeAreOnThePage() throws IOException {
+    String page = Files.readString(ROOT.resolve("docs/LOGS.md"));
+    Set<String> missing = new TreeSet<>();
+    for (String event : events()) {
+      if (!page.contains("`" + event + "`")) {
+        missing.add(event);
+      }
+    }
+    assertThat(missing).isEmpty();
+  }
+
+  @Test
+  public void eventsOfThePageAreInTheCode() throws IOException {
+    Set<String> events = events();
+    Set<String> unknown = new TreeSet<>();
+    Matcher named =
+        Pattern.compile("(?m)^\\| `([^`]+)`")
+            .matcher(Files.readString(ROOT.resolve("docs/LOGS.md")));
+    while (named.find()) {
+      if (!events.contains(named.group(1))) {
+        unknown.add(named.group(1));
+      }
+    }
+    assertThat(unknown).isEmpty();
+  }
+
+  private static Set<String> events() throws IOException {
+    Set<String> events = new TreeSet<>();
+    try (Stream<Path> files = Files.walk(Path.of("src/main/java"))) {
+      for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+        String code = Files.readString(file);
+        Matcher statement = STATEMENT.matcher(code);
+        while (statement.find()) {
+          Matcher log = LOG.matcher(statement.group(1).strip());
+          if (log.find()) {
+            Matcher text = TEXT.matcher(log.group(1));
+            while (text.find()) {
+              events.add(text.group(1));
+            }
+          }
+        }
+      }
+    }
+    events.add("keys granted"); // passed to one statement for both orders
+    events.add("keys released");
+    assertThat(events).hasSizeGreaterThan(20);
+    return events;
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -19,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.jspecify.annotations.Nullable;
@@ -40,6 +43,9 @@
   /** Requests of one connection that are worked on at once. */
   private static final int MOST_EXCHANGES = 16;
 
+  /** Time for which the rest of a refused request is read, in milliseconds. */
+  private static final long LINGER_MS = 1000;
+
   private static final int BAD_REQUEST = 400;
   private static final int BODY_TOO_LARGE = 413;
   private static final int HEAD_TOO_LARGE = 431;
@@ -218,7 +224,7 @@
       done.releaseBody();
       if (done.closes()) {
         ending = true;
-        context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        endAfterFlush(done.isBodyWhole());
         return;
       }
       CallerExchange next = exchanges.peekFirst();
@@ -231,6 +237,21 @@
     updateReading();
   }
 
+  /**
+   * Ends the connection; one that is still sent to is read on, so that no reset eats the answer.
+   */
+  private void endAfterFlush(boolean wholeRequest) {
+    ChannelFuture flushed = context().writeAndFlush(Unpooled.EMPTY_BUFFER);
+    if (wholeRequest || !(context().channel() instanceof SocketChannel)) {
+      flushed.addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    SocketChannel channel = (SocketChannel) context().channel();
+    channel.config().setAutoRead(true);
+    flushed.addListener(done -> channel.shutdownOutput());
+    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+  }
+
   void abort() {
     ending = true;
     context().close();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamSend.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamSend.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,9 +15,13 @@
   private final UpstreamRequest request;
   private final UpstreamListener listener;
   private @Nullable UpstreamConnection connection;
+  private final Deque<Part> early = new ArrayDeque<>();
   private boolean sent;
   private boolean over;
 
+  /** Piece of a body that came before there was a connection. */
+  private record Part(ByteBuf bytes, boolean last) {}
+
   UpstreamSend(UpstreamRequest request, UpstreamListener listener) {
     this.request = request;
     this.listener = listener;
@@ -25,10 +31,20 @@
     connection = newConnection;
     sent = true;
     newConnection.send(request, new Relay());
+    while (!early.isEmpty() && connection != null) {
+      Part part = early.poll();
+      newConnection.sendBody(part.bytes(), part.last());
+    }
+  }
+
+  private void releaseEarly() {
+    early.forEach(part -> part.bytes().release());
+    early.clear();
   }
 
   void fail(UpstreamFailure failure, String reason) {
     request.body().release();
+    releaseEarly();
     if (!over) {
       over = true;
       listener.onFailure(failure, reason);
@@ -50,7 +66,9 @@
 
   /** Sends a further piece of the body, which is released. */
   public void sendBody(ByteBuf part, boolean last) {
-    if (connection == null) {
+    if (connection == null && !sent && !over) {
+      early.add(new Part(part, last));
+    } else if (connection == null) {
       part.release();
     } else {
       connection.sendBody(part, last);
@@ -72,6 +90,7 @@
   /** Gives the request up and ends its connection; the listener is told nothing more. */
   public void abandon() {
     over = true;
+    releaseEarly();
     if (connection != null) {
       UpstreamConnection present = connection;
       connection = null;
--- /dev/null
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamBehaviour.java
@@ -0,0 +1,17 @@
+package org.foxtailford.testkit.published;
+
+/** How the stand-in of an upstream treats requests. */
+public enum UpstreamBehaviour {
+  /** Answers in order. */
+  SOUND,
+  /** Refuses each request, and says that it did not run it. */
+  FULL,
+  /** Runs requests and never answers. */
+  SILENT,
+  /** Answers with success, but without its seal. */
+  UNSEALED,
+  /** Answers with the id of another request. */
+  OTHER_REQUEST,
+  /** Runs requests and answers with a failure. */
+  FAILING
+}
