--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -287,8 +287,12 @@
     return exchanges.isEmpty() && headSinceMs == 0;
   }
 
+  /** Ends a connection without a request, once the last answer is written. */
   void close() {
-    context().close();
+    if (!ending) {
+      ending = true;
+      context().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
   }
 
   @Override
