--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
@@ -0,0 +1,105 @@
+package org.foxtailford.net.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import org.foxtailford.core.route.CallerLimits;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+public class CallerConnectionTests {
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<CallerExchange> exchanges = new ArrayList<>();
+  private HeldWrites writes = new HeldWrites();
+  private final CallerHandler handler =
+      new CallerHandler() {
+        @Override
+        public void onRequest(CallerExchange exchange) {
+          exchanges.add(exchange);
+        }
+
+        @Override
+        public void onUnreadable(CallerExchange exchange, int status, String reason) {
+          exchange.answer(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
+      };
+  private final CallerServer server =
+      new CallerServer(loops, handler, () -> CallerLimits.DEFAULT, () -> 0);
+
+  /** Keeps what is written, as a caller does that reads slowly. */
+  private static final class HeldWrites extends ChannelOutboundHandlerAdapter {
+
+    private final List<Runnable> held = new ArrayList<>();
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      held.add(() -> ctx.writeAndFlush(message, promise));
+    }
+
+    void release() {
+      held.forEach(Runnable::run);
+      held.clear();
+    }
+  }
+
+  private EmbeddedChannel connect() {
+    exchanges.clear();
+    writes = new HeldWrites();
+    CallerConnection connection =
+        new CallerConnection(server, handler, () -> CallerLimits.DEFAULT, () -> 0);
+    return new EmbeddedChannel(writes, connection);
+  }
+
+  private static DefaultFullHttpRequest request(HttpMethod method, String path) {
+    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path);
+  }
+
+  private static void answer(CallerExchange exchange, String body) {
+    exchange.answer(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(body.getBytes()));
+  }
+
+  @AfterClass
+  public void end() {
+    loops.shutdownGracefully();
+  }
+
+  @Test
+  public void idleConnectionEndsOnlyAfterItsLastAnswerIsWritten() {
+    EmbeddedChannel channel = connect();
+    channel.writeInbound(request(HttpMethod.GET, "/a"));
+    answer(exchanges.get(0), "whole");
+    server.closeIdle();
+    channel.runPendingTasks();
+    assertThat(channel.isOpen()).isTrue();
+    writes.release();
+    channel.runPendingTasks();
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(channel.outboundMessages()).hasSizeGreaterThanOrEqualTo(3);
+  }
+
+  @Test
+  public void requestThatMayRunOnceWaitsForThoseBeforeIt() {
+    EmbeddedChannel channel = connect();
+    channel.writeInbound(request(HttpMethod.GET, "/first"), request(HttpMethod.POST, "/second"));
+    assertThat(exchanges).hasSize(1);
+    answer(exchanges.get(0), "first");
+    assertThat(exchanges).hasSize(2);
+    assertThat(exchanges.get(1).uri()).isEqualTo("/second");
+    channel.close();
+  }
+}
