--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
@@ -81,6 +81,7 @@
     }
     if (value.doubleValue() < least || value.doubleValue() > most) {
       faults.add(fault(path, value + " is not between " + least + " and " + most));
+      return least;
     }
     return value.doubleValue();
   }
