Released slices stay in use at home while the table can't take their next home

Change: the rounds of HomeMover, five a second, tell the leader that the table answers. After 1 s without an answer the slices count as at home again, also at upstreams that are out, unless a write that hands them over was sent on the row as it is: that one may take effect late. StalledMoves decides it, without I/O.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/DataCentreLeader.java
@@ -11,6 +11,7 @@
 import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.HomeRanges;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -181,6 +182,20 @@
     return lapsed && !held && !placer.plans(current, service, range);
   }
 
+  /**
+   * Notes that a row is about to be written which gives slices released here to their next homes.
+   *
+   * @param row the row as it was read, without them
+   */
+  public void handsOver(HomeRanges row) {
+    placer.handsOver(row);
+  }
+
+  /** Notes that the table answered a call that was sent at a reading of this VM's clock. */
+  public void tableAnswered(long sentMs) {
+    placer.tableAnswered(sentMs);
+  }
+
   private void refreshSessions(LeaderTerm current) {
     configuration.get().services().values().stream()
         .filter(service -> service.definition().getKeyed())
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeDirectory.java
@@ -100,6 +100,20 @@
         .isPresent();
   }
 
+  /** Tells whether a whole range has its home in a data centre now, even if it is to move. */
+  boolean isPresentHome(String dataCentre, String service, SliceRange range) {
+    return Optional.ofNullable(byService.get(service))
+        .flatMap(index -> index.find(range.first()))
+        .filter(home -> home.getDataCentre().equals(dataCentre))
+        .filter(home -> SliceRange.of(home.getRange()).contains(range.last()))
+        .isPresent();
+  }
+
+  /** Returns the row of a service. */
+  Optional<HomeRanges> row(String service) {
+    return Optional.ofNullable(rows.get(service));
+  }
+
   /**
    * Tells whether a leader may place slices by these homes. Once a data centre has a claim on a
    * service, its homes may be taken from it, so that each later leader needs a claim of its own.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeMover.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeMover.java
@@ -16,6 +16,7 @@
 import org.foxtailford.core.platform.ConditionalWrites;
 import org.foxtailford.core.platform.TableRow;
 import org.foxtailford.core.platform.TableService;
+import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.HomeRange;
 import org.foxtailford.schema.HomeRanges;
@@ -40,6 +41,7 @@
   private final ConditionalWrites writes;
   private final LongSupplier writeIds;
   private final Runnable changed;
+  private final MillisClock clock;
   private final Executor control;
   private boolean inFlight;
 
@@ -54,6 +56,7 @@
    * @param table the table service
    * @param writeIds gives a number never given before
    * @param changed runs after a row was changed, so that it is read again at once
+   * @param clock clock of this VM
    * @param control executor of all callbacks
    */
   public HomeMover(
@@ -65,6 +68,7 @@
       TableService table,
       LongSupplier writeIds,
       Runnable changed,
+      MillisClock clock,
       Executor control) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.leader = Assert.notNull(leader, "leader");
@@ -75,6 +79,7 @@
     this.writes = new ConditionalWrites(table);
     this.writeIds = Assert.notNull(writeIds, "writeIds");
     this.changed = Assert.notNull(changed, "changed");
+    this.clock = Assert.notNull(clock, "clock");
     this.control = Assert.notNull(control, "control");
   }
 
@@ -96,9 +101,16 @@
 
   /** Reads the homes before the lease rows, so that a take-over is decided on homes older still. */
   private CompletableFuture<Void> round(List<ServiceView> services) {
+    long sentMs = clock.nowMs();
     List<CompletableFuture<Optional<TableRow>>> reads =
         services.stream().map(service -> table.read("homes-" + name(service))).toList();
-    return all(reads).thenComposeAsync(done -> decide(services, reads), control);
+    return all(reads)
+        .thenComposeAsync(
+            done -> {
+              leader.tableAnswered(sentMs);
+              return decide(services, reads);
+            },
+            control);
   }
 
   private CompletableFuture<Void> decide(
@@ -140,10 +152,10 @@
 
   private CompletableFuture<Void> move(ServiceView service, TableRow row, Set<String> over) {
     HomeRanges homes = HomeDirectory.parse(row);
+    Optional<HomeRanges> completed = complete(service, homes);
+    completed.ifPresent(moved -> leader.handsOver(homes));
     Optional<HomeRanges> next =
-        complete(service, homes)
-            .or(() -> take(service, homes, over))
-            .or(() -> begin(service, homes));
+        completed.or(() -> take(service, homes, over)).or(() -> begin(service, homes));
     HomeRanges claimed = claim(next.orElse(homes));
     if (claimed.equals(homes)) {
       return CompletableFuture.completedFuture(null);
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeSlices.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/HomeSlices.java
@@ -10,6 +10,7 @@
 import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.HomeRanges;
 
 /**
  * Fits the slices of a term to the homes of keys.
@@ -24,15 +25,33 @@
   private final String dataCentre;
   private final Supplier<HomesReading> homes;
   private final MillisClock clock;
+  private final StalledMoves stalled;
   private final Map<String, Fitted> fitted = new HashMap<>();
 
   /** What a service's slices were last fitted to. */
-  private record Fitted(LeaderTerm term, HomeDirectory homes, int initialSlices, long changes) {}
+  private record Fitted(
+      LeaderTerm term, HomeDirectory homes, boolean stalled, int initialSlices, long changes) {}
 
   HomeSlices(String dataCentre, Supplier<HomesReading> homes, MillisClock clock) {
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.homes = Assert.notNull(homes, "homes");
     this.clock = Assert.notNull(clock, "clock");
+    this.stalled = new StalledMoves(homes, clock);
+  }
+
+  /** Notes that a row which gives released slices to their next homes is about to be written. */
+  void handsOver(HomeRanges row) {
+    stalled.handsOver(row);
+  }
+
+  /** Notes that the table answered a call that was sent at a time. */
+  void tableAnswered(long sentMs) {
+    stalled.tableAnswered(sentMs);
+  }
+
+  /** Tells whether the moves of a service wait for the table, so that its slices stay in use. */
+  boolean isStalled(String service) {
+    return stalled.isStalled(service);
   }
 
   /** Fits the slices of a service unless nothing changed since the last time. */
@@ -51,12 +70,15 @@
 
   private Fitted reading(LeaderTerm term, ServiceView service) {
     int initialSlices = service.definition().getInitialSlices();
-    return new Fitted(term, homes.get().directory(), initialSlices, term.slices().changes());
+    boolean stays = stalled.isStalled(service.definition().getName());
+    return new Fitted(term, homes.get().directory(), stays, initialSlices, term.slices().changes());
   }
 
-  /** Tells whether a whole range is at home here and is to stay. */
+  /** Tells whether a whole range is at home here and is to stay for now. */
   boolean isHome(String service, SliceRange range) {
-    return homes.get().directory().isHome(dataCentre, service, range);
+    HomeDirectory directory = homes.get().directory();
+    return directory.isHome(dataCentre, service, range)
+        || stalled.isStalled(service) && directory.isPresentHome(dataCentre, service, range);
   }
 
   /** Tells whether a slice may have a key of a range, by the homes of this moment. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/ownership/SlicePlacer.java
@@ -18,6 +18,7 @@
 import org.foxtailford.core.slice.SliceRange;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.HomeRanges;
 
 /**
  * Decides which slices a term has and which upstreams receive them.
@@ -66,6 +67,16 @@
     return homes.get().directory().mayPlace(service, dataCentre, term.epoch());
   }
 
+  /** Notes that a row which gives released slices to their next homes is about to be written. */
+  void handsOver(HomeRanges row) {
+    homeSlices.handsOver(row);
+  }
+
+  /** Notes that the table answered a call that was sent at a time. */
+  void tableAnswered(long sentMs) {
+    homeSlices.tableAnswered(sentMs);
+  }
+
   /** Tells whether a slice of this data centre may have a key of a range. */
   boolean plans(LeaderTerm term, String service, SliceRange range) {
     return configuration.get().service(service).stream()
@@ -162,7 +173,14 @@
   }
 
   private List<String> usableUpstreams(LeaderTerm term, ServiceView service) {
-    return service.availableIn(dataCentre).stream()
+    List<String> usable =
+        service.availableIn(dataCentre).stream().map(Upstream::name).filter(term::usable).toList();
+    if (!usable.isEmpty() || !homeSlices.isStalled(service.definition().getName())) {
+      return usable;
+    }
+    // Upstreams that are out serve on while nobody else can be given their keys.
+    return service.upstreams().stream()
+        .filter(upstream -> upstream.dataCentre().equals(dataCentre))
         .map(Upstream::name)
         .filter(term::usable)
         .toList();
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/control/Leadership.java
@@ -132,6 +132,7 @@
             tables.other(),
             writeIds,
             pollHomes::get,
+            clock,
             control);
     pauses = new PauseDetector(clock, System::currentTimeMillis, timing.trustedLeaseMs());
   }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/simulation/SimulatedCandidate.java
@@ -134,6 +134,7 @@
         system.table().from(name()),
         system::nextWriteId,
         knowledge::readHomes,
+        clock,
         control());
   }
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/homes/HomeEntryVm.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/homes/HomeEntryVm.java
@@ -79,6 +79,7 @@
             rules.moverTable(table),
             world::nextId,
             this::pollHomes,
+            clock,
             process::execute);
   }
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/TwoDataCentres.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/ownership/TwoDataCentres.java
@@ -90,6 +90,7 @@
             table,
             this::nextId,
             () -> {},
+            clock,
             Runnable::run);
     rounds.add(election::tick);
     rounds.add(leader::tick);
