Placement at many upstreams and entry VMs: draws, lists and full places are found once, not for each request

Each request that looked for room built the set of the 59 entry VMs anew, drew the senders of each cold upstream by 59 hashes, and listed all 210 upstreams; each waiting request did so again every 10 ms. Change: the lists are kept until what they are made of changes; one pass over the waiting requests tries a full place once. Ruled out as the whole cause: a sampled trial (scratch copy, five VMs) shows the event loops idle before traffic; the processor time of the start is class loading and compilation, 95 s for 59 VMs until the second second of traffic.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/overload/ColdAllowance.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/ColdAllowance.java
@@ -17,8 +17,16 @@
  */
 public final class ColdAllowance {
 
+  /** Time after which an upstream without requests is forgotten, in milliseconds; some warm-ups. */
+  private static final long FORGET_MS = 60_000;
+
   private final String node;
   private final Map<String, Long> nextMs = new HashMap<>();
+  private final Map<String, Draw> draws = new HashMap<>();
+  private Collection<String> drawnAmong = List.of();
+
+  /** Whether this VM was drawn for an upstream, for how many places. */
+  private record Draw(int senders, boolean chosen) {}
 
   /** Creates the allowance of an entry VM. */
   public ColdAllowance(String node) {
@@ -36,16 +44,31 @@
   public void passed(
       String upstream, double requestsPerSecond, Collection<String> entryVms, long nowMs) {
     nextMs.put(upstream, nowMs + intervalMs(upstream, requestsPerSecond, entryVms));
-    nextMs.values().removeIf(next -> next < nowMs - 60_000);
+    nextMs.values().removeIf(next -> next < nowMs - FORGET_MS);
   }
 
   private long intervalMs(String upstream, double requestsPerSecond, Collection<String> entryVms) {
     int senders = (int) Math.max(1, Math.min(entryVms.size(), requestsPerSecond));
+    boolean chosen = requestsPerSecond > 0 && isChosen(upstream, senders, entryVms);
+    return chosen ? (long) (1000 * senders / requestsPerSecond) : 0;
+  }
+
+  /** Draws again only when the entry VMs change, since each request asks for each upstream. */
+  private boolean isChosen(String upstream, int senders, Collection<String> entryVms) {
+    if (!drawnAmong.equals(entryVms)) {
+      drawnAmong = entryVms;
+      draws.clear();
+    }
+    Draw known = draws.get(upstream);
+    if (known != null && known.senders() == senders) {
+      return known.chosen();
+    }
     List<String> drawn = new ArrayList<>(entryVms);
     if (!drawn.contains(node)) {
       drawn.add(node);
     }
     boolean chosen = RendezvousHashing.rank(upstream, drawn).indexOf(node) < senders;
-    return chosen && requestsPerSecond > 0 ? (long) (1000 * senders / requestsPerSecond) : 0;
+    draws.put(upstream, new Draw(senders, chosen));
+    return chosen;
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamDirectory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamDirectory.java
@@ -24,6 +24,7 @@
   public static final long RETURN_GRACE_MS = 2000;
 
   private final Map<String, Known> upstreams = new HashMap<>();
+  private final Map<String, List<UpstreamEntry>> usable = new HashMap<>();
   private Set<String> evacuated = Set.of();
   private boolean storeLost;
   private long settledAtMs;
@@ -43,6 +44,7 @@
     Known known = upstreams.computeIfAbsent(entry.id(), id -> new Known(entry));
     known.entry = entry;
     known.lapsed = false;
+    usable.clear();
     known.coldUntilMs = entry.coldLeftMs() == 0 ? 0 : nowMs + entry.coldLeftMs();
   }
 
@@ -61,6 +63,7 @@
       return false;
     }
     upstreams.remove(id);
+    usable.clear();
     return true;
   }
 
@@ -89,12 +92,14 @@
     List<String> dropped = new ArrayList<>();
     upstreams.values().stream().filter(k -> k.lapsed).forEach(k -> dropped.add(k.entry.id()));
     dropped.forEach(upstreams::remove);
+    usable.clear();
     return dropped;
   }
 
   /** Replaces the data centres that get nothing. */
   public void evacuate(Collection<String> dataCentres) {
     evacuated = new HashSet<>(dataCentres);
+    usable.clear();
   }
 
   /** Returns an upstream, whether it may be used or not. */
@@ -117,15 +122,19 @@
     return known != null && nowMs < known.coldUntilMs;
   }
 
-  /** Returns the upstreams of a service to which requests may be sent. */
+  /** Returns the upstreams of a service to which requests may be sent; each request asks. */
   public List<UpstreamEntry> usable(String service) {
+    return usable.computeIfAbsent(service, this::findUsable);
+  }
+
+  private List<UpstreamEntry> findUsable(String service) {
     List<UpstreamEntry> found = new ArrayList<>();
     for (Known known : upstreams.values()) {
       if (known.entry.service().equals(service) && isUsable(known.entry)) {
         found.add(known.entry);
       }
     }
-    return found;
+    return List.copyOf(found);
   }
 
   /** Returns the number of known upstreams. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
@@ -131,6 +131,9 @@
   }
 
   private double failureShare(long nowMs) {
+    if (failureShare == 0) {
+      return 0;
+    }
     return failureShare * Math.pow(0.5, (nowMs - failureAtMs) / FAILURE_HALF_LIFE_MS);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryKnowledge.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryKnowledge.java
@@ -60,7 +60,8 @@
   private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
   private final Map<String, WorkTime.Builder> workTimes = new HashMap<>();
   private final Set<String> evacuated = new HashSet<>();
-  private Collection<String> liveNodes = List.of();
+  private Set<String> liveNodes = Set.of();
+  private @Nullable Collection<String> entryVms;
   private @Nullable RoutingConfiguration configuration;
   private @Nullable Listener listener;
   private long unreadableRows;
@@ -120,6 +121,9 @@
     for (Row row : changed) {
       matters |= take(table, row);
     }
+    if (table.equals(SystemTables.MEMBERS)) {
+      entryVms = null;
+    }
     if (table.equals(platform.upstreamTable()) && page.version() > 0) {
       upstreamsKnown = true;
     }
@@ -267,7 +271,11 @@
 
   /** Replaces the entry VMs that share budgets. */
   void setLiveNodes(Collection<String> nodes) {
-    liveNodes = List.copyOf(nodes);
+    Set<String> live = Set.copyOf(nodes);
+    if (!live.equals(liveNodes)) {
+      liveNodes = live;
+      entryVms = null;
+    }
   }
 
   /** Returns the counted requests for keys, and begins anew. */
@@ -318,6 +326,15 @@
 
   @Override
   public Collection<String> entryVms() {
+    Collection<String> known = entryVms;
+    if (known == null) {
+      known = findEntryVms();
+      entryVms = known;
+    }
+    return known;
+  }
+
+  private Collection<String> findEntryVms() {
     Set<String> all = new HashSet<>(liveNodes);
     if (all.isEmpty()) {
       mirror(SystemTables.MEMBERS).all().stream()
@@ -325,7 +342,7 @@
           .forEach(row -> all.add(row.key()));
     }
     all.add(node);
-    return new ArrayList<>(all);
+    return Set.copyOf(all);
   }
 
   @Override
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -6,9 +6,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -37,7 +39,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Time between two looks at the waiting requests, in milliseconds. */
-  private static final long TICK_MS = 10;
+  private static final long TICK_MS = 20;
 
   /** Requests of a service that may wait. */
   private static final int ROOM = 256;
@@ -468,14 +470,14 @@
     WaitingOrder order = new WaitingOrder(nowMs, (long) usual(service));
     List<RequestCall> due = new ArrayList<>(queue);
     due.sort(Comparator.comparing(RequestCall::terms, order));
-    Map<String, Integer> ahead = new HashMap<>();
+    Pass pass = new Pass();
+    queue.clear();
     for (RequestCall call : due) {
       if (!call.isOver()) {
-        queue.remove(call);
-        if (tryPlace(call)) {
+        if (!pass.isFull(call) && tryPlace(call)) {
           metrics.waited(service, nowMs - call.waitingSinceMs());
         } else {
-          waitOn(call, queue, ahead, nowMs);
+          waitOn(call, queue, pass, nowMs);
         }
       }
     }
@@ -485,20 +487,58 @@
   /**
    * Keeps a request in the queue, or refuses it if its time is up or those before it are too many.
    */
-  private void waitOn(
-      RequestCall call, List<RequestCall> queue, Map<String, Integer> ahead, long nowMs) {
-    String upstream = owner(call).map(assignment -> assignment.owner().upstream()).orElse("");
-    int before = ahead.getOrDefault(upstream, 0);
+  private void waitOn(RequestCall call, List<RequestCall> queue, Pass pass, long nowMs) {
+    pass.found(call);
     if (nowMs >= call.waitsUntilMs()) {
       call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
-    } else if (room.isHopeless(before, rate(call), call.waitsUntilMs(), nowMs)) {
+    } else if (room.isHopeless(pass.ahead(call), pass.rate(call), call.waitsUntilMs(), nowMs)) {
       call.refuse("others go before", RequestCall.BAD_GATEWAY);
     } else if (!call.isOver()) {
-      ahead.put(upstream, before + 1);
+      pass.stays(call);
       queue.add(call);
     }
   }
 
+  /** What one pass over the waiting requests of a service found: one of them tells for others. */
+  private final class Pass {
+
+    private final Set<String> full = new HashSet<>();
+    private final Map<String, Integer> ahead = new HashMap<>();
+    private final Map<String, Double> rates = new HashMap<>();
+
+    /** Returns the upstream that alone may take a request; empty if several may. */
+    private String upstream(RequestCall call) {
+      return owner(call).map(assignment -> assignment.owner().upstream()).orElse("");
+    }
+
+    private String keys(RequestCall call) {
+      return owner(call).map(assignment -> Long.toString(assignment.fence())).orElse("");
+    }
+
+    boolean isFull(RequestCall call) {
+      return full.contains(keys(call));
+    }
+
+    /** Notes that there is no room for a request; one that was sent before has fewer choices. */
+    void found(RequestCall call) {
+      if (call.service().keyed() || call.tried().isEmpty()) {
+        full.add(keys(call));
+      }
+    }
+
+    int ahead(RequestCall call) {
+      return ahead.getOrDefault(upstream(call), 0);
+    }
+
+    void stays(RequestCall call) {
+      ahead.merge(upstream(call), 1, Integer::sum);
+    }
+
+    double rate(RequestCall call) {
+      return rates.computeIfAbsent(upstream(call), name -> RequestScheduler.this.rate(call));
+    }
+  }
+
   /** Looks at all waiting requests, after a change of what is known or of time. */
   public void tick() {
     List.copyOf(waiting.keySet()).forEach(this::pump);
