Entry VMs take turns at an owner that was seen full

Each reset used up a retry of the shared budget, and since a reset proves nothing it ended as 502: the caller came back at once. Ruled out: halving of each VM's room after a reset (the suspension after two failures does that already; a success in between resets it); a reset that comes after part of the work (a lost answer) taken for lack of room. Change: FairTurns. While the owner of a key is seen full (a report of 2.5 times its slots, a refusal, a connection that ends within a tenth of the usual work), each VM sends it one request in the time in which it does one for each VM. A request whose turn would come after its wait is refused at once.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -92,7 +92,9 @@
     ExchangeDialect dialect = new HeaderDialect();
     JsonPlatformRows rows = new JsonPlatformRows();
     knowledge = new EntryKnowledge(rows, clock, settings.node());
-    book = new UpstreamBook(address -> new UpstreamPool(loops, address, dialect, clock));
+    book =
+        new UpstreamBook(
+            address -> new UpstreamPool(loops, address, dialect, clock), random::nextDouble);
     scheduler =
         new RequestScheduler(
             loop,
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -16,6 +16,7 @@
 import java.util.function.DoubleSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.ColdAllowance;
+import org.foxtailford.core.overload.FairTurns;
 import org.foxtailford.core.overload.RetryAllowance;
 import org.foxtailford.core.overload.WaitingOrder;
 import org.foxtailford.core.overload.WaitingRequest;
@@ -24,6 +25,7 @@
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.upstream.LoadReport;
 import org.foxtailford.core.upstream.UpstreamChooser;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
@@ -72,6 +74,9 @@
   /** Part of the connections to an upstream that are used for requests; the rest is for orders. */
   private static final double CONNECTION_SHARE = 0.9;
 
+  /** Part of the usual work within which no upstream fails a request that it has begun. */
+  private static final double EARLY_SHARE = 0.1;
+
   /** Part of the aim that a request may wait once more after a failed send. */
   private static final double AGAIN_WAIT_SHARE = 0.25;
 
@@ -231,12 +236,13 @@
     }
   }
 
-  /** Returns until when the owner of a request's key is left alone; negative if it is not known. */
+  /** Returns when a request may go to the owner of its key; negative if that is not known. */
   private long ownerBackMs(RequestCall call, long nowMs) {
     return owner(call)
         .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
         .filter(view.upstreams()::isUsable)
-        .map(entry -> Math.max(nowMs, book.of(entry).load().suspendedUntilMs()))
+        .map(book::of)
+        .map(owner -> Math.max(owner.load().suspendedUntilMs(), owner.turns().nextMs(nowMs)))
         .orElse(-1L);
   }
 
@@ -273,6 +279,10 @@
     for (UpstreamEntry entry : entries) {
       UpstreamLoad load = book.of(entry).load();
       if (!load.isSuspended(nowMs)) {
+        UpstreamHandle handle = book.of(entry);
+        if (call.service().keyed() && handle.turns().isFull(nowMs)) {
+          return 1000 / Math.max(1, turnMs(handle));
+        }
         perSecond += load.slots() * 1000 / Math.max(1, load.workMs(usual(service)));
         own += load.inFlight();
         all += load.occupied(nowMs);
@@ -298,9 +308,42 @@
     if (view.upstreams().isCold(handle.entry().id(), nowMs)) {
       cold.passed(handle.entry().id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
     }
+    if (service.keyed()) {
+      handle.turns().sent(turnMs(handle), nowMs);
+    }
     call.send(handle);
   }
 
+  private double turnMs(UpstreamHandle upstream) {
+    UpstreamLoad load = upstream.load();
+    double workMs = load.workMs(usual(upstream.entry().service()));
+    return FairTurns.lengthMs(workMs, load.slots(), view.entryVms().size());
+  }
+
+  /** Takes what an upstream reports of its load. */
+  void onReport(UpstreamHandle upstream, LoadReport report) {
+    long nowMs = nowMs();
+    upstream.load().reported(report, nowMs);
+    upstream.turns().reported(report, turnMs(upstream), nowMs);
+  }
+
+  /** Notes that an upstream turned a request away for lack of room. */
+  void onShed(UpstreamHandle upstream) {
+    upstream.load().shed(nowMs());
+    upstream.turns().full(turnMs(upstream), nowMs());
+  }
+
+  /**
+   * Notes a connection that was lost while a request was on its way; one that ends long before the
+   * work could be done is how some upstreams turn requests away.
+   */
+  void onLost(UpstreamHandle upstream, double afterMs) {
+    upstream.load().failed(nowMs());
+    if (afterMs < EARLY_SHARE * upstream.load().workMs(usual(upstream.entry().service()))) {
+      upstream.turns().full(turnMs(upstream), nowMs());
+    }
+  }
+
   private Optional<UpstreamHandle> placeAtOwner(RequestCall call) {
     long nowMs = nowMs();
     Optional<RangeAssignment> assignment = owner(call);
@@ -321,6 +364,7 @@
     handle.pool().limit(connectionShare(call.service()));
     boolean free =
         !handle.load().isSuspended(nowMs)
+            && handle.turns().nextMs(nowMs) <= nowMs
             && handle.pool().hasRoom()
             && handle.load().occupied(nowMs) + 1 <= OWNER_ROOM * handle.load().slots()
             && passesCold(call.service(), entry.get(), nowMs);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -118,7 +118,7 @@
     scheduler
         .dialect()
         .load(newHead.headers())
-        .ifPresent(report -> upstream.load().reported(report, scheduler.nowMs()));
+        .ifPresent(report -> scheduler.onReport(upstream, report));
     int status = newHead.status().code();
     refused = scheduler.dialect().isNotRun(status, newHead.headers());
   }
@@ -232,7 +232,7 @@
     if (status == MISDIRECTED) {
       scheduler.onMisdirected(call, upstream);
     } else if (refused) {
-      upstream.load().shed(scheduler.nowMs());
+      scheduler.onShed(upstream);
     } else {
       upstream.load().faulty(scheduler.nowMs());
     }
@@ -250,6 +250,8 @@
     close();
     if (failure == UpstreamFailure.REFUSED) {
       upstream.load().unreachable(nowMs);
+    } else if (failure == UpstreamFailure.LOST) {
+      scheduler.onLost(upstream, nowMs - sentMs);
     } else {
       upstream.load().failed(nowMs);
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamBook.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamBook.java
@@ -2,7 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import org.foxtailford.core.overload.FairTurns;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
@@ -12,12 +14,14 @@
 public final class UpstreamBook {
 
   private final Function<UpstreamAddress, UpstreamPool> pools;
+  private final DoubleSupplier random;
   private final Map<String, UpstreamHandle> handles = new HashMap<>();
   private long pastConnects;
 
-  /** Creates a book that opens pools with a function. */
-  public UpstreamBook(Function<UpstreamAddress, UpstreamPool> pools) {
+  /** Creates a book that opens pools with a function, and a source of numbers from 0 to 1. */
+  public UpstreamBook(Function<UpstreamAddress, UpstreamPool> pools, DoubleSupplier random) {
     this.pools = Assert.notNull(pools, "pools");
+    this.random = Assert.notNull(random, "random");
   }
 
   /** Returns the handle of an upstream; another life or address gets a new one. */
@@ -29,7 +33,8 @@
     if (present != null) {
       close(present);
     }
-    UpstreamHandle fresh = new UpstreamHandle(entry, pools.apply(entry.address()));
+    UpstreamHandle fresh =
+        new UpstreamHandle(entry, pools.apply(entry.address()), new FairTurns(random));
     handles.put(entry.id(), fresh);
     return fresh;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
@@ -1,5 +1,6 @@
 package org.foxtailford.entry.request;
 
+import org.foxtailford.core.overload.FairTurns;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
 import org.foxtailford.net.proxy.UpstreamPool;
@@ -10,9 +11,11 @@
   private final UpstreamEntry entry;
   private final UpstreamLoad load;
   private final UpstreamPool pool;
+  private final FairTurns turns;
 
-  UpstreamHandle(UpstreamEntry entry, UpstreamPool pool) {
+  UpstreamHandle(UpstreamEntry entry, UpstreamPool pool, FairTurns turns) {
     this.entry = entry;
+    this.turns = turns;
     this.load = new UpstreamLoad(entry.slots());
     this.pool = pool;
   }
@@ -29,6 +32,10 @@
     return pool;
   }
 
+  FairTurns turns() {
+    return turns;
+  }
+
   /** Returns whether an entry tells of the same process at the same address. */
   boolean isFor(UpstreamEntry other) {
     return entry.isSameLife(other) && entry.address().equals(other.address());
