The leader does not read what it writes itself

Change: a leader reads registrations and operators' orders all the time, members each 3 s, owners not at all.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
@@ -38,6 +38,9 @@
   /** Time between two reads of owners and members by a VM without leader, in milliseconds. */
   static final long SYSTEM_MS = 500;
 
+  /** Time between two reads of the members by the leader, which hears of them by their reports. */
+  static final long LEADER_MEMBERS_MS = 3000;
+
   /** Time between two questions for owners that proved wrong, in milliseconds. */
   static final long REFRESH_MS = 120;
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -61,6 +61,11 @@
   private final KeyLoads loads = new KeyLoads();
   private final List<TablePoller> pollers = new ArrayList<>();
   private final TablePoller ownersPoller;
+
+  /** What the leader reads all the time; it writes the owners of keys itself. */
+  private final List<TablePoller> leaderPollers;
+
+  private final TablePoller membersPoller;
   private final String upstreamTable;
   private Optional<LeaderSeat> leader = Optional.empty();
   private @Nullable LeaderDuty duty;
@@ -119,10 +124,15 @@
             loop,
             this::onSeatSeen,
             this::onSeatTaken);
-    addPoller(platform.upstreamTable(), ControlTiming.UPSTREAMS_MS, 0, this::onUpstreamsRead);
-    addPoller(platform.operatorTable(), 0, ControlTiming.ORDERS_WAIT_MS, this::onStoreAnswer);
+    leaderPollers =
+        List.of(
+            addPoller(
+                platform.upstreamTable(), ControlTiming.UPSTREAMS_MS, 0, this::onUpstreamsRead),
+            addPoller(
+                platform.operatorTable(), 0, ControlTiming.ORDERS_WAIT_MS, this::onStoreAnswer));
     ownersPoller = addPoller(SystemTables.RANGES, ControlTiming.SYSTEM_MS, 0, this::onStoreAnswer);
-    addPoller(SystemTables.MEMBERS, 2 * ControlTiming.SYSTEM_MS, 0, this::onStoreAnswer);
+    membersPoller =
+        addPoller(SystemTables.MEMBERS, 2 * ControlTiming.SYSTEM_MS, 0, this::onStoreAnswer);
   }
 
   /** Lets stronger machines take the seat first. */
@@ -158,7 +168,10 @@
     watchPause(nowMs);
     join(nowMs);
     boolean leads = duty != null;
-    if (leads || nowMs - freshMs > staleMs() || !started) {
+    if (leads) {
+      leaderPollers.forEach(TablePoller::poll);
+      membersPoller.pollEvery(ControlTiming.LEADER_MEMBERS_MS);
+    } else if (nowMs - freshMs > staleMs() || !started) {
       pollers.forEach(TablePoller::poll);
     }
     if (leads) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -39,6 +39,7 @@
   private boolean inCall;
   private boolean reread;
   private long nextMs;
+  private long sentMs = Long.MIN_VALUE / 2;
   private long pauseMs = FIRST_PAUSE_MS;
 
   /**
@@ -67,6 +68,13 @@
     this.onSuccess = Assert.notNull(onSuccess, "onSuccess");
   }
 
+  /** Calls the store if it is time and the last call was sent some time ago, in milliseconds. */
+  void pollEvery(long leastIntervalMs) {
+    if (clock.nowMs() >= sentMs + leastIntervalMs) {
+      poll();
+    }
+  }
+
   /** Calls the store if it is time. */
   void poll() {
     long nowMs = clock.nowMs();
@@ -74,6 +82,7 @@
       return;
     }
     inCall = true;
+    sentMs = nowMs;
     long version = knowledge.mirror(table).version();
     CompletableFuture<RowPage> page =
         version == 0 || reread
