Keys move only for differences beyond chance

Change: the busiest upstream must exceed the mean by what the highest of that many fading counts does by chance. Ruled out by tests: a fixed 2.5 or 2 deviations (a lasting skew stays at 1.27 and 1.252 of the mean, RangeBalanceTests asks 1.25). Test: differencesByChanceMoveLittleAmongManyUpstreams, 53 moves before, under 12 now.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
@@ -31,6 +31,9 @@
    */
   private static final double LEAST_GAIN = 0.98;
 
+  /** Usual deviation of a fading count, as part of the root of its mean. */
+  private static final double FADING_DEVIATION = 0.72;
+
   /** How much stronger an upstream must be for a single hot key to move to it. */
   private static final double STRONGER = 1.25;
 
@@ -210,7 +213,9 @@
     }
     double excess = (most.relativeLoad() - mean) * most.candidate.capacity();
     double lack = (mean - least.relativeLoad()) * least.candidate.capacity();
-    boolean busy = most.relativeLoad() > urgency.busyRatio() * mean;
+    boolean busy =
+        most.relativeLoad() > urgency.busyRatio() * mean
+            && excess > byChance(shares.size(), mean * most.candidate.capacity());
     boolean idle = least.width == 0;
     double wanted = Math.min(excess, lack);
     if (!busy && !idle || wanted < least(urgency, mean, least)) {
@@ -229,6 +234,11 @@
     return move;
   }
 
+  /** Returns by how much the busiest of many equal upstreams exceeds their mean load by chance. */
+  private static double byChance(int upstreams, double meanLoad) {
+    return FADING_DEVIATION * Math.sqrt(2 * Math.log(upstreams) * meanLoad);
+  }
+
   /** Returns the least load that is worth a move. */
   private static double least(Urgency urgency, double mean, Share to) {
     return Math.max(LEAST_MOVED_LOAD, urgency.leastShare() * mean * to.candidate.capacity());
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -196,6 +196,18 @@
     return peak / samples;
   }
 
+  /**
+   * Few requests at each of many upstreams differ by chance; keys that move are slow for a while.
+   */
+  @Test
+  public void differencesByChanceMoveLittleAmongManyUpstreams() {
+    reset(120);
+    settle();
+    moves = 0;
+    play(30, 0, 0, 1);
+    assertThat(moves).as("moves in half a minute").isLessThan(120 / 10);
+  }
+
   @Test
   public void lastingSkewIsEvenedOut() {
     reset(UPSTREAMS);
