--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.ColdAllowance;
@@ -197,7 +198,8 @@
     if (call.service().keyed()) {
       long backMs = ownerBackMs(call, nowMs);
       if (backMs > until) {
-        call.refuse("owner out of reach", RequestCall.BAD_GATEWAY);
+        boolean full = isOwnerFull(call, nowMs);
+        call.refuse(full ? "owner is full" : "owner out of reach", RequestCall.BAD_GATEWAY);
         return;
       }
       until = backMs < 0 ? Math.min(until, nowMs + MOVE_PAUSE_MS) : until;
@@ -246,6 +248,13 @@
         .orElse(-1L);
   }
 
+  private boolean isOwnerFull(RequestCall call, long nowMs) {
+    return owner(call)
+        .flatMap(assignment -> view.upstreams().get(assignment.owner().upstream()))
+        .map(entry -> book.of(entry).turns().isFull(nowMs))
+        .orElse(false);
+  }
+
   private boolean sameOwner(RequestCall a, RequestCall b) {
     Optional<RangeAssignment> ownerOfA = owner(a);
     return ownerOfA.isPresent()
@@ -324,13 +333,31 @@
   void onReport(UpstreamHandle upstream, LoadReport report) {
     long nowMs = nowMs();
     upstream.load().reported(report, nowMs);
-    upstream.turns().reported(report, turnMs(upstream), nowMs);
+    noteTurns(upstream, "report", turns -> turns.reported(report, turnMs(upstream), nowMs), nowMs);
+  }
+
+  /** Logs when an upstream begins or ceases to be seen full. */
+  private void noteTurns(
+      UpstreamHandle upstream, String reason, Consumer<FairTurns> change, long nowMs) {
+    boolean before = upstream.turns().isFull(nowMs);
+    change.accept(upstream.turns());
+    boolean full = upstream.turns().isFull(nowMs);
+    if (full != before) {
+      logger
+          .atInfo()
+          .with(EventFields.UPSTREAM, upstream.entry().id())
+          .with(EventFields.SERVICE, upstream.entry().service())
+          .with(EventFields.REASON, reason)
+          .with(EventFields.COUNT, (long) upstream.load().occupied(nowMs))
+          .log(full ? "upstream full" : "upstream has room");
+    }
   }
 
   /** Notes that an upstream turned a request away for lack of room. */
   void onShed(UpstreamHandle upstream) {
-    upstream.load().shed(nowMs());
-    upstream.turns().full(turnMs(upstream), nowMs());
+    long nowMs = nowMs();
+    upstream.load().shed(nowMs);
+    noteTurns(upstream, "refusal", turns -> turns.full(turnMs(upstream), nowMs), nowMs);
   }
 
   /**
@@ -338,9 +365,10 @@
    * work could be done is how some upstreams turn requests away.
    */
   void onLost(UpstreamHandle upstream, double afterMs) {
-    upstream.load().failed(nowMs());
+    long nowMs = nowMs();
+    upstream.load().failed(nowMs);
     if (afterMs < EARLY_SHARE * upstream.load().workMs(usual(upstream.entry().service()))) {
-      upstream.turns().full(turnMs(upstream), nowMs());
+      noteTurns(upstream, "early end", turns -> turns.full(turnMs(upstream), nowMs), nowMs);
     }
   }
 
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryVmTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryVmTests.java
@@ -242,6 +242,21 @@
     EntryWorld.await("p1 is left", () -> world.get(0, "/safe/a", "h").bodyText().startsWith("p2"));
   }
 
+  /** Calls to the store are priced, and the leader alone writes the owners. */
+  @Test(timeOut = MOST_MS)
+  public void theLeaderDoesNotReadTheOwnersThatItWrites() throws Exception {
+    awaitOwners();
+    int before = world.store().calls().size();
+    EntryWorld.await("more reads of the registrations", () -> calls(before, "table=servers") >= 6);
+    assertThat(calls(before, "table=foxtailford-ranges")).isZero();
+    assertThat(calls(before, "table=foxtailford-members")).isLessThanOrEqualTo(2);
+  }
+
+  private long calls(int after, String text) {
+    List<String> calls = world.store().calls();
+    return calls.subList(after, calls.size()).stream().filter(c -> c.contains(text)).count();
+  }
+
   @Test(timeOut = MOST_MS)
   public void keysAreServedAgainAfterTheirOwnerLeft() throws Exception {
     awaitOwners();
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/RowStoreStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/RowStoreStandIn.java
@@ -64,7 +64,7 @@
     return faults;
   }
 
-  /** Returns the calls so far, as method and path. */
+  /** Returns the calls so far, as method, path and query. */
   public synchronized List<String> calls() {
     return List.copyOf(calls);
   }
@@ -92,7 +92,7 @@
   @Override
   public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
     synchronized (this) {
-      calls.add(exchange.method() + " " + exchange.path());
+      calls.add(exchange.method() + " " + exchange.uri());
     }
     if (faults.isDown()) {
       return CompletableFuture.completedFuture(HttpAnswer.json(503, "{}"));
