--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -13,11 +13,9 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.ColdAllowance;
-import org.foxtailford.core.overload.FairTurns;
 import org.foxtailford.core.overload.RetryAllowance;
 import org.foxtailford.core.overload.WaitingOrder;
 import org.foxtailford.core.overload.WaitingRequest;
@@ -26,7 +24,6 @@
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.time.MillisClock;
-import org.foxtailford.core.upstream.LoadReport;
 import org.foxtailford.core.upstream.UpstreamChooser;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
@@ -75,9 +72,6 @@
   /** Part of the connections to an upstream that are used for requests; the rest is for orders. */
   private static final double CONNECTION_SHARE = 0.9;
 
-  /** Part of the usual work within which no upstream fails a request that it has begun. */
-  private static final double EARLY_SHARE = 0.1;
-
   /** Part of the aim that a request may wait once more after a failed send. */
   private static final double AGAIN_WAIT_SHARE = 0.25;
 
@@ -94,6 +88,7 @@
   private final String dataCentre;
   private final UpstreamChooser chooser;
   private final ColdAllowance cold;
+  private final OwnerTurns turns;
   private final WaitingRoom room = new WaitingRoom(ROOM);
   private final Map<String, List<RequestCall>> waiting = new HashMap<>();
   private final Map<String, Double> usualMs = new HashMap<>();
@@ -126,6 +121,7 @@
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
     this.chooser = new UpstreamChooser(random);
     this.cold = new ColdAllowance(node);
+    this.turns = new OwnerTurns(view, clock, this::usual);
   }
 
   /** Replaces the budget of further sends after a change of the settings. */
@@ -155,6 +151,10 @@
     return metrics;
   }
 
+  OwnerTurns turns() {
+    return turns;
+  }
+
   ScheduledFuture<?> later(long delayMs, Runnable task) {
     return loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
   }
@@ -286,11 +286,11 @@
     double own = 1;
     double all = 1;
     for (UpstreamEntry entry : entries) {
-      UpstreamLoad load = book.of(entry).load();
+      UpstreamHandle handle = book.of(entry);
+      UpstreamLoad load = handle.load();
       if (!load.isSuspended(nowMs)) {
-        UpstreamHandle handle = book.of(entry);
         if (call.service().keyed() && handle.turns().isFull(nowMs)) {
-          return 1000 / Math.max(1, turnMs(handle));
+          return 1000 / Math.max(1, turns.lengthMs(handle));
         }
         perSecond += load.slots() * 1000 / Math.max(1, load.workMs(usual(service)));
         own += load.inFlight();
@@ -318,60 +318,11 @@
       cold.passed(handle.entry().id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
     }
     if (service.keyed()) {
-      handle.turns().sent(turnMs(handle), nowMs);
+      turns.onSent(handle);
     }
     call.send(handle);
   }
 
-  private double turnMs(UpstreamHandle upstream) {
-    UpstreamLoad load = upstream.load();
-    double workMs = load.workMs(usual(upstream.entry().service()));
-    return FairTurns.lengthMs(workMs, load.slots(), view.entryVms().size());
-  }
-
-  /** Takes what an upstream reports of its load. */
-  void onReport(UpstreamHandle upstream, LoadReport report) {
-    long nowMs = nowMs();
-    upstream.load().reported(report, nowMs);
-    noteTurns(upstream, "report", turns -> turns.reported(report, turnMs(upstream), nowMs), nowMs);
-  }
-
-  /** Logs when an upstream begins or ceases to be seen full. */
-  private void noteTurns(
-      UpstreamHandle upstream, String reason, Consumer<FairTurns> change, long nowMs) {
-    boolean before = upstream.turns().isFull(nowMs);
-    change.accept(upstream.turns());
-    boolean full = upstream.turns().isFull(nowMs);
-    if (full != before) {
-      logger
-          .atInfo()
-          .with(EventFields.UPSTREAM, upstream.entry().id())
-          .with(EventFields.SERVICE, upstream.entry().service())
-          .with(EventFields.REASON, reason)
-          .with(EventFields.COUNT, (long) upstream.load().occupied(nowMs))
-          .log(full ? "upstream full" : "upstream has room");
-    }
-  }
-
-  /** Notes that an upstream turned a request away for lack of room. */
-  void onShed(UpstreamHandle upstream) {
-    long nowMs = nowMs();
-    upstream.load().shed(nowMs);
-    noteTurns(upstream, "refusal", turns -> turns.full(turnMs(upstream), nowMs), nowMs);
-  }
-
-  /**
-   * Notes a connection that was lost while a request was on its way; one that ends long before the
-   * work could be done is how some upstreams turn requests away.
-   */
-  void onLost(UpstreamHandle upstream, double afterMs) {
-    long nowMs = nowMs();
-    upstream.load().failed(nowMs);
-    if (afterMs < EARLY_SHARE * upstream.load().workMs(usual(upstream.entry().service()))) {
-      noteTurns(upstream, "early end", turns -> turns.full(turnMs(upstream), nowMs), nowMs);
-    }
-  }
-
   private Optional<UpstreamHandle> placeAtOwner(RequestCall call) {
     long nowMs = nowMs();
     Optional<RangeAssignment> assignment = owner(call);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -118,7 +118,7 @@
     scheduler
         .dialect()
         .load(newHead.headers())
-        .ifPresent(report -> scheduler.onReport(upstream, report));
+        .ifPresent(report -> scheduler.turns().onReport(upstream, report));
     int status = newHead.status().code();
     refused = scheduler.dialect().isNotRun(status, newHead.headers());
   }
@@ -232,7 +232,7 @@
     if (status == MISDIRECTED) {
       scheduler.onMisdirected(call, upstream);
     } else if (refused) {
-      scheduler.onShed(upstream);
+      scheduler.turns().onShed(upstream);
     } else {
       upstream.load().faulty(scheduler.nowMs());
     }
@@ -251,7 +251,7 @@
     if (failure == UpstreamFailure.REFUSED) {
       upstream.load().unreachable(nowMs);
     } else if (failure == UpstreamFailure.LOST) {
-      scheduler.onLost(upstream, nowMs - sentMs);
+      scheduler.turns().onLost(upstream, nowMs - sentMs);
     } else {
       upstream.load().failed(nowMs);
     }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/settings/EntrySettingsReaderTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/settings/EntrySettingsReaderTests.java
@@ -11,7 +11,8 @@
 
   private static final String SOUND =
       """
-      {"node":"n","dataCentre":"d","processorShare":0.6,"linkMbps":100,"listen":{"callers":"127.0.0.1:1",
+      {"node":"n","dataCentre":"d","processorShare":0.6,"linkMbps":100,
+      "listen":{"callers":"127.0.0.1:1",
       "readiness":"127.0.0.1:2","peers":"127.0.0.1:3","metricsPort":9464},
       "seeds":["10.0.0.1:7"],"store":{"address":"10.0.0.2:8"},"bounds":{"retryRatio":0.2,
       "retrySlack":60,"retryWindow":"10s","coldRatio":1.5,"coldSlack":5,"maxHold":"10000ms",
