--- a/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
@@ -41,6 +41,9 @@
   /** Version of the row or configuration that the event refers to. */
   public static final MetadataKey<Long> VERSION = longField("version");
 
+  /** Era of the store: number of times that it was restored from an older copy. */
+  public static final MetadataKey<Long> ERA = longField("era");
+
   /** Age of the data or confirmation that a decision is based on, in milliseconds. */
   public static final MetadataKey<Long> AGE_MS = longField("ageMs");
 
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/DecayingKeyLoads.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/DecayingKeyLoads.java
@@ -64,6 +64,11 @@
     return total;
   }
 
+  /** Returns the rate of requests whose steady decayed count is the present one, per second. */
+  public double requestsPerSecond() {
+    return total * (1 - retentionPerSecond);
+  }
+
   /** Returns the load of one key, in decayed requests. */
   public double of(int key) {
     return counts[key];
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/KeyLoadHistory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/KeyLoadHistory.java
@@ -23,6 +23,11 @@
     longTerm.add(key, requests, nowMs);
   }
 
+  /** Returns the present rate of requests for all keys, per second; higher in a burst. */
+  public double requestsPerSecond() {
+    return Math.max(recent.requestsPerSecond(), longTerm.requestsPerSecond());
+  }
+
   /** Applies the decay of the time that has passed to both counts. */
   public void decay(long nowMs) {
     recent.decay(nowMs);
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeCommand.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeCommand.java
@@ -31,6 +31,19 @@
    *
    * @param assignments all assignments of the service, in order of their keys
    * @param expectedVersion version that the stored map must have; 0 if no map may be stored yet
+   * @param complete whether no other upstream than these owners may hold any key
    */
-  record Write(List<RangeAssignment> assignments, long expectedVersion) implements RangeCommand {}
+  record Write(List<RangeAssignment> assignments, long expectedVersion, boolean complete)
+      implements RangeCommand {
+
+    /**
+     * Returns the same write after the store was restored from an older copy, so that keys may have
+     * other owners.
+     *
+     * @param restoredVersion version of the restored map; 0 if there is none
+     */
+    public Write afterRestore(long restoredVersion) {
+      return new Write(assignments, restoredVersion, false);
+    }
+  }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
@@ -24,10 +24,14 @@
 public final class RangeController {
 
   /**
-   * Time to wait for more upstreams after the first one, in milliseconds; longer than the interval
-   * of their heartbeats.
+   * Time without a new upstream after which the first keys are assigned, in milliseconds; longer
+   * than the interval of the upstreams' heartbeats. Upstreams that come later get keys only when
+   * there is load to balance.
    */
-  private static final long INITIAL_WAIT_MS = 2500;
+  private static final long INITIAL_QUIET_MS = 1500;
+
+  /** Maximum time to wait for more upstreams after the first one, in milliseconds. */
+  private static final long MAX_INITIAL_WAIT_MS = 5000;
 
   /** Time for which an unreachable upstream is not assigned any keys, in milliseconds. */
   private static final long EXCLUSION_MS = 3000;
@@ -39,8 +43,15 @@
   private List<RangePiece> pieces = new ArrayList<>();
   private long mapVersion;
   private final Map<RangeOwner, Long> excludedUntilMs = new HashMap<>();
+  private final long grantsFromMs;
   private boolean writePending;
+  private boolean rewriteDue;
+  private long heldBackUntilMs = Long.MIN_VALUE;
+  private boolean superseded;
+  private boolean completed = true;
   private long firstCandidateMs = Long.MIN_VALUE;
+  private long newestCandidateMs;
+  private int candidateCount;
 
   /**
    * Creates a controller that starts from the stored map.
@@ -49,6 +60,9 @@
    * @param fences source of fences, each higher than all fences before
    * @param loads request counts of the keys
    * @param map stored map; {@link RangeMap#EMPTY} for a service without one
+   * @param mapComplete whether no later map can have been lost. Otherwise other upstreams than the
+   *     recorded owners may hold any key, so nothing is granted until all earlier grants have
+   *     expired
    * @param earlierGrantsExpiryMs latest time until which grants of earlier leaders may be in force,
    *     in milliseconds
    */
@@ -57,11 +71,13 @@
       LongSupplier fences,
       KeyLoadHistory loads,
       RangeMap map,
+      boolean mapComplete,
       long earlierGrantsExpiryMs) {
     this.timing = Assert.notNull(timing, "timing");
     this.fences = Assert.notNull(fences, "fences");
     this.loads = Assert.notNull(loads, "loads");
     this.mapVersion = map.version();
+    this.grantsFromMs = mapComplete ? Long.MIN_VALUE : earlierGrantsExpiryMs;
     int next = 0;
     for (RangeAssignment assignment : map.assignments()) {
       if (assignment.range().first() > next) {
@@ -85,6 +101,9 @@
    */
   public List<RangeCommand> nextCommands(
       Collection<RangeCandidate> candidates, boolean mayMove, long nowMs) {
+    if (nowMs < grantsFromMs) {
+      return List.of();
+    }
     Map<RangeOwner, RangeCandidate> usable = new HashMap<>();
     excludedUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
     for (RangeCandidate candidate : candidates) {
@@ -132,7 +151,7 @@
     if (usable.isEmpty()) {
       return;
     }
-    if (isInInitialWait(nowMs)) {
+    if (isInInitialWait(usable.size(), nowMs)) {
       return;
     }
     pieces = planner.placeFreePieces(pieces, usable.values(), loads);
@@ -143,29 +162,40 @@
 
   /**
    * Returns whether a service without a map still waits for its first upstreams, so that the first
-   * one doesn't get all keys.
+   * ones don't get all keys.
    */
-  private boolean isInInitialWait(long nowMs) {
+  private boolean isInInitialWait(int candidates, long nowMs) {
     if (firstCandidateMs == Long.MIN_VALUE) {
       firstCandidateMs = nowMs;
     }
-    return mapVersion == 0 && nowMs - firstCandidateMs < INITIAL_WAIT_MS;
+    if (candidates > candidateCount) {
+      candidateCount = candidates;
+      newestCandidateMs = nowMs;
+    }
+    return mapVersion == 0
+        && nowMs - newestCandidateMs < INITIAL_QUIET_MS
+        && nowMs - firstCandidateMs < MAX_INITIAL_WAIT_MS;
   }
 
   private void write(
       Map<RangeOwner, RangeCandidate> usable, long nowMs, List<RangeCommand> commands) {
+    boolean complete = pieces.stream().noneMatch(piece -> piece.isHeldBack(nowMs));
     boolean changed =
-        pieces.stream()
-            .anyMatch(
-                p ->
-                    p.isFenceDue(nowMs)
-                        || p.isFree() && p.target().map(usable::containsKey).orElse(false));
+        rewriteDue
+            || complete && !completed
+            || pieces.stream()
+                .anyMatch(
+                    p ->
+                        p.isFenceDue(nowMs)
+                            || p.isFree()
+                                && !p.isHeldBack(nowMs)
+                                && p.target().map(usable::containsKey).orElse(false));
     if (writePending || !changed) {
       return;
     }
     List<RangeAssignment> assignments = new ArrayList<>();
     for (RangePiece piece : pieces) {
-      if (piece.isFree() && piece.target().isPresent()) {
+      if (piece.isFree() && piece.target().isPresent() && !piece.isHeldBack(nowMs)) {
         piece.assign(fences.getAsLong());
       } else if (piece.isFenceDue(nowMs)) {
         piece.renewFence(fences.getAsLong());
@@ -175,7 +205,9 @@
       }
     }
     writePending = true;
-    commands.add(new RangeCommand.Write(merged(assignments), mapVersion));
+    rewriteDue = false;
+    completed = complete;
+    commands.add(new RangeCommand.Write(merged(assignments), mapVersion, complete));
   }
 
   /** Merges adjacent ranges with the same owner and fence. */
@@ -223,6 +255,7 @@
         piece.correctGrantExpiry(timing.latestExpiryMs(nowMs));
         break;
       case FENCED:
+        superseded = superseded || nowMs < heldBackUntilMs && command.session().isPresent();
         piece.requireNewFence();
         break;
       case OTHER_UPSTREAM:
@@ -286,6 +319,36 @@
     pieces.stream().filter(RangePiece::isWritePending).forEach(piece -> piece.onMapWritten(nowMs));
   }
 
+  /**
+   * Continues after the store was restored from an older copy, whose map may lack what this
+   * controller wrote: the map is written again. A pending write must be retried with the version
+   * given here.
+   *
+   * <p>The restored store may also have lost that another leader took over for a while. An owner
+   * that still accepts renewals under its fence has seen no command of another leader. Ranges
+   * without such an owner are held back until all grants of another leader have expired, and until
+   * then the map is not complete.
+   *
+   * @param restoredVersion number of the version of the restored map; 0 if there is none
+   */
+  public void onStoreRestored(long restoredVersion, long nowMs) {
+    mapVersion = restoredVersion;
+    rewriteDue = !writePending;
+    heldBackUntilMs =
+        timing.latestExpiryMs(nowMs + timing.callTimeoutMs())
+            + LeadershipTiming.GRANT_RENEWAL_WINDOW_MS;
+    completed = false;
+    pieces.forEach(piece -> piece.requireProof(heldBackUntilMs));
+  }
+
+  /**
+   * Returns whether an owner has shown, after the store was restored, that another leader took over
+   * before; this controller must then not be used any more.
+   */
+  public boolean isSuperseded() {
+    return superseded;
+  }
+
   private Optional<RangePiece> findPiece(RangeAssignment assignment) {
     return pieces.stream().filter(p -> p.range().equals(assignment.range())).findFirst();
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
@@ -30,6 +30,8 @@
   private @Nullable RangeOwner target;
   private long movedAtMs = Long.MIN_VALUE / 2;
   private Optional<String> handover = Optional.empty();
+  private long heldBackUntilMs = Long.MIN_VALUE;
+  private int missingProofs;
 
   /** Creates a piece without an owner. */
   RangePiece(KeyRange range) {
@@ -66,6 +68,8 @@
     copy.target = target;
     copy.movedAtMs = movedAtMs;
     copy.handover = handover;
+    copy.heldBackUntilMs = heldBackUntilMs;
+    copy.missingProofs = missingProofs;
     return copy;
   }
 
@@ -115,10 +119,27 @@
     return state == State.OWNED
         && session.isPresent()
         && !needsFence
+        && missingProofs == 0
         && !commandInFlight
         && movedAtMs <= sinceMs;
   }
 
+  /**
+   * Requires a proof that the owner has seen no command of another leader: a renewal under its
+   * present fence that is sent and accepted from now on. Without it, there is no new fence and no
+   * new owner until a given time, in milliseconds.
+   */
+  void requireProof(long untilMs) {
+    boolean renewable = state == State.OWNED && session.isPresent() && !needsFence;
+    missingProofs = !renewable ? Integer.MAX_VALUE : commandInFlight ? 2 : 1;
+    heldBackUntilMs = untilMs;
+  }
+
+  /** Returns whether a required proof is missing and may still come. */
+  boolean isHeldBack(long nowMs) {
+    return missingProofs > 0 && nowMs < heldBackUntilMs;
+  }
+
   /** Returns the connection over which the keys were granted under the current fence. */
   OptionalLong session() {
     return session;
@@ -126,11 +147,14 @@
 
   /** Returns whether a new fence for the same owner is to be written now. */
   boolean isFenceDue(long nowMs) {
-    return state == State.OWNED && needsFence && isCommandDue(nowMs);
+    return state == State.OWNED && needsFence && !isHeldBack(nowMs) && isCommandDue(nowMs);
   }
 
   boolean isGrantDue(long nowMs) {
-    return state == State.OWNED && !needsFence && isCommandDue(nowMs);
+    return state == State.OWNED
+        && !needsFence
+        && (session.isPresent() || !isHeldBack(nowMs))
+        && isCommandDue(nowMs);
   }
 
   /**
@@ -140,6 +164,7 @@
   void requireNewFence() {
     needsFence = true;
     session = OptionalLong.empty();
+    missingProofs = missingProofs > 0 ? Integer.MAX_VALUE : 0;
   }
 
   /** Sets a new fence for the same owner, which takes effect once the map is written. */
@@ -190,10 +215,12 @@
   void confirmGrant(OptionalLong newSession) {
     session = newSession;
     handover = Optional.empty();
+    missingProofs = Math.max(0, missingProofs - 1);
   }
 
   void beginRelease(long nowMs) {
     state = State.RELEASING;
+    missingProofs = missingProofs > 0 ? Integer.MAX_VALUE : 0;
     newFencePending = false;
     nextCommandMs = nowMs;
     movedAtMs = nowMs;
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
@@ -86,6 +86,11 @@
       return load / candidate.capacity();
     }
 
+    /** Returns the load that the upstream lacks to a mean relative load; negative if none. */
+    double deficit(double mean) {
+      return mean * candidate.capacity() - load;
+    }
+
     /**
      * Returns the relative load for the placement of free pieces. Each key adds the mean load per
      * key, so that keys are spread evenly when there is no load.
@@ -222,26 +227,41 @@
       double mean,
       BalancingPolicy policy,
       long nowMs) {
-    UpstreamLoad busiest =
-        loadsByOwner.values().stream()
-            .max(Comparator.comparingDouble(UpstreamLoad::relativeLoad))
-            .orElse(null);
-    UpstreamLoad idlest =
+    List<UpstreamLoad> byLoad = new ArrayList<>(loadsByOwner.values());
+    byLoad.sort(Comparator.comparingDouble(UpstreamLoad::relativeLoad).reversed());
+    for (UpstreamLoad busy : byLoad) {
+      Optional<Move> move = findMoveFrom(busy, pieces, loadsByOwner, loads, mean, policy, nowMs);
+      if (move.isPresent()) {
+        return move;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<Move> findMoveFrom(
+      UpstreamLoad busiest,
+      List<RangePiece> pieces,
+      Map<RangeOwner, UpstreamLoad> loadsByOwner,
+      DecayingKeyLoads loads,
+      double mean,
+      BalancingPolicy policy,
+      long nowMs) {
+    UpstreamLoad emptiest =
         loadsByOwner.values().stream()
             .filter(upstream -> !upstream.candidate.cold())
-            .min(Comparator.comparingDouble(UpstreamLoad::relativeLoad))
+            .max(Comparator.comparingDouble(upstream -> upstream.deficit(mean)))
             .orElse(null);
-    if (busiest == null || idlest == null || busiest == idlest) {
+    if (emptiest == null || busiest == emptiest) {
       return Optional.empty();
     }
     double excess = (busiest.relativeLoad() - mean) * busiest.candidate.capacity();
-    double deficit = (mean - idlest.relativeLoad()) * idlest.candidate.capacity();
+    double deficit = emptiest.deficit(mean);
     boolean overloaded =
         busiest.relativeLoad() > policy.overloadRatio() * mean
             && excess > randomExcess(loadsByOwner.size(), mean * busiest.candidate.capacity());
-    boolean ownsNothing = idlest.width == 0;
+    boolean ownsNothing = emptiest.width == 0;
     double desiredLoad = Math.min(excess, deficit);
-    if (!overloaded && !ownsNothing || desiredLoad < minMovedLoad(policy, mean, idlest)) {
+    if (!overloaded && !ownsNothing || desiredLoad < minMovedLoad(policy, mean, emptiest)) {
       return Optional.empty();
     }
     Optional<Move> move =
@@ -251,10 +271,10 @@
                     findPartMove(
                         pieces,
                         busiest,
-                        idlest,
+                        emptiest,
                         loads,
                         desiredLoad,
-                        minMovedLoad(policy, mean, idlest),
+                        minMovedLoad(policy, mean, emptiest),
                         nowMs));
     if (move.isPresent()) {
       double moved = loads.of(move.get().part());
--- a/foxtailford-core/src/main/java/org/foxtailford/core/store/Row.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/store/Row.java
@@ -7,15 +7,16 @@
  *
  * @param key key within the table
  * @param value content; empty if removed
- * @param version store version at which the row was written or removed
+ * @param version version of the store at which the row was written or removed
  * @param deleted whether the row was removed
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record Row(String key, byte[] value, long version, boolean deleted) {
+public record Row(String key, byte[] value, StoreVersion version, boolean deleted) {
 
-  /** Checks that key and value are present. */
+  /** Checks that key, value and version are present. */
   public Row {
     Assert.notNull(key, "key");
     Assert.notNull(value, "value");
+    Assert.notNull(version, "version");
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/store/RowStore.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/store/RowStore.java
@@ -1,12 +1,18 @@
 package org.foxtailford.core.store;
 
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /** Client of the platform's tables, which offer transactions and change feeds. */
 public interface RowStore {
 
+  /**
+   * Returns the latest era that the store has stated; 0 before an answer has stated one. It rises
+   * when the store was restored from an older copy.
+   */
+  long era();
+
   /**
    * Reads all rows of a table.
    *
@@ -18,21 +24,23 @@
   /**
    * Reads the changes of a table.
    *
-   * @param afterVersion store version up to which the caller has the table
+   * @param afterVersion version of the store up to which the caller has the table
    * @param waitMs time for which the store may wait for a change, in milliseconds
    * @param timeoutMs timeout of the call, in milliseconds
    * @return future that fails with {@link HistoryLostException} if the store no longer has the
-   *     changes
+   *     changes, or with {@link EraChangedException} if the store is in another era than {@code
+   *     afterVersion}
    */
   CompletableFuture<RowPage> readChanges(
-      String table, long afterVersion, long waitMs, long timeoutMs);
+      String table, StoreVersion afterVersion, long waitMs, long timeoutMs);
 
   /**
    * Writes rows in one transaction if all of them have the expected versions.
    *
+   * @param era era to which the expected versions belong
    * @return future of the transaction's version, empty if a row had another version; fails if the
-   *     store does not answer or rejects the call, in which case the write may have been applied or
-   *     may still be applied later
+   *     store does not answer, rejects the call or is in another era, in which case the write may
+   *     have been applied or may still be applied later
    */
-  CompletableFuture<OptionalLong> write(List<RowWrite> rows, long timeoutMs);
+  CompletableFuture<Optional<StoreVersion>> write(List<RowWrite> rows, long era, long timeoutMs);
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/store/RowWrite.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/store/RowWrite.java
@@ -7,7 +7,8 @@
  *
  * @param table name of the table
  * @param key key within the table
- * @param expectedVersion version that the row must have; 0 if it must not exist, negative for any
+ * @param expectedVersion number of the version that the row must have, in the era of the call; 0 if
+ *     it must not exist, negative for any
  * @param value new content; ignored if {@code write} is false
  * @param write whether the row is written, or only its version checked
  */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/store/TableMirror.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/store/TableMirror.java
@@ -13,15 +13,20 @@
 /**
  * Local copy of a table, updated from the store or from other entry VMs.
  *
- * <p>A row is never replaced by an older version, whatever the order of the pages. Removed rows are
- * kept as tombstones, so that removals can be forwarded and are not undone by delayed pages. Not
- * thread-safe.
+ * <p>Within an era a row is never replaced by an older version, whatever the order of the pages.
+ * Removed rows are kept as tombstones, so that removals can be forwarded and are not undone by
+ * delayed pages.
+ *
+ * <p>A later era begins with a snapshot, since changes of one era don't apply to the copy of
+ * another. Rows that the snapshot lacks are carried over until {@link #dropCarried()}: the restored
+ * store may have lost them, and their writers write them again. Not thread-safe.
  */
 public final class TableMirror {
 
   private final String table;
   private final Map<String, Row> rows = new HashMap<>();
-  private long version;
+  private StoreVersion version = StoreVersion.NONE;
+  private StoreVersion eraBegin = StoreVersion.NONE;
 
   /** Creates an empty copy. */
   public TableMirror(String table) {
@@ -33,41 +38,83 @@
     return table;
   }
 
-  /** Returns the store version up to which the copy is complete; 0 before the first page. */
-  public long version() {
+  /**
+   * Returns the version up to which the copy is complete; {@link StoreVersion#NONE} before the
+   * first page.
+   */
+  public StoreVersion version() {
     return version;
   }
 
+  /** Returns the version of the snapshot with which the copy's era began; of a peer's, if older. */
+  public StoreVersion eraBegin() {
+    return eraBegin;
+  }
+
   /** Returns a row; empty if it does not exist or was removed. */
   public Optional<Row> find(String key) {
     Row row = rows.get(key);
     return row == null || row.deleted() ? Optional.empty() : Optional.of(row);
   }
 
-  /** Returns all rows, including tombstones. */
+  /** Returns all rows, including tombstones and rows carried over from an earlier era. */
   public Collection<Row> all() {
     return rows.values();
   }
 
   /**
-   * Returns the rows changed after a store version, tombstones included; all of them for version 0.
+   * Returns whether a row may have been written before the store was restored, so that it may be
+   * older than what was known in the era before; false in the first era.
+   */
+  public boolean isRestored(Row row) {
+    return eraBegin.era() > 0
+        && row.version().era() == eraBegin.era()
+        && !row.version().isNewerThan(eraBegin);
+  }
+
+  /**
+   * Returns the rows of this era that changed after a version, tombstones included; all of them if
+   * the version belongs to an earlier era.
    */
-  public List<Row> changedAfter(long afterVersion) {
+  public List<Row> changedAfter(StoreVersion afterVersion) {
     List<Row> changed = new ArrayList<>();
     for (Row row : rows.values()) {
-      if (row.version() > afterVersion) {
+      if (!isCarried(row) && row.version().isAheadOf(afterVersion)) {
         changed.add(row);
       }
     }
     return changed;
   }
 
+  private boolean isCarried(Row row) {
+    return row.version().era() != version.era();
+  }
+
   /**
-   * Applies a page. Rows that a snapshot lacks are removed unless they are newer than it.
+   * Applies a page. Rows that a snapshot lacks are removed unless they are newer than it. A page of
+   * an earlier era is ignored, and so is one of a later era unless it is a snapshot.
    *
    * @return the rows that changed, including tombstones
    */
   public List<Row> apply(RowPage page) {
+    return apply(page, page.version());
+  }
+
+  /**
+   * Applies a page of a copy whose era began at a given version; see {@link #apply(RowPage)}.
+   *
+   * @param pageEraBegin version of the snapshot with which the era of the page's source began
+   * @return the rows that changed, including tombstones
+   */
+  public List<Row> apply(RowPage page, StoreVersion pageEraBegin) {
+    long pageEra = page.version().era();
+    if (pageEra < version.era() || pageEra > version.era() && !page.snapshot()) {
+      return List.of();
+    }
+    if (pageEra > version.era()) {
+      eraBegin = pageEraBegin;
+      version = page.version();
+    }
     List<Row> changed = new ArrayList<>();
     for (Row row : page.rows()) {
       update(row, changed);
@@ -75,13 +122,13 @@
     if (page.snapshot()) {
       removeMissing(page, changed);
     }
-    version = Math.max(version, page.version());
+    version = page.version().isNewerThan(version) ? page.version() : version;
     return changed;
   }
 
   private void update(Row row, List<Row> changed) {
     Row previous = rows.get(row.key());
-    if (previous == null || row.version() > previous.version()) {
+    if (previous == null || isCarried(previous) || row.version().isNewerThan(previous.version())) {
       rows.put(row.key(), row);
       changed.add(row);
     }
@@ -91,11 +138,36 @@
     Set<String> presentKeys = new HashSet<>();
     page.rows().forEach(row -> presentKeys.add(row.key()));
     for (Row row : List.copyOf(rows.values())) {
-      if (!row.deleted() && !presentKeys.contains(row.key()) && row.version() <= page.version()) {
-        Row removed = new Row(row.key(), new byte[0], page.version(), true);
-        rows.put(row.key(), removed);
-        changed.add(removed);
+      if (!row.deleted()
+          && !isCarried(row)
+          && !presentKeys.contains(row.key())
+          && !row.version().isNewerThan(page.version())) {
+        changed.add(remove(row, page.version()));
       }
     }
   }
+
+  private Row remove(Row row, StoreVersion removedAt) {
+    Row removed = new Row(row.key(), new byte[0], removedAt, true);
+    rows.put(row.key(), removed);
+    return removed;
+  }
+
+  /**
+   * Removes the rows of earlier eras that were not written again in this one.
+   *
+   * @return tombstones of the removed rows
+   */
+  public List<Row> dropCarried() {
+    List<Row> changed = new ArrayList<>();
+    for (Row row : List.copyOf(rows.values())) {
+      if (isCarried(row)) {
+        Row removed = remove(row, version);
+        if (!row.deleted()) {
+          changed.add(removed);
+        }
+      }
+    }
+    return changed;
+  }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamDirectory.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +25,24 @@
    */
   public static final long STORE_RECOVERY_GRACE_MS = 2000;
 
+  /** Removed upstreams that are remembered; a restored store may present them again. */
+  private static final int MAX_DEPARTED = 4096;
+
   private final Map<String, Registration> upstreams = new HashMap<>();
+
+  private final Map<String, Long> departedBornMs =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_DEPARTED;
+        }
+      };
+
   private final Map<String, List<UpstreamEntry>> usable = new HashMap<>();
+  private static final long NOT_LEAVING = Long.MAX_VALUE;
+
   private Set<String> evacuatedDataCentres = Set.of();
   private boolean storeLost;
   private long graceEndMs;
@@ -34,6 +51,7 @@
     private UpstreamEntry entry;
     private long coldUntilMs;
     private boolean lapsed;
+    private long leavingSinceMs = NOT_LEAVING;
 
     Registration(UpstreamEntry entry) {
       this.entry = entry;
@@ -44,12 +62,78 @@
   public void put(UpstreamEntry entry, long nowMs) {
     Registration registration =
         upstreams.computeIfAbsent(entry.id(), id -> new Registration(entry));
+    if (!registration.entry.isSameIncarnation(entry)) {
+      registration.leavingSinceMs = NOT_LEAVING;
+    }
     registration.entry = entry;
+    departedBornMs.remove(entry.id());
     registration.lapsed = false;
     usable.clear();
     registration.coldUntilMs = entry.coldLeftMs() == 0 ? 0 : nowMs + entry.coldLeftMs();
   }
 
+  /**
+   * Adds or updates a registration that a store restored from an older copy presents. It is ignored
+   * if this incarnation was known to be draining or gone; an upstream that is alive and stays
+   * registers again.
+   *
+   * @return whether the registration was applied
+   */
+  public boolean putRestored(UpstreamEntry entry, long nowMs) {
+    Registration known = upstreams.get(entry.id());
+    boolean leaves =
+        known != null && known.entry.isSameIncarnation(entry) && known.entry.draining();
+    boolean departed = Long.valueOf(entry.bornMs()).equals(departedBornMs.get(entry.id()));
+    if (leaves || departed) {
+      return false;
+    }
+    put(entry, nowMs);
+    return true;
+  }
+
+  /**
+   * Records that an upstream said that it is leaving. It gets no requests from then on until its id
+   * belongs to another incarnation, whatever the store says.
+   *
+   * @return whether this was not known before
+   */
+  public boolean markLeaving(String id, long bornMs, long nowMs) {
+    Registration registration = upstreams.get(id);
+    boolean isNew =
+        registration != null
+            && registration.entry.bornMs() == bornMs
+            && registration.leavingSinceMs == NOT_LEAVING;
+    if (isNew) {
+      registration.leavingSinceMs = nowMs;
+      usable.clear();
+    }
+    return isNew;
+  }
+
+  /** Returns the registered upstreams that said that they are leaving. */
+  public List<UpstreamEntry> leaving() {
+    List<UpstreamEntry> leaving = new ArrayList<>();
+    for (Registration registration : upstreams.values()) {
+      if (registration.leavingSinceMs != NOT_LEAVING) {
+        leaving.add(registration.entry);
+      }
+    }
+    return leaving;
+  }
+
+  /**
+   * Returns whether an owner of keys may still get requests for them: it is usable, or it said at
+   * most {@code leavingMs} milliseconds ago that it is leaving, so that its keys are being moved.
+   */
+  public boolean mayServeKeys(UpstreamEntry entry, long leavingMs, long nowMs) {
+    Registration registration = upstreams.get(entry.id());
+    return isUsable(entry)
+        || registration != null
+            && registration.leavingSinceMs != NOT_LEAVING
+            && nowMs - registration.leavingSinceMs < leavingMs
+            && isRegistered(registration, entry);
+  }
+
   /**
    * Handles the removal of a registration, or one that has become unreadable.
    *
@@ -65,11 +149,18 @@
       registration.lapsed = true;
       return false;
     }
-    upstreams.remove(id);
-    usable.clear();
+    depart(id);
     return true;
   }
 
+  private void depart(String id) {
+    Registration departed = upstreams.remove(id);
+    if (departed != null) {
+      departedBornMs.put(id, departed.entry.bornMs());
+    }
+    usable.clear();
+  }
+
   /** Records that no reachable entry VM can reach the store. */
   public void onStoreLost() {
     storeLost = true;
@@ -94,8 +185,7 @@
     }
     List<String> removed = new ArrayList<>();
     upstreams.values().stream().filter(r -> r.lapsed).forEach(r -> removed.add(r.entry.id()));
-    removed.forEach(upstreams::remove);
-    usable.clear();
+    removed.forEach(this::depart);
     return removed;
   }
 
@@ -111,13 +201,18 @@
   }
 
   /**
-   * Returns whether requests may be sent to an upstream: this incarnation is registered, not
-   * draining, and not in an evacuated data centre.
+   * Returns whether requests may be sent to an upstream: this incarnation is registered, neither
+   * draining nor leaving, and not in an evacuated data centre.
    */
   public boolean isUsable(UpstreamEntry entry) {
     Registration registration = upstreams.get(entry.id());
     return registration != null
-        && registration.entry.isSameIncarnation(entry)
+        && registration.leavingSinceMs == NOT_LEAVING
+        && isRegistered(registration, entry);
+  }
+
+  private boolean isRegistered(Registration registration, UpstreamEntry entry) {
+    return registration.entry.isSameIncarnation(entry)
         && !registration.entry.draining()
         && !evacuatedDataCentres.contains(entry.dataCentre());
   }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
@@ -22,6 +22,12 @@
   /** Maximum duration of a suspension, in milliseconds; about one heartbeat of an upstream. */
   public static final long MAX_SUSPENSION_MS = 2000;
 
+  /**
+   * Maximum pause that an upstream may ask for, in milliseconds; a mistaken value must not keep it
+   * idle for longer than a request may last.
+   */
+  public static final long MAX_PAUSE_MS = 10_000;
+
   /**
    * Cost of a failed request as a multiple of the typical work: a retry, or the loss of the
    * request.
@@ -48,6 +54,7 @@
   private long failureAtMs;
   private int consecutiveFailures;
   private long suspendedUntilMs;
+  private long pausedUntilMs;
 
   /**
    * Creates the load of an upstream that has not reported yet.
@@ -133,6 +140,16 @@
     suspend(nowMs);
   }
 
+  /**
+   * Records that the upstream asked for a pause, during which it gets nothing. Unlike a suspension,
+   * the pause does not end with a success: that answers an earlier request.
+   *
+   * @param pauseMs time from now on, in milliseconds; at most {@link #MAX_PAUSE_MS} are obeyed
+   */
+  public void recordPause(long pauseMs, long nowMs) {
+    pausedUntilMs = Math.max(pausedUntilMs, nowMs + Math.min(pauseMs, MAX_PAUSE_MS));
+  }
+
   private void suspend(long nowMs) {
     long pause = INITIAL_SUSPENSION_MS << Math.min(consecutiveFailures - 2, 8);
     suspendedUntilMs = nowMs + Math.min(pause, MAX_SUSPENSION_MS);
@@ -151,14 +168,22 @@
     return failureRate * Math.pow(0.5, (nowMs - failureAtMs) / FAILURE_HALF_LIFE_MS);
   }
 
-  /** Returns whether the upstream is suspended, so that it should get no requests. */
+  /** Returns whether the upstream is suspended or paused, so that it should get no requests. */
   public boolean isSuspended(long nowMs) {
-    return nowMs < suspendedUntilMs;
+    return nowMs < suspendedUntilMs();
   }
 
-  /** Returns the end of the current or last suspension, in milliseconds; 0 if there is none. */
+  /**
+   * Returns the end of the current or last suspension or pause, in milliseconds; 0 if there is
+   * none.
+   */
   public long suspendedUntilMs() {
-    return suspendedUntilMs;
+    return Math.max(suspendedUntilMs, pausedUntilMs);
+  }
+
+  /** Returns the end of the current or last pause, in milliseconds; 0 if there is none. */
+  public long pausedUntilMs() {
+    return pausedUntilMs;
   }
 
   /** Returns the number of requests of this VM that are in flight to the upstream. */
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/OwnershipSchedule.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/OwnershipSchedule.java
@@ -15,7 +15,8 @@
 /**
  * Simulates {@link RangeController} under a random schedule of faults: upstreams that restart or
  * lose their registration, commands that are lost, not delivered or carried out seconds later,
- * clocks of upstreams that run slow, and new leaders while the previous one still renews grants.
+ * clocks of upstreams that run slow, new leaders while the previous one still renews grants, and a
+ * store that is restored from a copy some seconds old.
  */
 final class OwnershipSchedule {
 
@@ -33,13 +34,27 @@
   private final long[] highestFence = new long[SAMPLED_KEYS];
   private final RangeOwner[] lastOwner = new RangeOwner[SAMPLED_KEYS];
   private final List<String> violations = new ArrayList<>();
-  private RangeMap stored = RangeMap.EMPTY;
-  private long storedVersion;
-  private long term;
+  private final StoreDrill drill;
+  private final List<StoredState> history = new ArrayList<>();
+  private StoredState stored = new StoredState(0, RangeMap.EMPTY, 0);
+  private long era;
   private long sequence;
   private long nowMs;
   private int ownedSamples;
 
+  /** Guards against a restored store that a schedule can take out, and whether there is one. */
+  enum StoreDrill {
+    NONE,
+    GUARDED,
+    /** New leaders take the restored map for complete. */
+    MAP_TRUSTED,
+    /** Leaders in office hold nothing back. */
+    NOTHING_HELD_BACK
+  }
+
+  /** Leader record and map, as written at some time. */
+  private record StoredState(long atMs, RangeMap map, long term) {}
+
   private record Event(long atMs, long sequence, Runnable action) {}
 
   /** Incarnation of an upstream, with the sampled keys that are granted to it. */
@@ -62,26 +77,59 @@
 
   /** Leader with its own controller. */
   private final class Leader {
-    private final long ownTerm = ++term;
+    private long ownTerm = LeadershipTerms.next(era, stored.term(), 0);
+    private long ownEra = era;
     private final RangeController controller;
     private long lastConfirmedMs = nowMs;
+    private long keepAtMs = Long.MAX_VALUE;
+    private Optional<RangeCommand.Write> pendingWrite = Optional.empty();
     private long fences;
 
     Leader(long earlierGrantsExpiryMs) {
+      boolean complete = stored.map().isComplete(era, false) || drill == StoreDrill.MAP_TRUSTED;
       controller =
           new RangeController(
               timing,
-              () -> ownTerm * 1_000_000 + ++fences,
+              () -> LeadershipTerms.fence(ownTerm, ++fences),
               new KeyLoadHistory(),
-              stored,
+              stored.map(),
+              complete,
               earlierGrantsExpiryMs);
+      store(stored.map(), ownTerm);
+    }
+
+    private boolean isConfirmed() {
+      return ownEra == era && ownTerm == stored.term();
+    }
+
+    /** Keeps the leadership in a restored store, unless another leader has acquired it there. */
+    private void keepAsNeeded() {
+      if (ownEra == era) {
+        return;
+      }
+      if (keepAtMs == Long.MAX_VALUE) {
+        keepAtMs = nowMs + random.nextInt(4000);
+      }
+      if (nowMs >= keepAtMs && LeadershipTerms.era(stored.term()) != era) {
+        ownEra = era;
+        ownTerm = LeadershipTerms.next(era, stored.term(), ownTerm);
+        keepAtMs = Long.MAX_VALUE;
+        store(stored.map(), ownTerm);
+        long version = stored.map().version();
+        pendingWrite = pendingWrite.map(write -> write.afterRestore(version));
+        long heldBackFromMs = drill == StoreDrill.NOTHING_HELD_BACK ? nowMs - DURATION_MS : nowMs;
+        controller.onStoreRestored(version, heldBackFromMs);
+        pendingWrite.ifPresent(this::write);
+      }
     }
 
     void tick() {
-      if (ownTerm == term) {
+      keepAsNeeded();
+      if (isConfirmed()) {
         lastConfirmedMs = nowMs;
       }
-      if (nowMs - lastConfirmedMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS) {
+      boolean superseded = controller.isSuperseded() && drill != StoreDrill.NOTHING_HELD_BACK;
+      if (nowMs - lastConfirmedMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS && !superseded) {
         List<RangeCandidate> candidates = new ArrayList<>();
         for (String id : registered) {
           candidates.add(new RangeCandidate(processes.get(id).owner, 4, false));
@@ -104,13 +152,22 @@
     }
 
     private void write(RangeCommand.Write write) {
+      pendingWrite = Optional.of(write);
+      long sentEra = era;
       at(
           nowMs + 5 + random.nextInt(40),
           () -> {
-            boolean isCurrent = ownTerm == term && write.expectedVersion() == stored.version();
+            boolean isCurrent =
+                sentEra == era
+                    && isConfirmed()
+                    && pendingWrite.equals(Optional.of(write))
+                    && write.expectedVersion() == stored.map().version();
             if (isCurrent) {
-              stored = new RangeMap(++storedVersion, write.assignments());
-              controller.onWritten(write, storedVersion, nowMs);
+              pendingWrite = Optional.empty();
+              long version = stored.map().version() + 1;
+              long mapEra = write.complete() ? era : 0;
+              store(new RangeMap(version, mapEra, write.assignments()), ownTerm);
+              controller.onWritten(write, version, nowMs);
             }
           });
     }
@@ -172,12 +229,28 @@
     }
   }
 
-  OwnershipSchedule(long seed, RangeTiming timing, double clockError) {
+  OwnershipSchedule(long seed, RangeTiming timing, double clockError, StoreDrill drill) {
     this.random = new Random(seed);
+    this.drill = drill;
     this.timing = timing;
     this.clockError = clockError;
   }
 
+  private void store(RangeMap map, long term) {
+    stored = new StoredState(nowMs, map, term);
+    history.add(stored);
+  }
+
+  /** Restores the store from a copy up to five seconds old. */
+  private void restoreStore() {
+    long copiedMs = nowMs - random.nextInt(5000);
+    while (history.size() > 1 && history.get(history.size() - 1).atMs() > copiedMs) {
+      history.remove(history.size() - 1);
+    }
+    stored = history.get(history.size() - 1);
+    era++;
+  }
+
   private void at(long atMs, Runnable action) {
     events.add(new Event(atMs, sequence++, action));
   }
@@ -288,7 +361,7 @@
 
   private void injectFault() {
     String id = "u" + random.nextInt(UPSTREAMS);
-    switch (random.nextInt(4)) {
+    switch (random.nextInt(drill == StoreDrill.NONE ? 4 : 5)) {
       case 0:
         registered.remove(id);
         break;
@@ -298,6 +371,9 @@
       case 2:
         startProcess(id, nowMs);
         break;
+      case 4:
+        restoreStore();
+        break;
       default:
         new Leader(
                 timing.latestExpiryMs(nowMs + timing.callTimeoutMs())
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -31,7 +31,7 @@
   private RangeController controller = newController();
 
   private RangeController newController() {
-    return new RangeController(TIMING, () -> ++fence, loads, RangeMap.EMPTY, 0);
+    return new RangeController(TIMING, () -> ++fence, loads, RangeMap.EMPTY, true, 0);
   }
 
   private void reset(int upstreams) {
@@ -193,7 +193,7 @@
         tick();
       }
       if (second >= seconds / 2) {
-        RangeMap map = new RangeMap(1, controller.assignments());
+        RangeMap map = new RangeMap(1, 0, controller.assignments());
         Map<RangeOwner, Integer> requestsByOwner = new HashMap<>();
         for (int key : keys) {
           map.find(key).ifPresent(a -> requestsByOwner.merge(a.owner(), 1, Integer::sum));
@@ -238,6 +238,40 @@
     assertThat(requestsByOwner).containsKey(joined);
   }
 
+  /**
+   * A slow upstream that has too much by its capacity, but too little for a move, must not keep
+   * others from being relieved.
+   */
+  @Test
+  public void overloadIsRelievedThoughABusierUpstreamHasNothingToMove() {
+    reset(UPSTREAMS);
+    for (int i = 0; i < 5; i++) {
+      RangeOwner owner = candidates.get(i).owner();
+      candidates.set(i, new RangeCandidate(owner, 0.1, false));
+    }
+    runUntilSettled();
+    playRequests(8, 0, 0, 1);
+    RangeOwner hotOwner = owner(60100).orElseThrow();
+    Map<RangeOwner, Integer> requestsByOwner = playRequests(4, 0.45, 60000, 200);
+    assertThat(requestsByOwner.getOrDefault(hotOwner, 0)).isLessThan(REQUESTS_PER_SECOND / 4);
+  }
+
+  @Test
+  public void upstreamsThatRegisterWithinSecondsGetTheirShareOfTheFirstKeys() {
+    reset(10);
+    for (int i = 0; i < 3000; i += 50) {
+      tick();
+      if (i % 1000 == 950) {
+        int count = candidates.size();
+        candidates.add(new RangeCandidate(new RangeOwner("u" + count, 1), 4, false));
+      }
+    }
+    runUntilSettled();
+    Map<RangeOwner, Integer> widths = new HashMap<>();
+    controller.assignments().forEach(a -> widths.merge(a.owner(), a.range().width(), Integer::sum));
+    assertThat(widths).hasSize(13);
+  }
+
   @Test
   public void keysOfARemovedUpstreamAreSpreadOverOthers() {
     reset(UPSTREAMS);
--- a/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamChoiceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamChoiceTests.java
@@ -120,9 +120,54 @@
     estimator.add("fast", 100, 7_000, 0);
     estimator.add("slow", 100, 16_000, 0);
     estimator.add("new", 1, 500, 0);
-    assertThat(estimator.speed("fast")).isGreaterThan(1.4);
-    assertThat(estimator.speed("slow")).isLessThan(0.8);
-    assertThat(estimator.speed("new")).isBetween(0.6, 1.1);
-    assertThat(estimator.speed("unknown")).isEqualTo(1);
+    assertThat(estimator.speed("fast", 0)).isGreaterThan(1.4);
+    assertThat(estimator.speed("slow", 0)).isLessThan(0.8);
+    assertThat(estimator.speed("new", 0)).isBetween(0.6, 1.1);
+    assertThat(estimator.speed("unknown", 0)).isEqualTo(1);
+  }
+
+  /** A full upstream has no answer that did not wait, so that only its reports show its speed. */
+  @Test
+  public void reportsShowTheSpeedOfAnUpstreamThatIsAlwaysFull() {
+    UpstreamSpeedEstimator estimator = new UpstreamSpeedEstimator();
+    for (int i = 0; i < 10; i++) {
+      estimator.add("fast" + i, 20, 20 * 200, 0);
+      estimator.addSlowness("fast" + i, 20, 20 * 0.7, 0);
+    }
+    estimator.addSlowness("full", 5, 5 * 1.6, 0);
+    assertThat(estimator.speed("full", 0)).isLessThan(0.6);
+    assertThat(estimator.speed("fast1", 0)).isGreaterThan(0.95);
+  }
+
+  @Test
+  public void serviceTimesShowASlownessThatIsNotReported() {
+    UpstreamSpeedEstimator estimator = new UpstreamSpeedEstimator();
+    for (int i = 0; i < 10; i++) {
+      estimator.add("u" + i, 20, 20 * 200, 0);
+      estimator.addSlowness("u" + i, 20, 20, 0);
+    }
+    estimator.add("slow", 20, 20 * 800, 0);
+    estimator.addSlowness("slow", 20, 20, 0);
+    assertThat(estimator.speed("slow", 0)).isLessThan(0.5);
+  }
+
+  @Test
+  public void speedEstimateReturnsToTheAverageWithoutAnswers() {
+    UpstreamSpeedEstimator estimator = new UpstreamSpeedEstimator();
+    estimator.add("slow", 40, 16_000, 0);
+    estimator.add("fast", 400, 40_000, 0);
+    assertThat(estimator.speed("slow", 0)).isLessThan(0.5);
+    assertThat(estimator.speed("slow", 200_000)).isGreaterThan(0.95);
+  }
+
+  @Test
+  public void pauseOutlastsAnswersToEarlierRequestsAndIsBounded() {
+    UpstreamLoad load = new UpstreamLoad(4);
+    load.recordPause(500, 1000);
+    load.recordSuccess(20, true);
+    assertThat(load.isSuspended(1499)).isTrue();
+    assertThat(load.isSuspended(1500)).isFalse();
+    load.recordPause(3_600_000, 2000);
+    assertThat(load.suspendedUntilMs()).isEqualTo(2000 + UpstreamLoad.MAX_PAUSE_MS);
   }
 }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamDirectoryTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamDirectoryTests.java
@@ -84,4 +84,49 @@
     assertThat(directory.isCold("u", 3999)).isTrue();
     assertThat(directory.isCold("u", 4000)).isFalse();
   }
+
+  @Test
+  public void leavingUpstreamStaysUnusableUntilAnotherIncarnation() {
+    UpstreamDirectory directory = directory();
+    assertThat(directory.markLeaving("u", 1, 100)).isTrue();
+    assertThat(directory.markLeaving("u", 1, 200)).as("heard again").isFalse();
+    directory.put(entry("u", 1, false), 300);
+    assertThat(directory.usable("s")).isEmpty();
+    assertThat(directory.leaving()).extracting(UpstreamEntry::id).containsExactly("u");
+    directory.put(entry("u", 2, false), 400);
+    assertThat(directory.usable("s")).hasSize(1);
+    assertThat(directory.leaving()).isEmpty();
+  }
+
+  @Test
+  public void leavingOfAnEarlierIncarnationIsIgnored() {
+    UpstreamDirectory directory = directory();
+    assertThat(directory.markLeaving("u", 0, 100)).isFalse();
+    assertThat(directory.markLeaving("other", 1, 100)).isFalse();
+    assertThat(directory.usable("s")).hasSize(1);
+  }
+
+  @Test
+  public void leavingOwnerServesItsKeysForAWhileUnlessItIsRegisteredAsDraining() {
+    UpstreamDirectory directory = directory();
+    directory.markLeaving("u", 1, 100);
+    assertThat(directory.mayServeKeys(entry("u", 1, false), 500, 599)).isTrue();
+    assertThat(directory.mayServeKeys(entry("u", 1, false), 500, 600)).isFalse();
+    directory.put(entry("u", 1, true), 200);
+    assertThat(directory.mayServeKeys(entry("u", 1, false), 500, 300)).isFalse();
+  }
+
+  @Test
+  public void restoredStoreDoesNotBringBackWhatWasDrainingOrGone() {
+    UpstreamDirectory directory = directory();
+    directory.put(entry("u", 1, true), 10);
+    directory.put(entry("v", 1, false), 10);
+    directory.remove("v", 20);
+    assertThat(directory.putRestored(entry("u", 1, false), 30)).isFalse();
+    assertThat(directory.putRestored(entry("v", 1, false), 30)).isFalse();
+    assertThat(directory.usable("s")).isEmpty();
+    directory.put(entry("v", 1, false), 900);
+    assertThat(directory.usable("s")).as("registered again").hasSize(1);
+    assertThat(directory.putRestored(entry("u", 2, false), 30)).as("another incarnation").isTrue();
+  }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryRehearsal.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryRehearsal.java
@@ -118,7 +118,8 @@
             0,
             1,
             100,
-            new EntrySettings.Bounds(0.2, 10, 10_000, 1, 1, 10_000, 1000));
+            true,
+            new EntrySettings.Bounds(0.2, 10, 10_000, 1, 1, 10_000, 2000, 1000));
     EntryVm vm = new EntryVm(settings);
     vm.start();
     TimeUnit.MILLISECONDS.sleep(STARTUP_MS);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -106,7 +106,8 @@
             retryBudget(settings),
             random::nextDouble,
             settings.node(),
-            settings.dataCentre());
+            settings.dataCentre(),
+            settings.bounds().drainMs());
     routingState.setListener(new RoutingStateListener());
     long grantTtlMs = Math.min(MAX_GRANT_TTL_MS, settings.bounds().maxGrantTtlMs());
     control =
@@ -117,7 +118,8 @@
                 settings.dataCentre(),
                 settings.peers(),
                 settings.processorShare(),
-                settings.linkMbps()),
+                settings.linkMbps(),
+                settings.firstStart()),
             settings.seeds(),
             new HttpRowStore(
                 new PooledHttpClient(loops, STORE_CONNECTIONS, MAX_ANSWER_BYTES), settings.store()),
@@ -164,6 +166,11 @@
       control.refreshOwners();
     }
 
+    @Override
+    public void onLeaving() {
+      control.reportEarly();
+    }
+
     @Override
     public void onChange() {
       loop.execute(scheduler::tick);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -21,12 +21,15 @@
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpClient;
 import org.foxtailford.schema.entry.KeyLoad;
+import org.foxtailford.schema.entry.LeavingUpstream;
 import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.PeerReply;
 import org.foxtailford.schema.entry.PeerReport;
@@ -85,6 +88,7 @@
   private long freshMs = Long.MIN_VALUE / 2;
   private long storeReadMs = Long.MIN_VALUE / 2;
   private long clockOffsetMs;
+  private long knownEra;
 
   /** Creates the control of an entry VM, without starting it. */
   public EntryControl(
@@ -123,6 +127,8 @@
                 random.nextInt(ControlTiming.CANDIDATE_JITTER_MS) + candidacyDelayMs(self)),
             clock,
             loop,
+            () -> Math.max(leader.map(KnownLeader::term).orElse(0L), state.highestTerm()),
+            self.firstStart(),
             this::onLeaderObserved,
             this::onLeadershipAcquired);
     leaderPollers =
@@ -168,6 +174,7 @@
   private void runStep() {
     long nowMs = clock.nowMs();
     checkForPause(nowMs);
+    checkForRestoredStore(nowMs);
     join(nowMs);
     boolean leads = tasks != null;
     if (leads) {
@@ -218,6 +225,20 @@
     clockOffsetMs = offsetMs;
   }
 
+  /**
+   * Registers this VM again after the store was restored from an older copy, which may lack its
+   * row, and drops what nobody has written again in time.
+   */
+  private void checkForRestoredStore(long nowMs) {
+    long era = Math.max(store.era(), state.era());
+    if (era > knownEra) {
+      logger.atWarning().with(EventFields.ERA, era).log("store was restored from an older copy");
+      knownEra = era;
+      joined = false;
+    }
+    state.dropCarriedRows(nowMs);
+  }
+
   private void updateStoreState(long nowMs) {
     boolean reached = nowMs - Math.max(freshMs, storeReadMs) < ControlTiming.STORE_LOST_MS;
     if (reached != storeReached) {
@@ -247,7 +268,10 @@
             .build()
             .toByteArray();
     store
-        .write(List.of(RowWrite.put(SystemTables.MEMBERS, node, -1, value)), TablePoller.TIMEOUT_MS)
+        .write(
+            List.of(RowWrite.put(SystemTables.MEMBERS, node, -1, value)),
+            store.era(),
+            TablePoller.TIMEOUT_MS)
         .whenCompleteAsync(
             (version, failure) -> {
               joinInFlight = false;
@@ -273,7 +297,8 @@
     }
     reportInFlight = true;
     KnownLeader known = leader.get();
-    PeerReport.Builder report = newReport().addAllWorkTimes(state.drainWorkTimes());
+    PeerReport.Builder report =
+        newReport().addAllWorkTimes(state.drainWorkTimes()).addAllLeaving(leaving());
     state
         .drainKeyCounts()
         .forEach(
@@ -304,7 +329,10 @@
     leader.ifPresent(known -> report.setLeaderTerm(known.term()));
     for (TableMirror mirror : state.mirrors()) {
       report.addWanted(
-          TableVersion.newBuilder().setTable(mirror.table()).setVersion(mirror.version()));
+          TableVersion.newBuilder()
+              .setTable(mirror.table())
+              .setEra(mirror.version().era())
+              .setVersion(mirror.version().number()));
     }
     return report;
   }
@@ -350,8 +378,9 @@
 
   private void applyReply(PeerReply reply, long sentMs, long nowMs) {
     for (TableRows rows : reply.getTablesList()) {
-      state.apply(rows.getTable(), RecordCodec.toPage(rows));
+      state.apply(rows.getTable(), RecordCodec.toPage(rows), RecordCodec.eraBegin(rows));
     }
+    markLeaving(reply.getLeavingList(), nowMs);
     long asOfMs = sentMs - reply.getStoreAgeMs();
     if (reply.getStoreReached()) {
       started = started || state.isComplete();
@@ -399,7 +428,7 @@
           .atInfo()
           .with(EventFields.NODE, observed.node())
           .with(EventFields.FENCE, observed.term())
-          .with(EventFields.VERSION, observed.rowVersion())
+          .with(EventFields.VERSION, observed.rowVersion().number())
           .log("leader changed");
       if (tasks != null && !isSelf(observed)) {
         tasks.end("another VM leads with a higher term");
@@ -419,11 +448,12 @@
         .log("leadership acquired");
     leader = Optional.of(acquired.leader());
     connectionRefused = false;
-    readBeforeLeading(acquired.leader(), grantsExpiryMs);
+    readBeforeLeading(acquired, grantsExpiryMs);
   }
 
   /** Starts leading with the owners that the store holds after leadership was acquired. */
-  private void readBeforeLeading(KnownLeader known, long grantsExpiryMs) {
+  private void readBeforeLeading(LeaderElection.Acquired acquired, long grantsExpiryMs) {
+    KnownLeader known = acquired.leader();
     store
         .readAll(SystemTables.RANGES, TablePoller.TIMEOUT_MS)
         .thenCombine(
@@ -437,23 +467,39 @@
               }
               if (failure != null) {
                 loop.schedule(
-                    () -> readBeforeLeading(known, grantsExpiryMs),
+                    () -> readBeforeLeading(acquired, grantsExpiryMs),
                     LeadershipTiming.RETRY_INTERVAL_MS,
                     TimeUnit.MILLISECONDS);
                 return;
               }
               state.apply(SystemTables.RANGES, pages.get(0));
               state.apply(upstreamTable, pages.get(1));
-              startLeading(known, grantsExpiryMs);
+              startLeading(acquired, grantsExpiryMs);
             },
             loop);
   }
 
-  private void startLeading(KnownLeader known, long grantsExpiryMs) {
+  private void startLeading(LeaderElection.Acquired acquired, long grantsExpiryMs) {
     started = true;
     tasks =
         new LeaderTasks(
-            known, store, commandClient, state, loads, timing, this, clock, loop, grantsExpiryMs);
+            acquired.leader(),
+            store,
+            commandClient,
+            state,
+            loads,
+            timing,
+            this,
+            clock,
+            loop,
+            acquired.holderEnded(),
+            grantsExpiryMs);
+    broadcast(List.of());
+  }
+
+  @Override
+  public void onLeadershipKept(KnownLeader kept) {
+    leader = Optional.of(kept);
     broadcast(List.of());
   }
 
@@ -461,12 +507,7 @@
   public void onOwnersWritten(String service, RowPage page) {
     state.apply(SystemTables.RANGES, page);
     broadcast(
-        List.of(
-            RecordCodec.toMessage(
-                SystemTables.RANGES,
-                state.mirror(SystemTables.RANGES).version(),
-                page.rows(),
-                packer)));
+        List.of(RecordCodec.toMessage(state.mirror(SystemTables.RANGES), page.rows(), packer)));
   }
 
   /** Announces this leader and pushes rows to live entry VMs, or to all known if none is live. */
@@ -529,11 +570,12 @@
               report.getLife(),
               report.getLeaderTerm(),
               new UpstreamAddress(report.getHost(), report.getPort()),
-              0));
+              StoreVersion.NONE));
     }
     for (TableRows rows : report.getPushedList()) {
       state.applyPushedRows(rows.getTable(), RecordCodec.toPage(rows));
     }
+    markLeaving(report.getLeavingList(), nowMs);
     loads.add(report.getKeyLoadsList(), nowMs);
     loads.addWorkTimes(report.getWorkTimesList(), nowMs);
     return reply(report, nowMs);
@@ -554,16 +596,33 @@
     }
     for (TableVersion wanted : report.getWantedList()) {
       TableMirror mirror = state.mirrorOrNull(wanted.getTable());
-      if (mirror != null && mirror.version() > wanted.getVersion()) {
+      StoreVersion known = new StoreVersion(wanted.getEra(), wanted.getVersion());
+      if (mirror != null && mirror.version().isAheadOf(known)) {
         reply.addTables(
-            RecordCodec.toMessage(
-                mirror.table(),
-                mirror.version(),
-                mirror.changedAfter(wanted.getVersion()),
-                packer));
+            RecordCodec.toMessage(mirror, mirror.changedAfter(known), packer).toBuilder()
+                .setSnapshot(mirror.version().era() > known.era()));
       }
     }
-    return reply.build();
+    return reply.addAllLeaving(leaving()).build();
+  }
+
+  private List<LeavingUpstream> leaving() {
+    List<LeavingUpstream> leaving = new ArrayList<>();
+    for (UpstreamEntry entry : state.upstreams().leaving()) {
+      leaving.add(
+          LeavingUpstream.newBuilder().setUpstream(entry.id()).setBornMs(entry.bornMs()).build());
+    }
+    return leaving;
+  }
+
+  private void markLeaving(List<LeavingUpstream> leaving, long nowMs) {
+    leaving.forEach(
+        upstream -> state.markLeaving(upstream.getUpstream(), upstream.getBornMs(), nowMs));
+  }
+
+  /** Reports to the leader at once, because an upstream said that it is leaving. */
+  public void reportEarly() {
+    nextReportMs = Math.min(nextReportMs, clock.nowMs());
   }
 
   /** Requests the owners of keys early, because an owner has rejected a key. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
@@ -12,6 +12,7 @@
  * @param address address at which the VM listens for peers
  * @param processorShare available processor capacity, in cores
  * @param linkMbps bandwidth of the network link, in Mbit/s
+ * @param firstStart whether the whole system starts for the first time
  */
 public record EntryIdentity(
     String node,
@@ -19,7 +20,8 @@
     String dataCentre,
     UpstreamAddress address,
     double processorShare,
-    double linkMbps) {
+    double linkMbps,
+    boolean firstStart) {
 
   /**
    * Creates an identity.
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.RangeMap;
 import org.foxtailford.core.route.CallerLimits;
 import org.foxtailford.core.route.RoutingConfiguration;
@@ -18,6 +19,7 @@
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.RowPage;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.core.time.MillisClock;
@@ -48,10 +50,19 @@
     /** Called when the registered owner of a key has rejected it. */
     void onWrongOwner();
 
+    /** Called when an upstream has said for the first time that it is leaving. */
+    void onLeaving();
+
     /** Called after a change that may affect waiting requests. */
     void onChange();
   }
 
+  /**
+   * Time in which operators and upstreams write again what a restored store lacks, in milliseconds;
+   * several heartbeats of an upstream.
+   */
+  static final long ERA_GRACE_MS = 5000;
+
   private final PlatformRows platform;
   private final MillisClock clock;
   private final String node;
@@ -66,6 +77,7 @@
   private @Nullable RoutingConfiguration configuration;
   private @Nullable Listener listener;
   private long unreadableRows;
+  private final Map<String, Long> eraBeganMs = new HashMap<>();
   private boolean upstreamsKnown;
 
   /** Creates an empty state. */
@@ -107,21 +119,44 @@
     return mirrors.get(table);
   }
 
-  /** Applies pushed rows; the copy's version stays, since other rows may be missing. */
+  /**
+   * Applies pushed rows; the copy's version stays, since other rows may be missing. Rows of another
+   * era are ignored, and fetched with the next report.
+   */
   void applyPushedRows(String table, RowPage page) {
     TableMirror mirror = mirrors.get(table);
-    if (mirror != null) {
+    if (mirror != null && mirror.version().era() == page.version().era()) {
       apply(table, new RowPage(page.rows(), mirror.version(), false));
     }
   }
 
-  /** Applies rows of a table, from the store or a peer; ignores tables that are not copied. */
+  /** Applies rows of a table from the store; ignores tables that are not copied. */
   void apply(String table, RowPage page) {
+    apply(table, page, page.version());
+  }
+
+  /**
+   * Applies rows of a table, from the store or a peer; ignores tables that are not copied.
+   *
+   * @param eraBegin version of the snapshot with which the era of the rows' source began
+   */
+  void apply(String table, RowPage page, StoreVersion eraBegin) {
     TableMirror mirror = mirrors.get(table);
     if (mirror == null) {
       return;
     }
-    List<Row> changed = mirror.apply(page);
+    long previousEra = mirror.version().era();
+    List<Row> changed = mirror.apply(page, eraBegin);
+    if (mirror.version().era() > previousEra) {
+      eraBeganMs.put(table, clock.nowMs());
+    }
+    applyChanged(table, changed);
+    if (table.equals(platform.upstreamTable()) && page.version().number() > 0) {
+      upstreamsKnown = true;
+    }
+  }
+
+  private void applyChanged(String table, List<Row> changed) {
     boolean affectsRequests = false;
     for (Row row : changed) {
       affectsRequests |= applyRow(table, row);
@@ -129,14 +164,51 @@
     if (table.equals(SystemTables.MEMBERS)) {
       entryVms = null;
     }
-    if (table.equals(platform.upstreamTable()) && page.version() > 0) {
-      upstreamsKnown = true;
-    }
     if (affectsRequests && listener != null) {
       listener.onChange();
     }
   }
 
+  /**
+   * Drops rows of an earlier era that nobody wrote again within {@link #ERA_GRACE_MS} of the first
+   * copy of the restored store.
+   */
+  void dropCarriedRows(long nowMs) {
+    List<String> due = new ArrayList<>();
+    eraBeganMs.forEach(
+        (table, beganMs) -> {
+          if (nowMs - beganMs >= ERA_GRACE_MS) {
+            due.add(table);
+          }
+        });
+    for (String table : due) {
+      eraBeganMs.remove(table);
+      applyChanged(table, mirror(table).dropCarried());
+    }
+  }
+
+  /** Returns the latest era of the copies. */
+  long era() {
+    return mirrors.values().stream().mapToLong(mirror -> mirror.version().era()).max().orElse(0);
+  }
+
+  /** Returns the highest term in which a known owner was granted its keys; 0 if there is none. */
+  long highestTerm() {
+    long highestFence = owners.values().stream().mapToLong(RangeMap::highestFence).max().orElse(0);
+    return LeadershipTerms.termOf(highestFence);
+  }
+
+  /** Records that an incarnation of an upstream said that it is leaving. */
+  void markLeaving(String id, long bornMs, long nowMs) {
+    if (upstreams.markLeaving(id, bornMs, nowMs)) {
+      logger.atInfo().with(EventFields.UPSTREAM, id).log("upstream leaving");
+      if (listener != null) {
+        listener.onLeaving();
+        listener.onChange();
+      }
+    }
+  }
+
   private boolean applyRow(String table, Row row) {
     try {
       if (table.equals(platform.operatorTable())) {
@@ -152,7 +224,7 @@
           .atWarning()
           .atMostEvery(1, TimeUnit.SECONDS)
           .with(EventFields.TABLE, table)
-          .with(EventFields.VERSION, row.version())
+          .with(EventFields.VERSION, row.version().number())
           .with(EventFields.REASON, row.key() + ": " + e.getMessage())
           .log("row cannot be read");
       if (table.equals(platform.upstreamTable())) {
@@ -178,7 +250,7 @@
     logger
         .atInfo()
         .with(EventFields.DATA_CENTRE, dataCentre.get())
-        .with(EventFields.VERSION, row.version())
+        .with(EventFields.VERSION, row.version().number())
         .log(row.deleted() ? "data centre evacuation ended" : "data centre evacuated");
     return changed;
   }
@@ -204,7 +276,13 @@
     }
     UpstreamEntry entry = platform.readUpstream(row);
     Optional<UpstreamEntry> previous = upstreams.find(entry.id());
-    upstreams.put(entry, clock.nowMs());
+    if (mirror(platform.upstreamTable()).isRestored(row)) {
+      if (!upstreams.putRestored(entry, clock.nowMs())) {
+        return false;
+      }
+    } else {
+      upstreams.put(entry, clock.nowMs());
+    }
     boolean unchanged =
         previous.isPresent()
             && previous.get().isSameIncarnation(entry)
@@ -219,7 +297,7 @@
           .with(EventFields.UPSTREAM, entry.id())
           .with(EventFields.SERVICE, entry.service())
           .with(EventFields.DATA_CENTRE, entry.dataCentre())
-          .with(EventFields.VERSION, row.version())
+          .with(EventFields.VERSION, row.version().number())
           .log(entry.draining() ? "upstream draining" : "upstream ready");
     }
     return !unchanged;
@@ -252,11 +330,17 @@
       return false;
     }
     RangeMap map = RecordCodec.parseRanges(row);
+    boolean outdated =
+        mirror(SystemTables.RANGES).isRestored(row)
+            && map.highestFence() < owners(row.key()).highestFence();
+    if (outdated) {
+      return false;
+    }
     owners.put(row.key(), map);
     logger
         .atInfo()
         .with(EventFields.SERVICE, row.key())
-        .with(EventFields.VERSION, row.version())
+        .with(EventFields.VERSION, row.version().number())
         .with(EventFields.COUNT, (long) map.assignments().size())
         .log("owners of keys changed");
     return true;
@@ -360,25 +444,41 @@
     keyCounts.computeIfAbsent(service, name -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
+  @Override
+  public void countSlowness(UpstreamEntry upstream, double slowness) {
+    if (isKeyed(upstream)) {
+      WorkTime.Builder workTime = workTime(upstream);
+      workTime
+          .setLoadReports(workTime.getLoadReports() + 1)
+          .setSlownessPercent(workTime.getSlownessPercent() + Math.round(100 * slowness));
+    }
+  }
+
   @Override
   public void countWork(UpstreamEntry upstream, double tookMs) {
-    boolean keyed =
-        configuration != null
-            && configuration
-                .findService(upstream.service())
-                .map(ServicePolicy::keyed)
-                .orElse(false);
-    if (keyed) {
-      WorkTime.Builder workTime =
-          workTimes.computeIfAbsent(
-              upstream.id(),
-              id -> WorkTime.newBuilder().setUpstream(id).setService(upstream.service()));
+    if (isKeyed(upstream)) {
+      WorkTime.Builder workTime = workTime(upstream);
       workTime
           .setAnswers(workTime.getAnswers() + 1)
           .setTotalMs(workTime.getTotalMs() + Math.round(tookMs));
     }
   }
 
+  private boolean isKeyed(UpstreamEntry upstream) {
+    return configuration != null
+        && configuration.findService(upstream.service()).map(ServicePolicy::keyed).orElse(false);
+  }
+
+  private WorkTime.Builder workTime(UpstreamEntry upstream) {
+    return workTimes.computeIfAbsent(
+        upstream.id(), id -> WorkTime.newBuilder().setUpstream(id).setService(upstream.service()));
+  }
+
+  @Override
+  public void onLeaving(UpstreamEntry upstream) {
+    markLeaving(upstream.id(), upstream.bornMs(), clock.nowMs());
+  }
+
   @Override
   public void onWrongOwner(String service, int key) {
     logger
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
@@ -30,16 +30,27 @@
   }
 
   /** Returns an upstream's speed relative to the average of its service; 1 if unknown. */
-  double speed(UpstreamEntry upstream) {
+  double speed(UpstreamEntry upstream, long nowMs) {
     UpstreamSpeedEstimator estimator = speedEstimators.get(upstream.service());
-    return estimator == null ? 1 : estimator.speed(upstream.id());
+    return estimator == null ? 1 : estimator.speed(upstream.id(), nowMs);
+  }
+
+  /** Returns how many slots of average speed a service's requests keep busy; 0 if unknown. */
+  double busySlots(String service) {
+    UpstreamSpeedEstimator estimator = speedEstimators.get(service);
+    double averageMs = estimator == null ? 0 : estimator.averageMs();
+    return historyOf(service).requestsPerSecond() * averageMs / 1000;
   }
 
   void addWorkTimes(List<WorkTime> workTimes, long nowMs) {
     for (WorkTime workTime : workTimes) {
-      speedEstimators
-          .computeIfAbsent(workTime.getService(), name -> new UpstreamSpeedEstimator())
-          .add(workTime.getUpstream(), workTime.getAnswers(), workTime.getTotalMs(), nowMs);
+      UpstreamSpeedEstimator estimator =
+          speedEstimators.computeIfAbsent(
+              workTime.getService(), name -> new UpstreamSpeedEstimator());
+      String upstream = workTime.getUpstream();
+      estimator.add(upstream, workTime.getAnswers(), workTime.getTotalMs(), nowMs);
+      estimator.addSlowness(
+          upstream, workTime.getLoadReports(), workTime.getSlownessPercent() / 100.0, nowMs);
     }
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KnownLeader.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KnownLeader.java
@@ -1,6 +1,7 @@
 package org.foxtailford.entry.control;
 
 import java.util.Optional;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
 
@@ -11,15 +12,16 @@
  * @param incarnation start time of its process, in Unix milliseconds
  * @param term term of its leadership
  * @param address address at which it listens for peers
- * @param rowVersion version of the leader record in the store; 0 if it is known only from the
- *     leader's own message
+ * @param rowVersion version of the leader record in the store; {@link StoreVersion#NONE} if it is
+ *     known only from the leader's own message
  */
 record KnownLeader(
-    String node, long incarnation, long term, UpstreamAddress address, long rowVersion) {
+    String node, long incarnation, long term, UpstreamAddress address, StoreVersion rowVersion) {
 
   KnownLeader {
     Assert.hasLength(node, "node");
     Assert.notNull(address, "address");
+    Assert.notNull(rowVersion, "rowVersion");
   }
 
   /** Returns the candidate if it has a higher term or, in the same term, a later row version. */
@@ -28,7 +30,7 @@
         current.isEmpty()
             || candidate.term() > current.get().term()
             || candidate.term() == current.get().term()
-                && candidate.rowVersion() > current.get().rowVersion();
+                && candidate.rowVersion().isAheadOf(current.get().rowVersion());
     return isNewer ? Optional.of(candidate) : current;
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
@@ -3,16 +3,18 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.range.LeaderVacancyDetector;
+import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.LeadershipTiming;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
@@ -32,7 +34,7 @@
    *
    * @param leader this VM as the leader
    * @param holderEnded whether no earlier leader can be running: there was none, or it was an
-   *     earlier incarnation of this VM
+   *     earlier incarnation of this VM, and the store was not restored since
    */
   record Acquired(KnownLeader leader, boolean holderEnded) {}
 
@@ -43,11 +45,25 @@
   private final LeaderVacancyDetector vacancyDetector;
   private final MillisClock clock;
   private final Executor loop;
+  private final LongSupplier highestKnownTerm;
+  private final boolean firstStart;
   private final Consumer<KnownLeader> onLeaderObserved;
   private final Consumer<Acquired> onAcquired;
   private boolean callInFlight;
   private long nextPollMs;
 
+  /** Try to acquire leadership that got no answer, so that it may have succeeded. */
+  private Optional<Acquired> unansweredTry = Optional.empty();
+
+  /**
+   * Creates an election.
+   *
+   * @param highestKnownTerm returns the highest term that this process has seen
+   * @param firstStart whether the whole system starts for the first time, so that a store without a
+   *     leader record has not lost one
+   * @param onLeaderObserved receives each leader that the store names
+   * @param onAcquired receives the leadership that this VM has acquired
+   */
   LeaderElection(
       String node,
       long incarnation,
@@ -56,6 +72,8 @@
       LeaderVacancyDetector vacancyDetector,
       MillisClock clock,
       Executor loop,
+      LongSupplier highestKnownTerm,
+      boolean firstStart,
       Consumer<KnownLeader> onLeaderObserved,
       Consumer<Acquired> onAcquired) {
     this.node = Assert.hasLength(node, "node");
@@ -65,6 +83,8 @@
     this.vacancyDetector = Assert.notNull(vacancyDetector, "vacancyDetector");
     this.clock = Assert.notNull(clock, "clock");
     this.loop = Assert.notNull(loop, "loop");
+    this.highestKnownTerm = Assert.notNull(highestKnownTerm, "highestKnownTerm");
+    this.firstStart = firstStart;
     this.onLeaderObserved = Assert.notNull(onLeaderObserved, "onLeaderObserved");
     this.onAcquired = Assert.notNull(onAcquired, "onAcquired");
   }
@@ -101,16 +121,24 @@
       return;
     }
     Optional<Row> holder = row(page, SystemTables.LEADER_KEY);
-    long renewal = row(page, SystemTables.RENEWAL_KEY).map(Row::version).orElse(0L);
+    long renewal =
+        row(page, SystemTables.RENEWAL_KEY).map(row -> row.version().number()).orElse(0L);
+    long era = page.version().era();
     LeaderRecord record =
         holder.map(LeaderElection::parse).orElse(LeaderRecord.getDefaultInstance());
     boolean heldByPreviousIncarnation =
         record.getNode().equals(node) && record.getLife() != incarnation;
+    if (adoptUnansweredTry(record, holder)) {
+      return;
+    }
     long nowMs = clock.nowMs();
     if (vacancyDetector.observe(
         record.getTerm(), renewal, heldByPreviousIncarnation, connectionRefused, nowMs)) {
-      boolean holderEnded = record.getTerm() == 0 || heldByPreviousIncarnation;
-      tryAcquire(record.getTerm() + 1, holder.map(Row::version).orElse(0L), holderEnded);
+      boolean recordComplete = LeadershipTerms.era(record.getTerm()) == era || firstStart;
+      boolean holderEnded = recordComplete && (record.getTerm() == 0 || heldByPreviousIncarnation);
+      StoreVersion expected = holder.map(Row::version).orElse(new StoreVersion(era, 0));
+      long term = LeadershipTerms.next(era, record.getTerm(), highestKnownTerm.getAsLong());
+      tryAcquire(term, expected, holderEnded);
     } else if (record.getTerm() > 0) {
       onLeaderObserved.accept(
           new KnownLeader(
@@ -118,15 +146,33 @@
               record.getLife(),
               record.getTerm(),
               new UpstreamAddress(record.getHost(), record.getPort()),
-              holder.map(Row::version).orElse(0L)));
+              holder.map(Row::version).orElse(StoreVersion.NONE)));
+    }
+  }
+
+  /** Takes up leadership if the record shows that an unanswered try succeeded. */
+  private boolean adoptUnansweredTry(LeaderRecord record, Optional<Row> holder) {
+    Optional<Acquired> succeeded =
+        unansweredTry.filter(
+            acquired ->
+                record.getNode().equals(node)
+                    && record.getLife() == incarnation
+                    && record.getTerm() == acquired.leader().term());
+    if (succeeded.isEmpty() || holder.isEmpty()) {
+      return false;
     }
+    unansweredTry = Optional.empty();
+    KnownLeader self =
+        new KnownLeader(node, incarnation, record.getTerm(), address, holder.get().version());
+    onAcquired.accept(new Acquired(self, succeeded.get().holderEnded()));
+    return true;
   }
 
-  private static Optional<Row> row(RowPage page, String key) {
+  static Optional<Row> row(RowPage page, String key) {
     return page.rows().stream().filter(row -> row.key().equals(key)).findFirst();
   }
 
-  private static LeaderRecord parse(Row row) {
+  static LeaderRecord parse(Row row) {
     try {
       return RecordCodec.parseLeader(row);
     } catch (UnreadableRowException e) {
@@ -135,30 +181,27 @@
     }
   }
 
-  private void tryAcquire(long term, long expectedVersion, boolean holderEnded) {
+  private void tryAcquire(long term, StoreVersion expected, boolean holderEnded) {
     callInFlight = true;
-    byte[] value =
-        LeaderRecord.newBuilder()
-            .setNode(node)
-            .setLife(incarnation)
-            .setTerm(term)
-            .setHost(address.host())
-            .setPort(address.port())
-            .build()
-            .toByteArray();
+    byte[] value = RecordCodec.serializeLeader(node, incarnation, term, address);
     store
         .write(
             List.of(
-                RowWrite.put(SystemTables.LEADER, SystemTables.LEADER_KEY, expectedVersion, value)),
+                RowWrite.put(
+                    SystemTables.LEADER, SystemTables.LEADER_KEY, expected.number(), value)),
+            expected.era(),
             TablePoller.TIMEOUT_MS)
         .whenCompleteAsync(
             (version, failure) -> onAcquireResponse(term, holderEnded, version, failure), loop);
   }
 
   private void onAcquireResponse(
-      long term, boolean holderEnded, OptionalLong version, Throwable failure) {
+      long term, boolean holderEnded, Optional<StoreVersion> version, Throwable failure) {
     callInFlight = false;
+    unansweredTry = Optional.empty();
     if (failure != null) {
+      KnownLeader self = new KnownLeader(node, incarnation, term, address, StoreVersion.NONE);
+      unansweredTry = Optional.of(new Acquired(self, holderEnded));
       logger
           .atInfo()
           .with(EventFields.FENCE, term)
@@ -167,7 +210,7 @@
     } else if (version.isPresent()) {
       onAcquired.accept(
           new Acquired(
-              new KnownLeader(node, incarnation, term, address, version.getAsLong()), holderEnded));
+              new KnownLeader(node, incarnation, term, address, version.get()), holderEnded));
     } else {
       nextPollMs = clock.nowMs();
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -7,14 +7,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.LeadershipTiming;
+import org.foxtailford.core.range.OwnerCapacities;
 import org.foxtailford.core.range.RangeCandidate;
 import org.foxtailford.core.range.RangeCommandClient;
 import org.foxtailford.core.range.RangeController;
+import org.foxtailford.core.range.RangeMap;
 import org.foxtailford.core.range.RangeOwner;
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.route.RoutingConfiguration;
@@ -23,6 +25,7 @@
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
@@ -37,8 +40,17 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Number of fences reserved for each term; no leader issues as many. */
-  private static final long FENCES_PER_TERM = 1_000_000;
+  /** Age at which the capacities of upstreams are computed again, in milliseconds. */
+  private static final long CAPACITY_AGE_MS = 500;
+
+  /**
+   * Capacities of a service's upstreams.
+   *
+   * @param entries the upstreams
+   * @param capacities capacity of each
+   * @param atMs when they were computed, in milliseconds
+   */
+  private record Capacities(List<UpstreamEntry> entries, List<Double> capacities, long atMs) {}
 
   /** Receives the results of the leader's tasks. */
   interface Listener {
@@ -46,11 +58,14 @@
     /** Called after the range map of a service was written. */
     void onOwnersWritten(String service, RowPage page);
 
+    /** Called after this VM kept the leadership of a store that was restored from an older copy. */
+    void onLeadershipKept(KnownLeader leader);
+
     /** Called once, after this VM has stopped leading. */
     void onLeadershipLost(String reason);
   }
 
-  private final KnownLeader leader;
+  private final LeadershipKeeper keeper;
   private final RowStore store;
   private final RangeCommandClient commandClient;
   private final EntryRoutingState state;
@@ -59,15 +74,19 @@
   private final Listener listener;
   private final MillisClock clock;
   private final Executor loop;
+  private final boolean noEarlierLeader;
   private final long earlierGrantsExpiryMs;
   private final Map<String, RangeExecutor> executors = new HashMap<>();
+  private final Map<String, Capacities> capacitiesByService = new HashMap<>();
   private final Map<RangeOwner, UpstreamAddress> addresses = new HashMap<>();
+  private KnownLeader leader;
   private long fenceCount;
   private long renewalCount;
   private long lastConfirmedMs;
   private long nextRenewalMs;
   private boolean renewalInFlight;
   private boolean grantsAllowed = true;
+  private boolean tickScheduled;
   private boolean ended;
 
   LeaderTasks(
@@ -80,6 +99,7 @@
       Listener listener,
       MillisClock clock,
       Executor loop,
+      boolean noEarlierLeader,
       long earlierGrantsExpiryMs) {
     this.leader = leader;
     this.store = store;
@@ -90,7 +110,9 @@
     this.listener = Assert.notNull(listener, "listener");
     this.clock = Assert.notNull(clock, "clock");
     this.loop = Assert.notNull(loop, "loop");
+    this.noEarlierLeader = noEarlierLeader;
     this.earlierGrantsExpiryMs = earlierGrantsExpiryMs;
+    this.keeper = new LeadershipKeeper(store, clock, loop, new KeptLeadership());
     this.lastConfirmedMs = clock.nowMs();
     this.nextRenewalMs = lastConfirmedMs;
   }
@@ -102,7 +124,13 @@
   /** Performs the tasks that are due. */
   void tick() {
     long nowMs = clock.nowMs();
-    renewAsNeeded(nowMs);
+    if (store.era() == leader.rowVersion().era()) {
+      renewAsNeeded(nowMs);
+    } else if (nowMs - lastConfirmedMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS) {
+      keeper.keep(leader);
+    } else {
+      end("the store was restored after grants had been paused");
+    }
     boolean mayGrant = nowMs - lastConfirmedMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS;
     if (mayGrant != grantsAllowed) {
       grantsAllowed = mayGrant;
@@ -130,12 +158,23 @@
   }
 
   private RangeExecutor newExecutor(String service) {
+    RangeMap known = state.owners(service);
+    long era = leader.rowVersion().era();
+    long storedVersion =
+        state
+            .mirror(SystemTables.RANGES)
+            .find(service)
+            .map(Row::version)
+            .filter(version -> version.era() == era)
+            .map(StoreVersion::number)
+            .orElse(0L);
     RangeController controller =
         new RangeController(
             timing,
-            () -> leader.term() * FENCES_PER_TERM + ++fenceCount,
+            () -> LeadershipTerms.fence(leader.term(), ++fenceCount),
             loads.historyOf(service),
-            state.owners(service),
+            new RangeMap(storedVersion, known.era(), known.assignments()),
+            known.isComplete(era, noEarlierLeader),
             earlierGrantsExpiryMs);
     return new RangeExecutor(
         service,
@@ -144,24 +183,40 @@
         commandClient,
         owner -> Optional.ofNullable(addresses.get(owner)),
         store,
-        leader.rowVersion(),
+        () -> leader.rowVersion(),
         this,
         clock,
         loop);
   }
 
   private List<RangeCandidate> candidates(String service) {
+    long nowMs = clock.nowMs();
+    List<UpstreamEntry> entries = state.upstreams().usable(service);
+    Capacities known = capacitiesByService.get(service);
+    if (known == null || known.entries() != entries || nowMs - known.atMs() >= CAPACITY_AGE_MS) {
+      known = new Capacities(entries, capacities(service, entries, nowMs), nowMs);
+      capacitiesByService.put(service, known);
+    }
+    List<Double> capacities = known.capacities();
     List<RangeCandidate> candidates = new ArrayList<>();
-    for (UpstreamEntry entry : state.upstreams().usable(service)) {
+    for (int i = 0; i < entries.size(); i++) {
+      UpstreamEntry entry = entries.get(i);
       RangeOwner owner = new RangeOwner(entry.id(), entry.bornMs());
       addresses.put(owner, entry.address());
-      boolean cold = state.upstreams().isCold(entry.id(), clock.nowMs());
-      double capacity = entry.slots() * loads.speed(entry);
-      candidates.add(new RangeCandidate(owner, capacity, cold));
+      boolean cold = state.upstreams().isCold(entry.id(), nowMs);
+      candidates.add(new RangeCandidate(owner, capacities.get(i), cold));
     }
     return candidates;
   }
 
+  private List<Double> capacities(String service, List<UpstreamEntry> entries, long nowMs) {
+    List<OwnerCapacities.Upstream> upstreams = new ArrayList<>();
+    for (UpstreamEntry entry : entries) {
+      upstreams.add(new OwnerCapacities.Upstream(entry.slots(), loads.speed(entry, nowMs)));
+    }
+    return OwnerCapacities.divide(upstreams, loads.busySlots(service));
+  }
+
   private void renewAsNeeded(long nowMs) {
     if (renewalInFlight || nowMs < nextRenewalMs || ended) {
       return;
@@ -175,14 +230,15 @@
             .toByteArray();
     List<RowWrite> rows =
         List.of(
-            RowWrite.expect(SystemTables.LEADER, SystemTables.LEADER_KEY, leader.rowVersion()),
+            RowWrite.expect(
+                SystemTables.LEADER, SystemTables.LEADER_KEY, leader.rowVersion().number()),
             RowWrite.put(SystemTables.LEADER, SystemTables.RENEWAL_KEY, -1, value));
     store
-        .write(rows, TablePoller.TIMEOUT_MS)
+        .write(rows, leader.rowVersion().era(), TablePoller.TIMEOUT_MS)
         .whenCompleteAsync((version, failure) -> onRenewed(version, failure, nowMs), loop);
   }
 
-  private void onRenewed(OptionalLong version, Throwable failure, long sentMs) {
+  private void onRenewed(Optional<StoreVersion> version, Throwable failure, long sentMs) {
     renewalInFlight = false;
     long nowMs = clock.nowMs();
     if (failure != null) {
@@ -217,16 +273,52 @@
   }
 
   @Override
-  public void onWritten(String service, byte[] value, long version) {
+  public void onWritten(String service, byte[] value, StoreVersion version) {
     Row row = new Row(service, value, version, false);
     listener.onOwnersWritten(service, new RowPage(List.of(row), version, false));
   }
 
+  @Override
+  public void onProgress() {
+    if (!tickScheduled) {
+      tickScheduled = true;
+      loop.execute(
+          () -> {
+            tickScheduled = false;
+            if (!ended) {
+              tick();
+            }
+          });
+    }
+  }
+
   @Override
   public void onConflict(String service) {
     end("owners of " + service + " were written by another VM");
   }
 
+  /** Applies the outcome of keeping the leadership in a new era of the store. */
+  private final class KeptLeadership implements LeadershipKeeper.Listener {
+
+    @Override
+    public void onKept(KnownLeader kept, Map<String, Long> mapVersions, long sentMs) {
+      if (ended) {
+        return;
+      }
+      leader = kept;
+      lastConfirmedMs = sentMs;
+      nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
+      executors.forEach(
+          (service, executor) -> executor.onStoreRestored(mapVersions.getOrDefault(service, 0L)));
+      listener.onLeadershipKept(kept);
+    }
+
+    @Override
+    public void onTaken() {
+      end("another VM acquired leadership after the store was restored");
+    }
+  }
+
   /** Returns the time since the store last confirmed the leadership, in milliseconds. */
   long confirmedAgeMs() {
     return clock.nowMs() - lastConfirmedMs;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.range.CommandOutcome;
 import org.foxtailford.core.range.RangeAssignment;
@@ -19,6 +20,7 @@
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
@@ -33,11 +35,21 @@
 
   private static final long WRITE_RETRY_INTERVAL_MS = 250;
 
+  /**
+   * Maximum time for which a written map is announced only when its new owners have confirmed their
+   * grants, in milliseconds; some round trips between data centres. Requests that follow the map
+   * earlier are rejected by owners that don't hold the keys yet.
+   */
+  private static final long MAX_ANNOUNCEMENT_DELAY_MS = 100;
+
   /** Receives the results of writes of the range map. */
   interface MapListener {
 
-    /** Called after the map was written. */
-    void onWritten(String service, byte[] value, long version);
+    /** Called after the map was written and its owners hold their keys, or might do so soon. */
+    void onWritten(String service, byte[] value, StoreVersion version);
+
+    /** Called when further commands may be due. */
+    void onProgress();
 
     /**
      * Called if the store holds another map or another leader, so that this VM must stop leading.
@@ -51,15 +63,25 @@
   private final RangeCommandClient commandClient;
   private final Function<RangeOwner, Optional<UpstreamAddress>> addressLookup;
   private final RowStore store;
-  private final long leaderRowVersion;
+  private final Supplier<StoreVersion> leaderRowVersion;
   private final MapListener listener;
   private final MillisClock clock;
   private final Executor loop;
   private Optional<RangeCommand.Write> pendingWrite = Optional.empty();
+  private Optional<Announcement> announcement = Optional.empty();
+  private int firstGrantsInFlight;
   private boolean writeInFlight;
   private long nextWriteMs;
   private boolean stopped;
 
+  /**
+   * Written map that was not announced yet.
+   *
+   * @param dueMs when it is announced at the latest, in milliseconds
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  private record Announcement(byte[] value, StoreVersion version, long dueMs) {}
+
   RangeExecutor(
       String service,
       RangeController controller,
@@ -67,7 +89,7 @@
       RangeCommandClient commandClient,
       Function<RangeOwner, Optional<UpstreamAddress>> addressLookup,
       RowStore store,
-      long leaderRowVersion,
+      Supplier<StoreVersion> leaderRowVersion,
       MapListener listener,
       MillisClock clock,
       Executor loop) {
@@ -91,6 +113,18 @@
     stopped = true;
   }
 
+  /**
+   * Continues after the store was restored from an older copy.
+   *
+   * @param restoredVersion number of the version of the service's map in the restored store; 0 if
+   *     there is none
+   */
+  void onStoreRestored(long restoredVersion) {
+    pendingWrite = pendingWrite.map(write -> write.afterRestore(restoredVersion));
+    nextWriteMs = clock.nowMs();
+    controller.onStoreRestored(restoredVersion, clock.nowMs());
+  }
+
   void execute(List<RangeCommand> commands) {
     for (RangeCommand command : commands) {
       if (command instanceof RangeCommand.Grant) {
@@ -102,6 +136,20 @@
       }
     }
     writeAsNeeded();
+    announceAsNeeded();
+  }
+
+  /** Announces a written map once its owners hold their keys, or after a bounded delay. */
+  private void announceAsNeeded() {
+    boolean due =
+        announcement
+            .filter(map -> firstGrantsInFlight == 0 || clock.nowMs() >= map.dueMs())
+            .isPresent();
+    if (due && !stopped) {
+      Announcement map = announcement.get();
+      announcement = Optional.empty();
+      listener.onWritten(service, map.value(), map.version());
+    }
   }
 
   private void grant(RangeCommand.Grant command) {
@@ -111,6 +159,7 @@
       controller.onGrant(command, CommandOutcome.UNREACHED, OptionalLong.empty(), clock.nowMs());
       return;
     }
+    firstGrantsInFlight += command.session().isEmpty() ? 1 : 0;
     commandClient
         .grant(
             assignment.owner().upstream(),
@@ -125,11 +174,16 @@
   }
 
   private void onGrant(RangeCommand.Grant command, RangeCommandClient.GrantResult result) {
+    firstGrantsInFlight -= command.session().isEmpty() ? 1 : 0;
     if (command.session().isEmpty() || result.outcome() != CommandOutcome.DONE) {
       log(command.assignment(), "keys granted", result.outcome());
     }
     if (!stopped) {
       controller.onGrant(command, result.outcome(), result.session(), clock.nowMs());
+      if (controller.isSuperseded()) {
+        listener.onConflict(service);
+      }
+      announceAsNeeded();
     }
   }
 
@@ -154,6 +208,7 @@
     log(command.assignment(), "keys released", result.outcome());
     if (!stopped) {
       controller.onRelease(command, result.outcome(), result.handover(), clock.nowMs());
+      listener.onProgress();
     }
   }
 
@@ -175,18 +230,20 @@
     }
     writeInFlight = true;
     RangeCommand.Write command = pendingWrite.get();
-    byte[] value = RecordCodec.serializeRanges(service, command.assignments());
+    StoreVersion leaderRow = leaderRowVersion.get();
+    long era = command.complete() ? leaderRow.era() : 0;
+    byte[] value = RecordCodec.serializeRanges(service, era, command.assignments());
     List<RowWrite> rows =
         List.of(
-            RowWrite.expect(SystemTables.LEADER, SystemTables.LEADER_KEY, leaderRowVersion),
+            RowWrite.expect(SystemTables.LEADER, SystemTables.LEADER_KEY, leaderRow.number()),
             RowWrite.put(SystemTables.RANGES, service, command.expectedVersion(), value));
     store
-        .write(rows, TablePoller.TIMEOUT_MS)
+        .write(rows, leaderRow.era(), TablePoller.TIMEOUT_MS)
         .whenCompleteAsync((version, failure) -> onWrite(command, value, version, failure), loop);
   }
 
   private void onWrite(
-      RangeCommand.Write command, byte[] value, OptionalLong version, Throwable failure) {
+      RangeCommand.Write command, byte[] value, Optional<StoreVersion> version, Throwable failure) {
     writeInFlight = false;
     if (stopped) {
       return;
@@ -200,16 +257,18 @@
           .with(EventFields.REASON, String.valueOf(failure))
           .log("owners not written yet");
     } else if (version.isPresent()) {
-      onWritten(command, value, version.getAsLong());
+      onWritten(command, value, version.get());
     } else {
       compareWithStored(command, value);
     }
   }
 
-  private void onWritten(RangeCommand.Write command, byte[] value, long version) {
+  private void onWritten(RangeCommand.Write command, byte[] value, StoreVersion version) {
     pendingWrite = Optional.empty();
-    listener.onWritten(service, value, version);
-    controller.onWritten(command, version, clock.nowMs());
+    long nowMs = clock.nowMs();
+    controller.onWritten(command, version.number(), nowMs);
+    announcement = Optional.of(new Announcement(value, version, nowMs + MAX_ANNOUNCEMENT_DELAY_MS));
+    listener.onProgress();
   }
 
   /**
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
@@ -12,7 +12,10 @@
 import org.foxtailford.core.range.RangeOwner;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.RowPage;
+import org.foxtailford.core.store.StoreVersion;
+import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.store.UnreadableRowException;
+import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.schema.entry.LeaderRecord;
 import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.RangeMapRecord;
@@ -35,6 +38,17 @@
     }
   }
 
+  static byte[] serializeLeader(String node, long incarnation, long term, UpstreamAddress address) {
+    return LeaderRecord.newBuilder()
+        .setNode(node)
+        .setLife(incarnation)
+        .setTerm(term)
+        .setHost(address.host())
+        .setPort(address.port())
+        .build()
+        .toByteArray();
+  }
+
   static MemberRecord parseMember(Row row) {
     try {
       return MemberRecord.parseFrom(row.value());
@@ -47,22 +61,23 @@
   static RangeMap parseRanges(Row row) {
     try {
       List<RangeAssignment> assignments = new ArrayList<>();
-      for (RangeRecord range : RangeMapRecord.parseFrom(row.value()).getRangesList()) {
+      RangeMapRecord record = RangeMapRecord.parseFrom(row.value());
+      for (RangeRecord range : record.getRangesList()) {
         assignments.add(
             new RangeAssignment(
                 new KeyRange(range.getFirst(), range.getLast()),
                 new RangeOwner(range.getUpstream(), range.getBornMs()),
                 range.getFence()));
       }
-      return new RangeMap(row.version(), assignments);
+      return new RangeMap(row.version().number(), record.getEra(), assignments);
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       throw new UnreadableRowException(
           "owners of " + row.key() + " are not a valid RangeMapRecord", e);
     }
   }
 
-  static byte[] serializeRanges(String service, Collection<RangeAssignment> assignments) {
-    RangeMapRecord.Builder record = RangeMapRecord.newBuilder().setService(service);
+  static byte[] serializeRanges(String service, long era, Collection<RangeAssignment> assignments) {
+    RangeMapRecord.Builder record = RangeMapRecord.newBuilder().setService(service).setEra(era);
     for (RangeAssignment assignment : assignments) {
       record.addRanges(
           RangeRecord.newBuilder()
@@ -75,14 +90,25 @@
     return record.build().toByteArray();
   }
 
-  static TableRows toMessage(String table, long version, Collection<Row> rows, RowPacker packer) {
-    TableRows.Builder message = TableRows.newBuilder().setTable(table).setVersion(version);
+  /** Returns a message with rows of a copy, all of the copy's era. */
+  static TableRows toMessage(TableMirror mirror, Collection<Row> rows, RowPacker packer) {
+    TableRows.Builder message =
+        TableRows.newBuilder()
+            .setTable(mirror.table())
+            .setVersion(mirror.version().number())
+            .setEra(mirror.version().era())
+            .setEraBegin(mirror.eraBegin().number());
     for (Row row : rows) {
-      message.addRows(packer.pack(table, row));
+      message.addRows(packer.pack(mirror.table(), row));
     }
     return message.build();
   }
 
+  /** Returns the version of the snapshot with which the era of the message's sender began. */
+  static StoreVersion eraBegin(TableRows message) {
+    return new StoreVersion(message.getEra(), message.getEraBegin());
+  }
+
   /**
    * Returns the rows of a message. If one is unreadable, it is left out and the page's version is
    * 0, so that the copy's version doesn't advance past the missing row.
@@ -92,7 +118,7 @@
     long version = message.getVersion();
     for (StoredRow row : message.getRowsList()) {
       try {
-        rows.add(RowPacker.unpack(row));
+        rows.add(RowPacker.unpack(row, message.getEra()));
       } catch (UnreadableRowException e) {
         version = 0;
         logger
@@ -103,6 +129,6 @@
             .log("row from a peer cannot be read");
       }
     }
-    return new RowPage(rows, version, false);
+    return new RowPage(rows, new StoreVersion(message.getEra(), version), message.getSnapshot());
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RowPacker.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RowPacker.java
@@ -7,6 +7,7 @@
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 import org.foxtailford.core.store.Row;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.schema.entry.StoredRow;
 
@@ -27,20 +28,20 @@
 
   private final Map<String, CompressedValue> compressedValues = new HashMap<>();
 
-  private record CompressedValue(long version, ByteString value) {}
+  private record CompressedValue(StoreVersion version, ByteString value) {}
 
   /** Converts a row to a message. */
   StoredRow pack(String table, Row row) {
     StoredRow.Builder message =
         StoredRow.newBuilder()
             .setKey(row.key())
-            .setVersion(row.version())
+            .setVersion(row.version().number())
             .setDeleted(row.deleted());
     if (row.value().length < COMPRESSION_THRESHOLD_BYTES) {
       return message.setValue(ByteString.copyFrom(row.value())).build();
     }
     CompressedValue compressed = compressedValues.get(table + '/' + row.key());
-    if (compressed == null || compressed.version() != row.version()) {
+    if (compressed == null || !compressed.version().equals(row.version())) {
       compressed = new CompressedValue(row.version(), deflate(row.value()));
       compressedValues.put(table + '/' + row.key(), compressed);
     }
@@ -66,15 +67,17 @@
   /**
    * Converts a message to a row.
    *
+   * @param era era of the store to which the row's version belongs
    * @throws UnreadableRowException if a value can't be decompressed or is shorter than its stated
    *     length, or that length is negative or over 1 MiB
    */
-  static Row unpack(StoredRow message) {
+  static Row unpack(StoredRow message, long era) {
     byte[] value = message.getValue().toByteArray();
     if (message.getInflatedBytes() != 0) {
       value = inflate(message.getKey(), value, message.getInflatedBytes());
     }
-    return new Row(message.getKey(), value, message.getVersion(), message.getDeleted());
+    return new Row(
+        message.getKey(), value, new StoreVersion(era, message.getVersion()), message.getDeleted());
   }
 
   private static byte[] inflate(String key, byte[] deflated, int length) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -6,9 +6,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.store.EraChangedException;
 import org.foxtailford.core.store.HistoryLostException;
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 
@@ -90,9 +92,10 @@
     }
     callInFlight = true;
     sentMs = nowMs;
-    long version = state.mirror(table).version();
+    StoreVersion version = state.mirror(table).version();
+    boolean outdated = version.number() == 0 || version.era() != store.era();
     CompletableFuture<RowPage> page =
-        version == 0 || fullReadRequired
+        outdated || fullReadRequired
             ? store.readAll(table, TIMEOUT_MS)
             : store.readChanges(table, version, waitMs, waitMs + TIMEOUT_MS);
     page.whenCompleteAsync((result, failure) -> onPage(result, failure, nowMs), loop);
@@ -109,10 +112,15 @@
       onSuccess.accept(waitMs == 0 ? sentMs : nowMs);
       return;
     }
-    if (isHistoryLost(failure)) {
+    if (isCausedBy(failure, HistoryLostException.class)
+        || isCausedBy(failure, EraChangedException.class)) {
       fullReadRequired = true;
       nextCallMs = nowMs;
-      logger.atInfo().with(EventFields.TABLE, table).log("history lost, table is read again");
+      logger
+          .atInfo()
+          .with(EventFields.TABLE, table)
+          .with(EventFields.REASON, String.valueOf(failure))
+          .log("history lost, table is read again");
       return;
     }
     nextCallMs = nowMs + retryDelayMs;
@@ -126,9 +134,9 @@
         .log("store call failed");
   }
 
-  private static boolean isHistoryLost(Throwable failure) {
+  private static boolean isCausedBy(Throwable failure, Class<? extends Throwable> type) {
     for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
-      if (cause instanceof HistoryLostException) {
+      if (type.isInstance(cause)) {
         return true;
       }
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/metrics/MicrometerRequestMetrics.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/metrics/MicrometerRequestMetrics.java
@@ -82,6 +82,11 @@
     count("foxtailford.repeats.denied", reason);
   }
 
+  @Override
+  public void recordPause(String outcome) {
+    count("foxtailford.pauses", outcome);
+  }
+
   private void count(String name, String reason) {
     getOrCreate(
             counters,
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/OwnerSendPacing.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/OwnerSendPacing.java
@@ -57,6 +57,7 @@
   void recordReport(UpstreamHandle upstream, LoadReport report) {
     long nowMs = clock.nowMs();
     upstream.load().recordReport(report, nowMs);
+    view.countSlowness(upstream.entry(), report.slowness());
     update(upstream, "report", pacer -> pacer.recordReport(report, intervalMs(upstream), nowMs));
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestMetrics.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestMetrics.java
@@ -15,6 +15,9 @@
   /** Records a retry or hedge that was not allowed. */
   void recordDeniedRetry(String reason);
 
+  /** Records a pause that an upstream asked for, or one that can't be read and is ignored. */
+  void recordPause(String outcome);
+
   /** Records how long a queued request waited before it was sent, in milliseconds. */
   void recordWait(String service, long waitedMs);
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -10,12 +12,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.ColdUpstreamRateLimiter;
+import org.foxtailford.core.overload.MisdirectionPauses;
 import org.foxtailford.core.overload.QueueAdmissionPolicy;
 import org.foxtailford.core.overload.WaitingRequest;
 import org.foxtailford.core.overload.WaitingRequestComparator;
@@ -69,8 +73,24 @@
   /** Requests that an owner may have per slot; above 1 since no other upstream can run them. */
   private static final double MAX_OWNER_OCCUPANCY = 1.75;
 
-  /** Time for which a range whose owner disowned a key waits for a newer map, in milliseconds. */
-  private static final long MISDIRECTED_PAUSE_MS = 150;
+  /**
+   * Maximum time for which a request waits while its key has no usable owner, in milliseconds; most
+   * moves of keys end sooner.
+   */
+  private static final long MAX_OWNERLESS_WAIT_MS = 1000;
+
+  /**
+   * Fraction of the time left up to which a request waits while its key has no usable owner; the
+   * rest allows its caller to try again.
+   */
+  private static final double OWNERLESS_WAIT_SHARE = 0.5;
+
+  /**
+   * Fraction of the drain time for which an owner that said that it is leaving still gets requests
+   * for its keys, which nobody else can serve until they have moved. The rest of the drain time is
+   * left to the registration, which tells the same to all VMs.
+   */
+  private static final double LEAVING_OWNER_SHARE = 0.25;
 
   /** Fraction of an upstream's connections used for requests; the rest is for range commands. */
   private static final double CONNECTION_SHARE = 0.9;
@@ -89,19 +109,25 @@
   private final RequestMetrics metrics;
   private final DoubleSupplier random;
   private final String dataCentre;
+  private final long leavingOwnerMs;
   private final UpstreamChooser chooser;
   private final ColdUpstreamRateLimiter coldRateLimiter;
   private final OwnerSendPacing ownerPacing;
   private final QueueAdmissionPolicy admission = new QueueAdmissionPolicy(MAX_WAITING);
   private final Map<String, List<RequestCall>> waitingByService = new HashMap<>();
   private final Map<String, Double> averageMsByService = new HashMap<>();
-  private final Map<Long, Long> pausedUntilByFence = new HashMap<>();
+  private final MisdirectionPauses misdirections = new MisdirectionPauses();
   private WindowedRetryBudget retryBudget;
   private int activeRequests;
   private boolean sending;
   private boolean tickScheduled;
 
-  /** Creates a scheduler. */
+  /**
+   * Creates a scheduler.
+   *
+   * @param drainMs time after an upstream's leaving is known in which the last request must reach
+   *     it, in milliseconds
+   */
   public RequestScheduler(
       EventLoop loop,
       MillisClock clock,
@@ -112,7 +138,8 @@
       WindowedRetryBudget retryBudget,
       DoubleSupplier random,
       String node,
-      String dataCentre) {
+      String dataCentre,
+      long drainMs) {
     this.loop = Assert.notNull(loop, "loop");
     this.clock = Assert.notNull(clock, "clock");
     this.view = Assert.notNull(view, "view");
@@ -122,6 +149,7 @@
     this.retryBudget = Assert.notNull(retryBudget, "retryBudget");
     this.random = Assert.notNull(random, "random");
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
+    this.leavingOwnerMs = (long) (LEAVING_OWNER_SHARE * drainMs);
     this.chooser = new UpstreamChooser(random);
     this.coldRateLimiter = new ColdUpstreamRateLimiter(node);
     this.ownerPacing = new OwnerSendPacing(view, clock, this::averageMs);
@@ -205,7 +233,14 @@
         call.refuse(full ? "owner is full" : "owner out of reach", RequestCall.BAD_GATEWAY);
         return;
       }
-      untilMs = readyMs < 0 ? Math.min(untilMs, nowMs + MISDIRECTED_PAUSE_MS) : untilMs;
+      if (readyMs < 0 || isMisdirected(call, nowMs)) {
+        long leftMs = call.terms().deadlineMs() - workMs - nowMs;
+        untilMs = nowMs + Math.min(MAX_OWNERLESS_WAIT_MS, (long) (OWNERLESS_WAIT_SHARE * leftMs));
+      }
+    }
+    if (pausedUntilMs(call) > untilMs) {
+      call.refuse("upstreams are paused", RequestCall.BAD_GATEWAY);
+      return;
     }
     List<RequestCall> queue = waitingByService.computeIfAbsent(service, name -> new ArrayList<>());
     WaitingRequestComparator order = new WaitingRequestComparator(nowMs, workMs);
@@ -245,12 +280,16 @@
   private long ownerReadyMs(RequestCall call, long nowMs) {
     return owner(call)
         .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
-        .filter(view.upstreams()::isUsable)
+        .filter(entry -> view.upstreams().mayServeKeys(entry, leavingOwnerMs, nowMs))
         .map(registry::getOrCreate)
         .map(owner -> Math.max(owner.load().suspendedUntilMs(), owner.pacer().nextSendMs(nowMs)))
         .orElse(-1L);
   }
 
+  private boolean isMisdirected(RequestCall call, long nowMs) {
+    return owner(call).filter(a -> misdirections.isPaused(a.fence(), nowMs)).isPresent();
+  }
+
   private boolean isOwnerFull(RequestCall call, long nowMs) {
     return owner(call)
         .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
@@ -279,17 +318,10 @@
   private double expectedSendRate(RequestCall call) {
     long nowMs = nowMs();
     String service = call.service().name();
-    Collection<UpstreamEntry> entries =
-        call.service().keyed()
-            ? owner(call)
-                .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
-                .map(List::of)
-                .orElse(List.of())
-            : view.upstreams().usable(service);
     double perSecond = 0;
     double own = 1;
     double total = 1;
-    for (UpstreamEntry entry : entries) {
+    for (UpstreamEntry entry : candidates(call)) {
       UpstreamHandle handle = registry.getOrCreate(entry);
       UpstreamLoad load = handle.load();
       if (!load.isSuspended(nowMs)) {
@@ -334,14 +366,13 @@
     if (assignment.isEmpty()) {
       return Optional.empty();
     }
-    Long pausedUntilMs = pausedUntilByFence.get(assignment.get().fence());
-    if (pausedUntilMs != null && nowMs < pausedUntilMs) {
+    if (misdirections.isPaused(assignment.get().fence(), nowMs)) {
       return Optional.empty();
     }
     Optional<UpstreamEntry> entry = view.upstreams().find(assignment.get().owner().upstream());
     if (entry.isEmpty()
         || entry.get().bornMs() != assignment.get().owner().bornMs()
-        || !view.upstreams().isUsable(entry.get())) {
+        || !view.upstreams().mayServeKeys(entry.get(), leavingOwnerMs, nowMs)) {
       return Optional.empty();
     }
     UpstreamHandle handle = registry.getOrCreate(entry.get());
@@ -464,13 +495,60 @@
       return;
     }
     owner(call)
+        .filter(assignment -> assignment.owner().upstream().equals(upstream.entry().id()))
         .ifPresent(
             assignment -> {
-              pausedUntilByFence.put(assignment.fence(), nowMs() + MISDIRECTED_PAUSE_MS);
+              misdirections.recordRejection(assignment.fence(), nowMs());
               view.onWrongOwner(call.service().name(), call.key().getAsInt());
             });
   }
 
+  /** Records that an upstream said that it is leaving. */
+  void onLeaving(UpstreamHandle upstream) {
+    view.onLeaving(upstream.entry());
+  }
+
+  /** Pauses an upstream that answered 503, if it said for how long it wants nothing. */
+  void onUnavailable(RequestCall call, UpstreamHandle upstream, HttpHeaders headers) {
+    if (!headers.contains(HttpHeaderNames.RETRY_AFTER)) {
+      return;
+    }
+    OptionalLong pauseMs = dialect.retryAfterMs(headers);
+    metrics.recordPause(pauseMs.isPresent() ? "obeyed" : "unreadable");
+    if (pauseMs.isPresent()) {
+      upstream.load().recordPause(pauseMs.getAsLong(), nowMs());
+      logger
+          .atInfo()
+          .with(EventFields.REQUEST, call.requestId())
+          .with(EventFields.SERVICE, upstream.entry().service())
+          .with(EventFields.UPSTREAM, upstream.entry().id())
+          .with(EventFields.RETRY_AFTER_MS, pauseMs.getAsLong())
+          .log("upstream paused");
+    }
+  }
+
+  /**
+   * Returns when the first upstream that may serve a request ends its pause, in milliseconds; 0 if
+   * one is not paused. Requests are not kept waiting for longer pauses than they may wait.
+   */
+  private long pausedUntilMs(RequestCall call) {
+    Collection<UpstreamEntry> entries = candidates(call);
+    return entries.stream()
+        .mapToLong(entry -> registry.getOrCreate(entry).load().pausedUntilMs())
+        .min()
+        .orElse(0);
+  }
+
+  /** Returns the owner of a request's key, or all usable upstreams for a request without key. */
+  private Collection<UpstreamEntry> candidates(RequestCall call) {
+    return call.service().keyed()
+        ? owner(call)
+            .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
+            .map(List::of)
+            .orElse(List.of())
+        : view.upstreams().usable(call.service().name());
+  }
+
   /**
    * Records the time of an answer, in milliseconds.
    *
@@ -481,15 +559,17 @@
     averageMsByService.merge(
         entry.service(), tookMs, (old, took) -> old + AVERAGE_WEIGHT * (took - old));
     if (!hadQueue) {
-      view.countWork(entry, tookMs / upstream.load().slowness());
+      view.countWork(entry, tookMs);
     }
   }
 
   long retryAfterMs(RequestCall call) {
     List<RequestCall> queue = waitingByService.get(call.service().name());
     int queued = queue == null ? 0 : queue.size();
-    return admission.retryAfterMs(
-        queued, expectedSendRate(call), call.callerRemainingMs(nowMs()), random.getAsDouble());
+    long delayMs =
+        admission.retryAfterMs(
+            queued, expectedSendRate(call), call.callerRemainingMs(nowMs()), random.getAsDouble());
+    return Math.max(delayMs, pausedUntilMs(call) - nowMs());
   }
 
   /** Sends waiting requests of a service as far as upstreams have capacity. */
@@ -525,6 +605,8 @@
     scan.recordNoCapacity(call);
     if (nowMs >= call.waitsUntilMs()) {
       call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
+    } else if (scan.pausedUntilMs(call) > call.waitsUntilMs()) {
+      call.refuse("upstreams are paused", RequestCall.BAD_GATEWAY);
     } else if (admission.isExpectedTooLate(
         scan.ahead(call), scan.sendRate(call), call.waitsUntilMs(), nowMs)) {
       call.refuse("others go before", RequestCall.BAD_GATEWAY);
@@ -543,6 +625,7 @@
     private final Set<String> fullRanges = new HashSet<>();
     private final Map<String, Integer> ahead = new HashMap<>();
     private final Map<String, Double> rates = new HashMap<>();
+    private final Map<String, Long> pauses = new HashMap<>();
 
     /** Returns the owner's id, or an empty string for a request that any upstream may run. */
     private String ownerUpstream(RequestCall call) {
@@ -572,6 +655,11 @@
       ahead.merge(ownerUpstream(call), 1, Integer::sum);
     }
 
+    long pausedUntilMs(RequestCall call) {
+      return pauses.computeIfAbsent(
+          ownerUpstream(call), name -> RequestScheduler.this.pausedUntilMs(call));
+    }
+
     double sendRate(RequestCall call) {
       return rates.computeIfAbsent(
           ownerUpstream(call), name -> RequestScheduler.this.expectedSendRate(call));
@@ -581,9 +669,6 @@
   /** Processes all queues, after a change of the routing state or after some time. */
   public void tick() {
     List.copyOf(waitingByService.keySet()).forEach(this::sendWaiting);
-    if (!pausedUntilByFence.isEmpty()) {
-      long nowMs = nowMs();
-      pausedUntilByFence.values().removeIf(untilMs -> nowMs >= untilMs);
-    }
+    misdirections.removeOutdated(nowMs());
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -25,9 +25,15 @@
   /** Records a request for a key, as a measure of the key's load. */
   void countKey(String service, int key);
 
-  /** Records an answer and its typical service time at the upstream, in milliseconds. */
+  /** Records the slowness of an upstream's machine as it reports it; 1 is typical. */
+  void countSlowness(UpstreamEntry upstream, double slowness);
+
+  /** Records an answer that did not wait at the upstream and its service time, in milliseconds. */
   void countWork(UpstreamEntry upstream, double tookMs);
 
+  /** Records an upstream's statement that it is leaving. */
+  void onLeaving(UpstreamEntry upstream);
+
   /** Handles an upstream's statement that it does not own a key, contrary to the owners' map. */
   void onWrongOwner(String service, int key);
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettings.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettings.java
@@ -17,6 +17,7 @@
  * @param metricsPort port of the metrics on the callers' host; 0 for none
  * @param processorShare processor capacity of this VM, in cores; positive
  * @param linkMbps bandwidth of this VM's link, in Mbit/s; positive
+ * @param firstStart whether the whole system starts for the first time
  * @param bounds limits that the operators of the system have agreed on
  */
 public record EntrySettings(
@@ -30,6 +31,7 @@
     int metricsPort,
     double processorShare,
     double linkMbps,
+    boolean firstStart,
     Bounds bounds) {
 
   /**
@@ -41,6 +43,8 @@
    * @param coldRatio allowed requests to a cold upstream, as a multiple of its cold rate
    * @param coldSlack allowed requests to a cold upstream in addition
    * @param maxGrantTtlMs maximum grant TTL, in milliseconds
+   * @param drainMs time after an upstream's leaving is known in which the last request must reach
+   *     it, in milliseconds
    * @param stopMs time from the stop signal to the end of the process, in milliseconds
    */
   public record Bounds(
@@ -50,6 +54,7 @@
       double coldRatio,
       double coldSlack,
       long maxGrantTtlMs,
+      long drainMs,
       long stopMs) {}
 
   /** Validates the names and capacities and copies the seeds. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/settings/EntrySettingsReader.java
@@ -50,6 +50,7 @@
             (int) number(root, "/listen/metricsPort", 0, 65535),
             number(root, "/processorShare", 0.01, 1024),
             number(root, "/linkMbps", 0.01, 1_000_000),
+            flag(root, "/firstStart"),
             new EntrySettings.Bounds(
                 number(root, "/bounds/retryRatio", 0, 100),
                 number(root, "/bounds/retrySlack", 0, 1_000_000),
@@ -57,6 +58,7 @@
                 number(root, "/bounds/coldRatio", 0, 100),
                 number(root, "/bounds/coldSlack", 0, 1_000_000),
                 millis(root, "/bounds/maxHold"),
+                millis(root, "/bounds/drain"),
                 millis(root, "/bounds/stop")));
     if (!faults.isEmpty()) {
       throw new InvalidSettingsException(ResultCode.INVALID_SETTINGS, faults);
@@ -90,6 +92,14 @@
     return value.doubleValue();
   }
 
+  private boolean flag(JsonNode root, String path) {
+    JsonNode value = root.at(path);
+    if (!value.isBoolean()) {
+      faults.add(fault(path, "must be true or false"));
+    }
+    return value.asBoolean();
+  }
+
   private long millis(JsonNode root, String path) {
     String text = text(root, path);
     Optional<Long> parsed = parseMillis(text);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -88,7 +88,8 @@
             0,
             1,
             100,
-            new EntrySettings.Bounds(0.2, 50, 10_000, 1, 1, 10_000, 3000));
+            true,
+            new EntrySettings.Bounds(0.2, 50, 10_000, 1, 1, 10_000, 2000, 3000));
     EntryVm vm = new EntryVm(vmSettings);
     vm.start();
     vms.add(vm);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/settings/EntrySettingsReaderTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/settings/EntrySettingsReaderTests.java
@@ -11,12 +11,12 @@
 
   private static final String VALID =
       """
-      {"node":"n","dataCentre":"d","processorShare":0.6,"linkMbps":100,
+      {"node":"n","dataCentre":"d","processorShare":0.6,"linkMbps":100,"firstStart":false,
       "listen":{"callers":"127.0.0.1:1",
       "readiness":"127.0.0.1:2","peers":"127.0.0.1:3","metricsPort":9464},
       "seeds":["10.0.0.1:7"],"store":{"address":"10.0.0.2:8"},"bounds":{"retryRatio":0.2,
       "retrySlack":60,"retryWindow":"10s","coldRatio":1.5,"coldSlack":5,"maxHold":"10000ms",
-      "stop":"6s"},"later":1}""";
+      "drain":"2s","stop":"6s"},"later":1}""";
 
   private static EntrySettings read(String text) {
     return EntrySettingsReader.read(text.getBytes(StandardCharsets.UTF_8));
@@ -27,6 +27,8 @@
     EntrySettings settings = read(VALID);
     assertThat(settings.bounds().retryWindowMs()).isEqualTo(10_000);
     assertThat(settings.bounds().stopMs()).isEqualTo(6000);
+    assertThat(settings.bounds().drainMs()).isEqualTo(2000);
+    assertThat(settings.firstStart()).isFalse();
     assertThat(settings.seeds()).hasSize(1);
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
@@ -33,6 +33,15 @@
   /** Returns the keep-alive time of the connection, in milliseconds; empty if not stated. */
   OptionalLong keepAliveMs(HttpHeaders headers);
 
+  /** Returns whether an answer states that the upstream is leaving. */
+  boolean isLeaving(HttpHeaders headers);
+
+  /**
+   * Returns the time for which an upstream that rejected a request wants nothing more, in
+   * milliseconds; empty if missing or malformed.
+   */
+  OptionalLong retryAfterMs(HttpHeaders headers);
+
   /** Sets the request id on an answer of this VM. */
   void setRequestId(HttpHeaders headers, String requestId);
 
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/RowStoreStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/RowStoreStandIn.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -38,10 +39,15 @@
   private final List<String> calls = new ArrayList<>();
   private long version = 1;
   private long oldestFeedVersion;
+  private long era = 1;
+  private Copy copy = new Copy(Map.of(), 1);
   private int port;
 
   private record VersionedRow(String value, long version, boolean deleted) {}
 
+  /** State of the store at one moment, to which it can be restored. */
+  private record Copy(Map<String, TreeMap<String, VersionedRow>> tables, long version) {}
+
   /** Creates a store without rows. */
   public RowStoreStandIn(EventLoopGroup loops) {
     this.loops = Assert.notNull(loops, "loops");
@@ -86,6 +92,36 @@
     oldestFeedVersion = ++version;
   }
 
+  /** Copies the present state, for {@link #restoreCopy()}. */
+  public synchronized void takeCopy() {
+    copy = new Copy(deepCopy(tables), version);
+  }
+
+  /**
+   * Returns to the state of the last copy: later writes are gone, their versions are given out
+   * again, and a new era begins.
+   */
+  public synchronized void restoreCopy() {
+    tables.clear();
+    tables.putAll(deepCopy(copy.tables()));
+    version = copy.version();
+    oldestFeedVersion = Math.min(oldestFeedVersion, version);
+    era++;
+  }
+
+  private static Map<String, TreeMap<String, VersionedRow>> deepCopy(
+      Map<String, TreeMap<String, VersionedRow>> original) {
+    Map<String, TreeMap<String, VersionedRow>> duplicate = new TreeMap<>();
+    original.forEach((table, rows) -> duplicate.put(table, new TreeMap<>(rows)));
+    return duplicate;
+  }
+
+  /** Returns whether a row exists. */
+  public synchronized boolean has(String table, String key) {
+    VersionedRow row = tables.getOrDefault(table, new TreeMap<>()).get(key);
+    return row != null && !row.deleted();
+  }
+
   private void store(String table, String key, VersionedRow row) {
     tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, row);
   }
@@ -100,7 +136,7 @@
     }
     CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
     loops.next().schedule(() -> answer(exchange, answer), faults.delayMs(), TimeUnit.MILLISECONDS);
-    return answer;
+    return answer.thenApply(this::withEra);
   }
 
   private void answer(HttpExchange exchange, CompletableFuture<HttpAnswer> answer) {
@@ -125,6 +161,11 @@
     }
   }
 
+  private synchronized HttpAnswer withEra(HttpAnswer answer) {
+    HttpHeaders headers = answer.headers().copy().set("Store-Era", era);
+    return new HttpAnswer(answer.status(), headers, answer.body());
+  }
+
   private static String parameter(QueryStringDecoder query, String name, String fallback) {
     List<String> values = query.parameters().get(name);
     return values == null ? fallback : values.get(0);
@@ -152,7 +193,7 @@
       QueryStringDecoder query, long deadlineMs, CompletableFuture<HttpAnswer> answer) {
     long after = Long.parseLong(parameter(query, "after", "0"));
     synchronized (this) {
-      if (after < oldestFeedVersion) {
+      if (after < oldestFeedVersion || after > version) {
         answer.complete(HttpAnswer.json(410, "{}"));
         return;
       }
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamBehaviour.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamBehaviour.java
@@ -6,6 +6,10 @@
   NORMAL,
   /** Rejects each request and states that it did not run it. */
   FULL,
+  /** Rejects each request, states that it did not run it and asks for a pause of 0.75 seconds. */
+  PAUSING,
+  /** Runs requests and states in each answer that it is leaving. */
+  LEAVING,
   /** Runs requests and never answers. */
   SILENT,
   /** Answers with success, but without the response signature. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.util.Assert;
@@ -35,6 +36,7 @@
   private final String id;
   private final boolean keyed;
   private final Map<String, Integer> runCounts = new ConcurrentHashMap<>();
+  private final List<Long> pausedAtMs = new CopyOnWriteArrayList<>();
   private final List<HeldGrant> heldGrants = new ArrayList<>();
   private volatile UpstreamBehaviour behaviour = UpstreamBehaviour.NORMAL;
   private volatile long serviceTimeMs = 5;
@@ -104,6 +106,11 @@
     return Map.copyOf(runCounts);
   }
 
+  /** Returns when requests were rejected with a pause, in Unix milliseconds. */
+  public List<Long> pausedAtMs() {
+    return List.copyOf(pausedAtMs);
+  }
+
   /** Returns whether a grant for a key is in force. */
   public synchronized boolean holds(int key) {
     long nowMs = System.currentTimeMillis();
@@ -188,6 +195,14 @@
     if (behaviour == UpstreamBehaviour.FULL) {
       return completed(newAnswer(503, headers.set("Not-Executed", "1"), ""));
     }
+    if (behaviour == UpstreamBehaviour.PAUSING) {
+      pausedAtMs.add(System.currentTimeMillis());
+      headers.set("Not-Executed", "1").set("Retry-After", "0.75");
+      return completed(newAnswer(503, headers, ""));
+    }
+    if (behaviour == UpstreamBehaviour.LEAVING) {
+      headers.set("Server-Leaving", "1");
+    }
     runCounts.merge(requestId, 1, Integer::sum);
     CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
     if (behaviour == UpstreamBehaviour.SILENT) {
