Held-back ranges need a fence of the new era

A held-back range now needs a new fence, also if a write from before is carried out meanwhile.

Ruled out: a longer time of holding back; the fence, not the time, was wrong.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
@@ -131,6 +131,9 @@
    */
   void requireProof(long untilMs) {
     boolean renewable = state == State.OWNED && session.isPresent() && !needsFence;
+    if (!renewable) {
+      requireNewFence(); // what was written for the present one may be lost
+    }
     missingProofs = !renewable ? Integer.MAX_VALUE : commandInFlight ? 2 : 1;
     heldBackUntilMs = untilMs;
   }
@@ -170,6 +173,7 @@
   /** Sets a new fence for the same owner, which takes effect once the map is written. */
   void renewFence(long newFence) {
     fence = newFence;
+    missingProofs = 0;
     newFencePending = true;
   }
 
@@ -239,6 +243,7 @@
   void assign(long newFence) {
     owner = target;
     fence = newFence;
+    missingProofs = 0;
   }
 
   /** Returns whether the next map that is written gives the piece a new owner or fence. */
@@ -246,10 +251,14 @@
     return state == State.FREE && owner != null || state == State.OWNED && newFencePending;
   }
 
-  /** Makes the new owner or fence effective after the map has been written. */
+  /**
+   * Makes the new owner or fence effective after the map has been written. A fence that was chosen
+   * before a proof was required may be too low by the time at which the piece is no longer held
+   * back, so that another one is needed then.
+   */
   void onMapWritten(long nowMs) {
     session = OptionalLong.empty();
-    needsFence = false;
+    needsFence = missingProofs > 0;
     newFencePending = false;
     nextCommandMs = nowMs;
     if (state == State.OWNED) {
