Refuse at once what no upstream in reach can take; split scheduler and control

Such a request is now refused at once, with the time at which a connection is tried again; its caller may reach a VM with better connections. Ruled out: keeping only those with much time left, since the time of the next try is known.

A failure while waiting requests are sent no longer leaves the queue marked as busy.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -109,7 +109,6 @@
             settings.dataCentre(),
             settings.bounds().drainMs());
     routingState.setListener(new RoutingStateListener());
-    long grantTtlMs = Math.min(MAX_GRANT_TTL_MS, settings.bounds().maxGrantTtlMs());
     control =
         new EntryControl(
             new EntryIdentity(
@@ -129,13 +128,7 @@
                 new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
             routingState,
             new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_MESSAGE_BYTES),
-            new RangeTiming(
-                grantTtlMs,
-                Math.min(GRANT_RENEW_INTERVAL_MS, grantTtlMs / 3),
-                GRANT_RETRY_MS,
-                GRANT_TIMEOUT_MS,
-                RELEASE_TIMEOUT_MS,
-                GRANT_TTL_MARGIN_MS),
+            rangeTiming(settings),
             new ControlClocks(clock, System::currentTimeMillis),
             loop,
             random);
@@ -148,6 +141,17 @@
     shutdown = new GracefulShutdown(callers, scheduler, clock, loop);
   }
 
+  private static RangeTiming rangeTiming(EntrySettings settings) {
+    long grantTtlMs = Math.min(MAX_GRANT_TTL_MS, settings.bounds().maxGrantTtlMs());
+    return new RangeTiming(
+        grantTtlMs,
+        Math.min(GRANT_RENEW_INTERVAL_MS, grantTtlMs / 3),
+        GRANT_RETRY_MS,
+        GRANT_TIMEOUT_MS,
+        RELEASE_TIMEOUT_MS,
+        GRANT_TTL_MARGIN_MS);
+  }
+
   private static WindowedRetryBudget retryBudget(EntrySettings settings) {
     EntrySettings.Bounds bounds = settings.bounds();
     return new WindowedRetryBudget(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -22,19 +22,14 @@
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
 import org.foxtailford.core.store.StoreVersion;
-import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
-import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpClient;
-import org.foxtailford.schema.entry.KeyLoad;
-import org.foxtailford.schema.entry.LeavingUpstream;
 import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.PeerReply;
 import org.foxtailford.schema.entry.PeerReport;
 import org.foxtailford.schema.entry.TableRows;
-import org.foxtailford.schema.entry.TableVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,7 +50,7 @@
   private final EntryRoutingState state;
   private final PeerClient peers;
   private final PeerRegistry registry;
-  private final RowPacker packer = new RowPacker();
+  private final PeerMessages messages;
   private final RangeTiming timing;
   private final MillisClock clock;
   private final MillisClock timeOfDay;
@@ -113,6 +108,7 @@
     this.commandClient = Assert.notNull(commandClient, "commandClient");
     this.state = Assert.notNull(state, "state");
     this.peers = new PeerClient(peerCalls);
+    this.messages = new PeerMessages(self, state);
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
     this.loop = Assert.notNull(loop, "loop");
@@ -297,21 +293,9 @@
     }
     reportInFlight = true;
     KnownLeader known = leader.get();
-    PeerReport.Builder report =
-        newReport().addAllWorkTimes(state.drainWorkTimes()).addAllLeaving(leaving());
-    state
-        .drainKeyCounts()
-        .forEach(
-            (service, keys) ->
-                keys.forEach(
-                    (key, count) ->
-                        report.addKeyLoads(
-                            KeyLoad.newBuilder()
-                                .setService(service)
-                                .setKey(key)
-                                .setRequests(count))));
+    PeerReport report = messages.loadReport(leader);
     peers
-        .send(known.address(), report.build(), ControlTiming.PEER_TIMEOUT_MS)
+        .send(known.address(), report, ControlTiming.PEER_TIMEOUT_MS)
         .whenCompleteAsync((reply, failure) -> onLeaderReply(known, reply, failure, nowMs), loop);
   }
 
@@ -319,24 +303,6 @@
     return known.node().equals(node) && known.incarnation() == incarnation;
   }
 
-  private PeerReport.Builder newReport() {
-    PeerReport.Builder report =
-        PeerReport.newBuilder()
-            .setNode(node)
-            .setLife(incarnation)
-            .setHost(address.host())
-            .setPort(address.port());
-    leader.ifPresent(known -> report.setLeaderTerm(known.term()));
-    for (TableMirror mirror : state.mirrors()) {
-      report.addWanted(
-          TableVersion.newBuilder()
-              .setTable(mirror.table())
-              .setEra(mirror.version().era())
-              .setVersion(mirror.version().number()));
-    }
-    return report;
-  }
-
   private void onLeaderReply(KnownLeader known, PeerReply reply, Throwable failure, long sentMs) {
     reportInFlight = false;
     long nowMs = clock.nowMs();
@@ -377,10 +343,7 @@
   }
 
   private void applyReply(PeerReply reply, long sentMs, long nowMs) {
-    for (TableRows rows : reply.getTablesList()) {
-      state.apply(rows.getTable(), RecordCodec.toPage(rows), RecordCodec.eraBegin(rows));
-    }
-    markLeaving(reply.getLeavingList(), nowMs);
+    messages.apply(reply, nowMs);
     long asOfMs = sentMs - reply.getStoreAgeMs();
     if (reply.getStoreReached()) {
       started = started || state.isComplete();
@@ -399,7 +362,7 @@
     queryInFlight = true;
     nextQueryMs = nowMs + ControlTiming.PEER_QUERY_MS;
     peers
-        .send(peer.get(), newReport().build(), ControlTiming.PEER_TIMEOUT_MS)
+        .send(peer.get(), messages.report(leader).build(), ControlTiming.PEER_TIMEOUT_MS)
         .whenCompleteAsync(
             (reply, failure) -> {
               queryInFlight = false;
@@ -506,23 +469,13 @@
   @Override
   public void onOwnersWritten(String service, RowPage page) {
     state.apply(SystemTables.RANGES, page);
-    broadcast(
-        List.of(RecordCodec.toMessage(state.mirror(SystemTables.RANGES), page.rows(), packer)));
+    broadcast(List.of(messages.rows(SystemTables.RANGES, page.rows())));
   }
 
   /** Announces this leader and pushes rows to live entry VMs, or to all known if none is live. */
   private void broadcast(List<TableRows> rows) {
     KnownLeader known = Assert.notNull(tasks, "tasks").leader();
-    PeerReport report =
-        PeerReport.newBuilder()
-            .setNode(node)
-            .setLife(incarnation)
-            .setHost(address.host())
-            .setPort(address.port())
-            .setLeaderTerm(known.term())
-            .setLeads(true)
-            .addAllPushed(rows)
-            .build();
+    PeerReport report = messages.announcement(known, rows);
     for (UpstreamAddress peer : broadcastTargets()) {
       peers
           .send(peer, report, ControlTiming.PEER_TIMEOUT_MS)
@@ -572,10 +525,7 @@
               new UpstreamAddress(report.getHost(), report.getPort()),
               StoreVersion.NONE));
     }
-    for (TableRows rows : report.getPushedList()) {
-      state.applyPushedRows(rows.getTable(), RecordCodec.toPage(rows));
-    }
-    markLeaving(report.getLeavingList(), nowMs);
+    messages.apply(report, nowMs);
     loads.add(report.getKeyLoadsList(), nowMs);
     loads.addWorkTimes(report.getWorkTimesList(), nowMs);
     return reply(report, nowMs);
@@ -594,30 +544,8 @@
     if (tasks != null) {
       reply.addAllLiveNodes(registry.livePeers(nowMs).keySet()).addLiveNodes(node);
     }
-    for (TableVersion wanted : report.getWantedList()) {
-      TableMirror mirror = state.mirrorOrNull(wanted.getTable());
-      StoreVersion known = new StoreVersion(wanted.getEra(), wanted.getVersion());
-      if (mirror != null && mirror.version().isAheadOf(known)) {
-        reply.addTables(
-            RecordCodec.toMessage(mirror, mirror.changedAfter(known), packer).toBuilder()
-                .setSnapshot(mirror.version().era() > known.era()));
-      }
-    }
-    return reply.addAllLeaving(leaving()).build();
-  }
-
-  private List<LeavingUpstream> leaving() {
-    List<LeavingUpstream> leaving = new ArrayList<>();
-    for (UpstreamEntry entry : state.upstreams().leaving()) {
-      leaving.add(
-          LeavingUpstream.newBuilder().setUpstream(entry.id()).setBornMs(entry.bornMs()).build());
-    }
-    return leaving;
-  }
-
-  private void markLeaving(List<LeavingUpstream> leaving, long nowMs) {
-    leaving.forEach(
-        upstream -> state.markLeaving(upstream.getUpstream(), upstream.getBornMs(), nowMs));
+    messages.addState(reply, report);
+    return reply.build();
   }
 
   /** Reports to the leader at once, because an upstream said that it is leaving. */
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -0,0 +1,126 @@
+package org.foxtailford.entry.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailford.core.store.Row;
+import org.foxtailford.core.store.StoreVersion;
+import org.foxtailford.core.store.TableMirror;
+import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.entry.KeyLoad;
+import org.foxtailford.schema.entry.LeavingUpstream;
+import org.foxtailford.schema.entry.PeerReply;
+import org.foxtailford.schema.entry.PeerReport;
+import org.foxtailford.schema.entry.TableRows;
+import org.foxtailford.schema.entry.TableVersion;
+
+/**
+ * Builds the messages between entry VMs from this VM's routing state, and applies what others send.
+ * Confined to the event loop.
+ */
+final class PeerMessages {
+
+  private final EntryIdentity self;
+  private final EntryRoutingState state;
+  private final RowPacker packer = new RowPacker();
+
+  PeerMessages(EntryIdentity self, EntryRoutingState state) {
+    this.self = Assert.notNull(self, "self");
+    this.state = Assert.notNull(state, "state");
+  }
+
+  /** Returns a report that asks for everything newer than what this VM knows. */
+  PeerReport.Builder report(Optional<KnownLeader> leader) {
+    PeerReport.Builder report = newReport().addAllLeaving(leaving());
+    leader.ifPresent(known -> report.setLeaderTerm(known.term()));
+    for (TableMirror mirror : state.mirrors()) {
+      report.addWanted(
+          TableVersion.newBuilder()
+              .setTable(mirror.table())
+              .setEra(mirror.version().era())
+              .setVersion(mirror.version().number()));
+    }
+    return report;
+  }
+
+  /** Returns a report to the leader that also contains the loads since the last one. */
+  PeerReport loadReport(Optional<KnownLeader> leader) {
+    PeerReport.Builder report = report(leader).addAllWorkTimes(state.drainWorkTimes());
+    state
+        .drainKeyCounts()
+        .forEach(
+            (service, keys) ->
+                keys.forEach(
+                    (key, count) ->
+                        report.addKeyLoads(
+                            KeyLoad.newBuilder()
+                                .setService(service)
+                                .setKey(key)
+                                .setRequests(count))));
+    return report.build();
+  }
+
+  /** Returns a report by which this VM, as the leader, announces itself and pushes rows. */
+  PeerReport announcement(KnownLeader leader, Collection<TableRows> rows) {
+    return newReport().setLeaderTerm(leader.term()).setLeads(true).addAllPushed(rows).build();
+  }
+
+  private PeerReport.Builder newReport() {
+    return PeerReport.newBuilder()
+        .setNode(self.node())
+        .setLife(self.incarnation())
+        .setHost(self.address().host())
+        .setPort(self.address().port());
+  }
+
+  /** Returns a message with some rows of a table, all of the era of this VM's copy. */
+  TableRows rows(String table, Collection<Row> rows) {
+    return RecordCodec.toMessage(state.mirror(table), rows, packer);
+  }
+
+  /** Adds to a reply what a report asks for, and the upstreams that are leaving. */
+  void addState(PeerReply.Builder reply, PeerReport report) {
+    for (TableVersion wanted : report.getWantedList()) {
+      TableMirror mirror = state.mirrorOrNull(wanted.getTable());
+      StoreVersion known = new StoreVersion(wanted.getEra(), wanted.getVersion());
+      if (mirror != null && mirror.version().isAheadOf(known)) {
+        reply.addTables(
+            RecordCodec.toMessage(mirror, mirror.changedAfter(known), packer).toBuilder()
+                .setSnapshot(mirror.version().era() > known.era()));
+      }
+    }
+    reply.addAllLeaving(leaving());
+  }
+
+  private List<LeavingUpstream> leaving() {
+    List<LeavingUpstream> leaving = new ArrayList<>();
+    for (UpstreamEntry entry : state.upstreams().leaving()) {
+      leaving.add(
+          LeavingUpstream.newBuilder().setUpstream(entry.id()).setBornMs(entry.bornMs()).build());
+    }
+    return leaving;
+  }
+
+  /** Applies a reply to a report of this VM. */
+  void apply(PeerReply reply, long nowMs) {
+    for (TableRows rows : reply.getTablesList()) {
+      state.apply(rows.getTable(), RecordCodec.toPage(rows), RecordCodec.eraBegin(rows));
+    }
+    markLeaving(reply.getLeavingList(), nowMs);
+  }
+
+  /** Applies rows that the leader pushes, and what another VM has heard of leaving upstreams. */
+  void apply(PeerReport report, long nowMs) {
+    for (TableRows rows : report.getPushedList()) {
+      state.applyPushedRows(rows.getTable(), RecordCodec.toPage(rows));
+    }
+    markLeaving(report.getLeavingList(), nowMs);
+  }
+
+  private void markLeaving(List<LeavingUpstream> leaving, long nowMs) {
+    leaving.forEach(
+        upstream -> state.markLeaving(upstream.getUpstream(), upstream.getBornMs(), nowMs));
+  }
+}
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,19 +17,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.foxtailford.core.event.EventFields;
-import org.foxtailford.core.overload.ColdUpstreamRateLimiter;
-import org.foxtailford.core.overload.MisdirectionPauses;
 import org.foxtailford.core.overload.QueueAdmissionPolicy;
 import org.foxtailford.core.overload.WaitingRequest;
 import org.foxtailford.core.overload.WaitingRequestComparator;
 import org.foxtailford.core.overload.WindowedRetryBudget;
-import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.time.MillisClock;
-import org.foxtailford.core.upstream.UpstreamChooser;
 import org.foxtailford.core.upstream.UpstreamEntry;
-import org.foxtailford.core.upstream.UpstreamLoad;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
 
@@ -48,11 +42,6 @@
   /** Maximum number of requests that wait ahead of a queued one. */
   private static final int MAX_WAITING = 256;
 
-  /** Assumed average time of a service before its first answer, in milliseconds. */
-  private static final double INITIAL_AVERAGE_MS = 100;
-
-  private static final double AVERAGE_WEIGHT = 0.05;
-
   /** Time without an answer before a hedge is sent, as a multiple of the expected work. */
   private static final double HEDGE_DELAY_FACTOR = 3;
 
@@ -62,17 +51,6 @@
   /** Maximum idle time of a connection for a non-idempotent request, in milliseconds. */
   private static final long MAX_NON_IDEMPOTENT_IDLE_MS = 1000;
 
-  /**
-   * Penalty for an upstream in another data centre, as a fraction of the latency target; higher for
-   * bulk requests, since traffic between data centres is billed by the byte.
-   */
-  private static final double BULK_REMOTE_PENALTY = 0.5;
-
-  private static final double REMOTE_PENALTY = 0.03;
-
-  /** Requests that an owner may have per slot; above 1 since no other upstream can run them. */
-  private static final double MAX_OWNER_OCCUPANCY = 1.75;
-
   /**
    * Maximum time for which a request waits while its key has no usable owner, in milliseconds; most
    * moves of keys end sooner.
@@ -85,16 +63,6 @@
    */
   private static final double OWNERLESS_WAIT_SHARE = 0.5;
 
-  /**
-   * Fraction of the drain time for which an owner that said that it is leaving still gets requests
-   * for its keys, which nobody else can serve until they have moved. The rest of the drain time is
-   * left to the registration, which tells the same to all VMs.
-   */
-  private static final double LEAVING_OWNER_SHARE = 0.25;
-
-  /** Fraction of an upstream's connections used for requests; the rest is for range commands. */
-  private static final double CONNECTION_SHARE = 0.9;
-
   /** Fraction of the latency target that a request may wait before a retry. */
   private static final double RETRY_WAIT_SHARE = 0.25;
 
@@ -104,19 +72,12 @@
   private final EventLoop loop;
   private final MillisClock clock;
   private final RoutingView view;
-  private final UpstreamRegistry registry;
+  private final UpstreamSelector upstreams;
   private final ExchangeDialect dialect;
   private final RequestMetrics metrics;
   private final DoubleSupplier random;
-  private final String dataCentre;
-  private final long leavingOwnerMs;
-  private final UpstreamChooser chooser;
-  private final ColdUpstreamRateLimiter coldRateLimiter;
-  private final OwnerSendPacing ownerPacing;
   private final QueueAdmissionPolicy admission = new QueueAdmissionPolicy(MAX_WAITING);
   private final Map<String, List<RequestCall>> waitingByService = new HashMap<>();
-  private final Map<String, Double> averageMsByService = new HashMap<>();
-  private final MisdirectionPauses misdirections = new MisdirectionPauses();
   private WindowedRetryBudget retryBudget;
   private int activeRequests;
   private boolean sending;
@@ -143,16 +104,11 @@
     this.loop = Assert.notNull(loop, "loop");
     this.clock = Assert.notNull(clock, "clock");
     this.view = Assert.notNull(view, "view");
-    this.registry = Assert.notNull(registry, "registry");
     this.dialect = Assert.notNull(dialect, "dialect");
     this.metrics = Assert.notNull(metrics, "metrics");
     this.retryBudget = Assert.notNull(retryBudget, "retryBudget");
     this.random = Assert.notNull(random, "random");
-    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
-    this.leavingOwnerMs = (long) (LEAVING_OWNER_SHARE * drainMs);
-    this.chooser = new UpstreamChooser(random);
-    this.coldRateLimiter = new ColdUpstreamRateLimiter(node);
-    this.ownerPacing = new OwnerSendPacing(view, clock, this::averageMs);
+    this.upstreams = new UpstreamSelector(clock, view, registry, random, node, dataCentre, drainMs);
   }
 
   /** Replaces the retry budget after a change of the settings. */
@@ -183,7 +139,7 @@
   }
 
   OwnerSendPacing ownerPacing() {
-    return ownerPacing;
+    return upstreams.ownerPacing();
   }
 
   ScheduledFuture<?> schedule(long delayMs, Runnable task) {
@@ -219,7 +175,7 @@
   private void enqueue(RequestCall call) {
     long nowMs = nowMs();
     String service = call.service().name();
-    long workMs = (long) averageMs(service);
+    long workMs = (long) upstreams.averageMs(service);
     long untilMs = admission.waitsUntilMs(call.terms(), workMs);
     if (call.sends() > 0) {
       WaitingRequest terms = call.terms();
@@ -227,31 +183,31 @@
       untilMs = Math.min(Math.max(untilMs, nowMs + retryWaitMs), terms.deadlineMs() - workMs);
     }
     if (call.service().keyed()) {
-      long readyMs = ownerReadyMs(call, nowMs);
+      long readyMs = upstreams.ownerReadyMs(call, nowMs);
       if (readyMs > untilMs) {
-        boolean full = isOwnerFull(call, nowMs);
+        boolean full = upstreams.isOwnerFull(call, nowMs);
         call.refuse(full ? "owner is full" : "owner out of reach", RequestCall.BAD_GATEWAY);
         return;
       }
-      if (readyMs < 0 || isMisdirected(call, nowMs)) {
+      if (readyMs < 0 || upstreams.isMisdirected(call, nowMs)) {
         long leftMs = call.terms().deadlineMs() - workMs - nowMs;
         untilMs = nowMs + Math.min(MAX_OWNERLESS_WAIT_MS, (long) (OWNERLESS_WAIT_SHARE * leftMs));
       }
     }
-    if (pausedUntilMs(call) > untilMs) {
-      call.refuse("upstreams are paused", RequestCall.BAD_GATEWAY);
+    if (upstreams.suspendedUntilMs(call) > untilMs) {
+      refuseSuspended(call);
       return;
     }
     List<RequestCall> queue = waitingByService.computeIfAbsent(service, name -> new ArrayList<>());
     WaitingRequestComparator order = new WaitingRequestComparator(nowMs, workMs);
     int ahead = 0;
     for (RequestCall other : queue) {
-      boolean sameUpstream = !call.service().keyed() || hasSameOwner(call, other);
+      boolean sameUpstream = !call.service().keyed() || upstreams.hasSameOwner(call, other);
       if (sameUpstream && order.compare(other.terms(), call.terms()) <= 0) {
         ahead++;
       }
     }
-    if (admission.mayWait(ahead, expectedSendRate(call), untilMs, nowMs)) {
+    if (admission.mayWait(ahead, upstreams.expectedSendRate(call), untilMs, nowMs)) {
       call.startWaiting(untilMs, nowMs);
       queue.add(call);
       scheduleTick();
@@ -270,168 +226,29 @@
 
   private void runTick() {
     tickScheduled = false;
-    tick();
-    if (waitingRequests() > 0) {
-      scheduleTick();
-    }
-  }
-
-  /** Returns when the owner may get a request, in milliseconds; negative if no owner is usable. */
-  private long ownerReadyMs(RequestCall call, long nowMs) {
-    return owner(call)
-        .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
-        .filter(entry -> view.upstreams().mayServeKeys(entry, leavingOwnerMs, nowMs))
-        .map(registry::getOrCreate)
-        .map(owner -> Math.max(owner.load().suspendedUntilMs(), owner.pacer().nextSendMs(nowMs)))
-        .orElse(-1L);
-  }
-
-  private boolean isMisdirected(RequestCall call, long nowMs) {
-    return owner(call).filter(a -> misdirections.isPaused(a.fence(), nowMs)).isPresent();
-  }
-
-  private boolean isOwnerFull(RequestCall call, long nowMs) {
-    return owner(call)
-        .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
-        .map(entry -> registry.getOrCreate(entry).pacer().isFull(nowMs))
-        .orElse(false);
-  }
-
-  private boolean hasSameOwner(RequestCall a, RequestCall b) {
-    Optional<RangeAssignment> ownerOfA = owner(a);
-    return ownerOfA.isPresent()
-        && b.key().isPresent()
-        && ownerOfA.get().owner().equals(owner(b).map(RangeAssignment::owner).orElse(null));
-  }
-
-  private Optional<RangeAssignment> owner(RequestCall call) {
-    return call.key().isPresent()
-        ? view.owners(call.service().name()).find(call.key().getAsInt())
-        : Optional.empty();
-  }
-
-  /**
-   * Returns the expected rate at which this VM's waiting requests are sent, per second: the
-   * capacity of the upstreams, divided in proportion to the requests that this and other VMs have
-   * there.
-   */
-  private double expectedSendRate(RequestCall call) {
-    long nowMs = nowMs();
-    String service = call.service().name();
-    double perSecond = 0;
-    double own = 1;
-    double total = 1;
-    for (UpstreamEntry entry : candidates(call)) {
-      UpstreamHandle handle = registry.getOrCreate(entry);
-      UpstreamLoad load = handle.load();
-      if (!load.isSuspended(nowMs)) {
-        if (call.service().keyed() && handle.pacer().isFull(nowMs)) {
-          return 1000 / Math.max(1, ownerPacing.intervalMs(handle));
-        }
-        perSecond += load.slots() * 1000 / Math.max(1, load.workMs(averageMs(service)));
-        own += load.inFlight();
-        total += load.occupied(nowMs);
+    try {
+      tick();
+    } finally {
+      if (waitingRequests() > 0) {
+        scheduleTick();
       }
     }
-    return perSecond * own / total;
-  }
-
-  private double averageMs(String service) {
-    return averageMsByService.getOrDefault(service, INITIAL_AVERAGE_MS);
   }
 
   private boolean trySend(RequestCall call) {
-    Optional<UpstreamHandle> upstream =
-        call.service().keyed() ? findFreeOwner(call) : findFreeUpstream(call, false);
+    Optional<UpstreamHandle> upstream = upstreams.findFree(call);
     upstream.ifPresent(handle -> sendTo(call, handle));
     return upstream.isPresent();
   }
 
   private void sendTo(RequestCall call, UpstreamHandle handle) {
-    long nowMs = nowMs();
-    ServicePolicy service = call.service();
-    if (view.upstreams().isCold(handle.entry().id(), nowMs)) {
-      coldRateLimiter.recordSend(
-          handle.entry().id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
-    }
-    if (service.keyed()) {
-      ownerPacing.recordSend(handle);
-    }
+    upstreams.recordSend(call, handle);
     call.send(handle);
   }
 
-  private Optional<UpstreamHandle> findFreeOwner(RequestCall call) {
-    long nowMs = nowMs();
-    Optional<RangeAssignment> assignment = owner(call);
-    if (assignment.isEmpty()) {
-      return Optional.empty();
-    }
-    if (misdirections.isPaused(assignment.get().fence(), nowMs)) {
-      return Optional.empty();
-    }
-    Optional<UpstreamEntry> entry = view.upstreams().find(assignment.get().owner().upstream());
-    if (entry.isEmpty()
-        || entry.get().bornMs() != assignment.get().owner().bornMs()
-        || !view.upstreams().mayServeKeys(entry.get(), leavingOwnerMs, nowMs)) {
-      return Optional.empty();
-    }
-    UpstreamHandle handle = registry.getOrCreate(entry.get());
-    handle.pool().setMaxConnections(connectionShare(call.service()));
-    boolean available =
-        !handle.load().isSuspended(nowMs)
-            && handle.pacer().nextSendMs(nowMs) <= nowMs
-            && handle.pool().hasRoom()
-            && handle.load().occupied(nowMs) + 1 <= MAX_OWNER_OCCUPANCY * handle.load().slots()
-            && isWithinColdRate(call.service(), entry.get(), nowMs);
-    return available ? Optional.of(handle) : Optional.empty();
-  }
-
-  private boolean isWithinColdRate(ServicePolicy service, UpstreamEntry entry, long nowMs) {
-    return !view.upstreams().isCold(entry.id(), nowMs)
-        || coldRateLimiter.maySend(
-            entry.id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
-  }
-
-  private Optional<UpstreamHandle> findFreeUpstream(RequestCall call, boolean idleOnly) {
-    long nowMs = nowMs();
-    ServicePolicy service = call.service();
-    int share = connectionShare(service);
-    double targetLatencyMs = call.route().targetLatencyMs();
-    double remotePenaltyMs =
-        targetLatencyMs
-            * (call.route().kind() == RequestKind.BULK ? BULK_REMOTE_PENALTY : REMOTE_PENALTY);
-    Optional<UpstreamEntry> chosen =
-        chooser.choose(
-            view.upstreams().usable(service.name()),
-            entry -> registry.getOrCreate(entry).load(),
-            entry ->
-                !call.triedUpstreams().contains(entry.id())
-                    && hasRoom(registry.getOrCreate(entry), share, idleOnly, nowMs)
-                    && isWithinColdRate(service, entry, nowMs),
-            entry -> entry.dataCentre().equals(dataCentre) ? 0 : remotePenaltyMs,
-            averageMs(service.name()),
-            nowMs);
-    return chosen.map(registry::getOrCreate);
-  }
-
-  /** Returns this VM's share of the connections that an upstream accepts from all VMs. */
-  private int connectionShare(ServicePolicy service) {
-    return (int) (CONNECTION_SHARE * service.maxConnections() / view.entryVms().size());
-  }
-
-  private static boolean hasRoom(
-      UpstreamHandle handle, int connectionShare, boolean idleOnly, long nowMs) {
-    handle.pool().setMaxConnections(connectionShare);
-    if (!handle.pool().hasRoom()) {
-      return false;
-    }
-    double occupied = handle.load().occupied(nowMs);
-    return occupied + 1 <= handle.load().slots() + (idleOnly ? 0 : 0.5);
-  }
-
   /** Returns how long to wait for an answer before a hedge is sent, in milliseconds. */
   long hedgeDelayMs(RequestCall call, UpstreamHandle upstream) {
-    double workMs = upstream.load().workMs(averageMs(call.service().name()));
+    double workMs = upstream.load().workMs(upstreams.averageMs(call.service().name()));
     return Math.max(MIN_HEDGE_DELAY_MS, (long) (HEDGE_DELAY_FACTOR * workMs));
   }
 
@@ -439,7 +256,7 @@
   void hedge(RequestCall call) {
     boolean eligible =
         call.canRetry() && call.exchange().isBodyComplete() && !hasWaiting(call.service());
-    Optional<UpstreamHandle> upstream = eligible ? findFreeUpstream(call, true) : Optional.empty();
+    Optional<UpstreamHandle> upstream = eligible ? upstreams.findIdle(call) : Optional.empty();
     if (upstream.isEmpty()) {
       metrics.recordDeniedRetry("silence");
     } else if (tryRetry(call, "silence")) {
@@ -477,7 +294,7 @@
             && call.canRetry()
             && call.sends() < call.route().maxAttempts() + MAX_UNREACHED_SENDS
             && call.exchange().isBodyComplete()
-            && call.terms().deadlineMs() - nowMs() > averageMs(call.service().name()) / 2;
+            && call.terms().deadlineMs() - nowMs() > upstreams.averageMs(call.service().name()) / 2;
     boolean reached = call.deliveries() > 0;
     if (retryable && (!reached || tryRetry(call, reason))) {
       submit(call);
@@ -494,13 +311,9 @@
       upstream.load().recordUnreachable(nowMs());
       return;
     }
-    owner(call)
-        .filter(assignment -> assignment.owner().upstream().equals(upstream.entry().id()))
-        .ifPresent(
-            assignment -> {
-              misdirections.recordRejection(assignment.fence(), nowMs());
-              view.onWrongOwner(call.service().name(), call.key().getAsInt());
-            });
+    if (upstreams.recordMisdirection(call, upstream)) {
+      view.onWrongOwner(call.service().name(), call.key().getAsInt());
+    }
   }
 
   /** Records that an upstream said that it is leaving. */
@@ -527,26 +340,10 @@
     }
   }
 
-  /**
-   * Returns when the first upstream that may serve a request ends its pause, in milliseconds; 0 if
-   * one is not paused. Requests are not kept waiting for longer pauses than they may wait.
-   */
-  private long pausedUntilMs(RequestCall call) {
-    Collection<UpstreamEntry> entries = candidates(call);
-    return entries.stream()
-        .mapToLong(entry -> registry.getOrCreate(entry).load().pausedUntilMs())
-        .min()
-        .orElse(0);
-  }
-
-  /** Returns the owner of a request's key, or all usable upstreams for a request without key. */
-  private Collection<UpstreamEntry> candidates(RequestCall call) {
-    return call.service().keyed()
-        ? owner(call)
-            .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
-            .map(List::of)
-            .orElse(List.of())
-        : view.upstreams().usable(call.service().name());
+  private void refuseSuspended(RequestCall call) {
+    call.refuse(
+        upstreams.isPaused(call) ? "upstreams are paused" : "no upstream in reach",
+        RequestCall.BAD_GATEWAY);
   }
 
   /**
@@ -556,8 +353,7 @@
    */
   void recordLatency(UpstreamHandle upstream, double tookMs, boolean hadQueue) {
     UpstreamEntry entry = upstream.entry();
-    averageMsByService.merge(
-        entry.service(), tookMs, (old, took) -> old + AVERAGE_WEIGHT * (took - old));
+    upstreams.recordLatency(entry.service(), tookMs);
     if (!hadQueue) {
       view.countWork(entry, tookMs);
     }
@@ -568,8 +364,11 @@
     int queued = queue == null ? 0 : queue.size();
     long delayMs =
         admission.retryAfterMs(
-            queued, expectedSendRate(call), call.callerRemainingMs(nowMs()), random.getAsDouble());
-    return Math.max(delayMs, pausedUntilMs(call) - nowMs());
+            queued,
+            upstreams.expectedSendRate(call),
+            call.callerRemainingMs(nowMs()),
+            random.getAsDouble());
+    return Math.max(delayMs, upstreams.suspendedUntilMs(call) - nowMs());
   }
 
   /** Sends waiting requests of a service as far as upstreams have capacity. */
@@ -579,22 +378,26 @@
       return;
     }
     sending = true;
-    long nowMs = nowMs();
-    WaitingRequestComparator order = new WaitingRequestComparator(nowMs, (long) averageMs(service));
-    List<RequestCall> ordered = new ArrayList<>(queue);
-    ordered.sort(Comparator.comparing(RequestCall::terms, order));
-    QueueScan scan = new QueueScan();
-    queue.clear();
-    for (RequestCall call : ordered) {
-      if (!call.isFinished()) {
-        if (!scan.isFull(call) && trySend(call)) {
-          metrics.recordWait(service, nowMs - call.waitingSinceMs());
-        } else {
-          keepWaiting(call, queue, scan, nowMs);
+    try {
+      long nowMs = nowMs();
+      WaitingRequestComparator order =
+          new WaitingRequestComparator(nowMs, (long) upstreams.averageMs(service));
+      List<RequestCall> ordered = new ArrayList<>(queue);
+      ordered.sort(Comparator.comparing(RequestCall::terms, order));
+      QueueScan scan = new QueueScan();
+      queue.clear();
+      for (RequestCall call : ordered) {
+        if (!call.isFinished()) {
+          if (!scan.isFull(call) && trySend(call)) {
+            metrics.recordWait(service, nowMs - call.waitingSinceMs());
+          } else {
+            keepWaiting(call, queue, scan, nowMs);
+          }
         }
       }
+    } finally {
+      sending = false; // also if one request fails, so that the others are not stuck
     }
-    sending = false;
   }
 
   /**
@@ -605,8 +408,8 @@
     scan.recordNoCapacity(call);
     if (nowMs >= call.waitsUntilMs()) {
       call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
-    } else if (scan.pausedUntilMs(call) > call.waitsUntilMs()) {
-      call.refuse("upstreams are paused", RequestCall.BAD_GATEWAY);
+    } else if (scan.suspendedUntilMs(call) > call.waitsUntilMs()) {
+      refuseSuspended(call);
     } else if (admission.isExpectedTooLate(
         scan.ahead(call), scan.sendRate(call), call.waitsUntilMs(), nowMs)) {
       call.refuse("others go before", RequestCall.BAD_GATEWAY);
@@ -625,15 +428,15 @@
     private final Set<String> fullRanges = new HashSet<>();
     private final Map<String, Integer> ahead = new HashMap<>();
     private final Map<String, Double> rates = new HashMap<>();
-    private final Map<String, Long> pauses = new HashMap<>();
+    private final Map<String, Long> suspensions = new HashMap<>();
 
     /** Returns the owner's id, or an empty string for a request that any upstream may run. */
     private String ownerUpstream(RequestCall call) {
-      return owner(call).map(assignment -> assignment.owner().upstream()).orElse("");
+      return upstreams.owner(call).map(assignment -> assignment.owner().upstream()).orElse("");
     }
 
     private String rangeId(RequestCall call) {
-      return owner(call).map(assignment -> Long.toString(assignment.fence())).orElse("");
+      return upstreams.owner(call).map(assignment -> Long.toString(assignment.fence())).orElse("");
     }
 
     boolean isFull(RequestCall call) {
@@ -655,20 +458,19 @@
       ahead.merge(ownerUpstream(call), 1, Integer::sum);
     }
 
-    long pausedUntilMs(RequestCall call) {
-      return pauses.computeIfAbsent(
-          ownerUpstream(call), name -> RequestScheduler.this.pausedUntilMs(call));
+    long suspendedUntilMs(RequestCall call) {
+      return suspensions.computeIfAbsent(
+          ownerUpstream(call), name -> upstreams.suspendedUntilMs(call));
     }
 
     double sendRate(RequestCall call) {
-      return rates.computeIfAbsent(
-          ownerUpstream(call), name -> RequestScheduler.this.expectedSendRate(call));
+      return rates.computeIfAbsent(ownerUpstream(call), name -> upstreams.expectedSendRate(call));
     }
   }
 
   /** Processes all queues, after a change of the routing state or after some time. */
   public void tick() {
     List.copyOf(waitingByService.keySet()).forEach(this::sendWaiting);
-    misdirections.removeOutdated(nowMs());
+    upstreams.removeOutdated();
   }
 }
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
@@ -0,0 +1,301 @@
+package org.foxtailford.entry.request;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import org.foxtailford.core.overload.ColdUpstreamRateLimiter;
+import org.foxtailford.core.overload.MisdirectionPauses;
+import org.foxtailford.core.range.RangeAssignment;
+import org.foxtailford.core.route.RequestKind;
+import org.foxtailford.core.route.ServicePolicy;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.upstream.UpstreamChooser;
+import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.upstream.UpstreamLoad;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * Finds the upstreams that may serve a request and have room for it, and what is expected of them.
+ * Confined to the event loop.
+ */
+final class UpstreamSelector {
+
+  /**
+   * Penalty for an upstream in another data centre, as a fraction of the latency target; higher for
+   * bulk requests, since traffic between data centres is billed by the byte.
+   */
+  private static final double BULK_REMOTE_PENALTY = 0.5;
+
+  private static final double REMOTE_PENALTY = 0.03;
+
+  /** Requests that an owner may have per slot; above 1 since no other upstream can run them. */
+  private static final double MAX_OWNER_OCCUPANCY = 1.75;
+
+  /**
+   * Fraction of the drain time for which an owner that said that it is leaving still gets requests
+   * for its keys, which nobody else can serve until they have moved. The rest of the drain time is
+   * left to the registration, which tells the same to all VMs.
+   */
+  private static final double LEAVING_OWNER_SHARE = 0.25;
+
+  /** Fraction of an upstream's connections used for requests; the rest is for range commands. */
+  private static final double CONNECTION_SHARE = 0.9;
+
+  /** Assumed average time of a service before its first answer, in milliseconds. */
+  private static final double INITIAL_AVERAGE_MS = 100;
+
+  private static final double AVERAGE_WEIGHT = 0.05;
+
+  private final MillisClock clock;
+  private final RoutingView view;
+  private final UpstreamRegistry registry;
+  private final String dataCentre;
+  private final long leavingOwnerMs;
+  private final UpstreamChooser chooser;
+  private final ColdUpstreamRateLimiter coldRateLimiter;
+  private final OwnerSendPacing ownerPacing;
+  private final MisdirectionPauses misdirections = new MisdirectionPauses();
+  private final Map<String, Double> averageMsByService = new HashMap<>();
+
+  /**
+   * Creates a selector.
+   *
+   * @param drainMs time after an upstream's leaving is known in which the last request must reach
+   *     it, in milliseconds
+   */
+  UpstreamSelector(
+      MillisClock clock,
+      RoutingView view,
+      UpstreamRegistry registry,
+      DoubleSupplier random,
+      String node,
+      String dataCentre,
+      long drainMs) {
+    this.clock = Assert.notNull(clock, "clock");
+    this.view = Assert.notNull(view, "view");
+    this.registry = Assert.notNull(registry, "registry");
+    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
+    this.leavingOwnerMs = (long) (LEAVING_OWNER_SHARE * drainMs);
+    this.chooser = new UpstreamChooser(random);
+    this.coldRateLimiter = new ColdUpstreamRateLimiter(node);
+    this.ownerPacing = new OwnerSendPacing(view, clock, this::averageMs);
+  }
+
+  OwnerSendPacing ownerPacing() {
+    return ownerPacing;
+  }
+
+  /** Returns an upstream that can take a request now; empty if none can. */
+  Optional<UpstreamHandle> findFree(RequestCall call) {
+    return call.service().keyed() ? findFreeOwner(call) : findFreeUpstream(call, false);
+  }
+
+  /** Returns an upstream without a queue that can take a request now; empty if none can. */
+  Optional<UpstreamHandle> findIdle(RequestCall call) {
+    return findFreeUpstream(call, true);
+  }
+
+  /** Records that a request is sent to an upstream. */
+  void recordSend(RequestCall call, UpstreamHandle upstream) {
+    ServicePolicy service = call.service();
+    String id = upstream.entry().id();
+    if (view.upstreams().isCold(id, clock.nowMs())) {
+      coldRateLimiter.recordSend(
+          id, service.coldRequestsPerSecond(), view.entryVms(), clock.nowMs());
+    }
+    if (service.keyed()) {
+      ownerPacing.recordSend(upstream);
+    }
+  }
+
+  /** Records the time of an answer of a service, in milliseconds. */
+  void recordLatency(String service, double tookMs) {
+    averageMsByService.merge(service, tookMs, (old, took) -> old + AVERAGE_WEIGHT * (took - old));
+  }
+
+  /**
+   * Records that an upstream has disowned a key, unless a newer owner is known. Requests for the
+   * range wait until a newer map of the owners may be there.
+   *
+   * @return whether the upstream is the owner as far as is known
+   */
+  boolean recordMisdirection(RequestCall call, UpstreamHandle upstream) {
+    Optional<RangeAssignment> assignment =
+        owner(call).filter(a -> a.owner().upstream().equals(upstream.entry().id()));
+    assignment.ifPresent(a -> misdirections.recordRejection(a.fence(), clock.nowMs()));
+    return assignment.isPresent();
+  }
+
+  /** Forgets what is outdated. */
+  void removeOutdated() {
+    misdirections.removeOutdated(clock.nowMs());
+  }
+
+  /**
+   * Returns whether all upstreams that may serve a request have asked for a pause that has not
+   * ended.
+   */
+  boolean isPaused(RequestCall call) {
+    return candidates(call).stream()
+        .allMatch(entry -> registry.getOrCreate(entry).load().pausedUntilMs() > clock.nowMs());
+  }
+
+  /** Returns the average time of a service's answers, in milliseconds. */
+  double averageMs(String service) {
+    return averageMsByService.getOrDefault(service, INITIAL_AVERAGE_MS);
+  }
+
+  /**
+   * Returns when the first upstream that may serve a request ends its suspension or pause, in
+   * milliseconds; at most the present if one is not suspended. A request that may not wait for so
+   * long is refused at once: its caller may reach another entry VM with better connections.
+   */
+  long suspendedUntilMs(RequestCall call) {
+    return candidates(call).stream()
+        .mapToLong(entry -> registry.getOrCreate(entry).load().suspendedUntilMs())
+        .min()
+        .orElse(0);
+  }
+
+  /** Returns the owner of a request's key, or all usable upstreams for a request without key. */
+  private Collection<UpstreamEntry> candidates(RequestCall call) {
+    return call.service().keyed()
+        ? owner(call)
+            .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
+            .map(List::of)
+            .orElse(List.of())
+        : view.upstreams().usable(call.service().name());
+  }
+
+  /**
+   * Returns the expected rate at which this VM's waiting requests are sent, per second: the
+   * capacity of the upstreams, divided in proportion to the requests that this and other VMs have
+   * there.
+   */
+  double expectedSendRate(RequestCall call) {
+    long nowMs = clock.nowMs();
+    String service = call.service().name();
+    double perSecond = 0;
+    double own = 1;
+    double total = 1;
+    for (UpstreamEntry entry : candidates(call)) {
+      UpstreamHandle handle = registry.getOrCreate(entry);
+      UpstreamLoad load = handle.load();
+      if (!load.isSuspended(nowMs)) {
+        if (call.service().keyed() && handle.pacer().isFull(nowMs)) {
+          return 1000 / Math.max(1, ownerPacing.intervalMs(handle));
+        }
+        perSecond += load.slots() * 1000 / Math.max(1, load.workMs(averageMs(service)));
+        own += load.inFlight();
+        total += load.occupied(nowMs);
+      }
+    }
+    return perSecond * own / total;
+  }
+
+  /** Returns when the owner may get a request, in milliseconds; negative if no owner is usable. */
+  long ownerReadyMs(RequestCall call, long nowMs) {
+    return owner(call)
+        .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
+        .filter(entry -> view.upstreams().mayServeKeys(entry, leavingOwnerMs, nowMs))
+        .map(registry::getOrCreate)
+        .map(owner -> Math.max(owner.load().suspendedUntilMs(), owner.pacer().nextSendMs(nowMs)))
+        .orElse(-1L);
+  }
+
+  boolean isMisdirected(RequestCall call, long nowMs) {
+    return owner(call).filter(a -> misdirections.isPaused(a.fence(), nowMs)).isPresent();
+  }
+
+  boolean isOwnerFull(RequestCall call, long nowMs) {
+    return owner(call)
+        .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
+        .map(entry -> registry.getOrCreate(entry).pacer().isFull(nowMs))
+        .orElse(false);
+  }
+
+  boolean hasSameOwner(RequestCall a, RequestCall b) {
+    Optional<RangeAssignment> ownerOfA = owner(a);
+    return ownerOfA.isPresent()
+        && b.key().isPresent()
+        && ownerOfA.get().owner().equals(owner(b).map(RangeAssignment::owner).orElse(null));
+  }
+
+  Optional<RangeAssignment> owner(RequestCall call) {
+    return call.key().isPresent()
+        ? view.owners(call.service().name()).find(call.key().getAsInt())
+        : Optional.empty();
+  }
+
+  private Optional<UpstreamHandle> findFreeOwner(RequestCall call) {
+    long nowMs = clock.nowMs();
+    Optional<RangeAssignment> assignment = owner(call);
+    if (assignment.isEmpty()) {
+      return Optional.empty();
+    }
+    if (misdirections.isPaused(assignment.get().fence(), nowMs)) {
+      return Optional.empty();
+    }
+    Optional<UpstreamEntry> entry = view.upstreams().find(assignment.get().owner().upstream());
+    if (entry.isEmpty()
+        || entry.get().bornMs() != assignment.get().owner().bornMs()
+        || !view.upstreams().mayServeKeys(entry.get(), leavingOwnerMs, nowMs)) {
+      return Optional.empty();
+    }
+    UpstreamHandle handle = registry.getOrCreate(entry.get());
+    handle.pool().setMaxConnections(connectionShare(call.service()));
+    boolean available =
+        !handle.load().isSuspended(nowMs)
+            && handle.pacer().nextSendMs(nowMs) <= nowMs
+            && handle.pool().hasRoom()
+            && handle.load().occupied(nowMs) + 1 <= MAX_OWNER_OCCUPANCY * handle.load().slots()
+            && isWithinColdRate(call.service(), entry.get(), nowMs);
+    return available ? Optional.of(handle) : Optional.empty();
+  }
+
+  private boolean isWithinColdRate(ServicePolicy service, UpstreamEntry entry, long nowMs) {
+    return !view.upstreams().isCold(entry.id(), nowMs)
+        || coldRateLimiter.maySend(
+            entry.id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
+  }
+
+  private Optional<UpstreamHandle> findFreeUpstream(RequestCall call, boolean idleOnly) {
+    long nowMs = clock.nowMs();
+    ServicePolicy service = call.service();
+    int share = connectionShare(service);
+    double targetLatencyMs = call.route().targetLatencyMs();
+    double remotePenaltyMs =
+        targetLatencyMs
+            * (call.route().kind() == RequestKind.BULK ? BULK_REMOTE_PENALTY : REMOTE_PENALTY);
+    Optional<UpstreamEntry> chosen =
+        chooser.choose(
+            view.upstreams().usable(service.name()),
+            entry -> registry.getOrCreate(entry).load(),
+            entry ->
+                !call.triedUpstreams().contains(entry.id())
+                    && hasRoom(registry.getOrCreate(entry), share, idleOnly, nowMs)
+                    && isWithinColdRate(service, entry, nowMs),
+            entry -> entry.dataCentre().equals(dataCentre) ? 0 : remotePenaltyMs,
+            averageMs(service.name()),
+            nowMs);
+    return chosen.map(registry::getOrCreate);
+  }
+
+  /** Returns this VM's share of the connections that an upstream accepts from all VMs. */
+  private int connectionShare(ServicePolicy service) {
+    return (int) (CONNECTION_SHARE * service.maxConnections() / view.entryVms().size());
+  }
+
+  private static boolean hasRoom(
+      UpstreamHandle handle, int connectionShare, boolean idleOnly, long nowMs) {
+    handle.pool().setMaxConnections(connectionShare);
+    if (!handle.pool().hasRoom()) {
+      return false;
+    }
+    double occupied = handle.load().occupied(nowMs);
+    return occupied + 1 <= handle.load().slots() + (idleOnly ? 0 : 0.5);
+  }
+}
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/UpstreamStatementTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UpstreamStatementTests.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Integration tests of what upstreams say of themselves in their answers. */
+/** Integration tests of what upstreams say of themselves, and of upstreams that say nothing. */
 public class UpstreamStatementTests {
 
   private static final int TIMEOUT_MS = 40_000;
@@ -96,6 +96,20 @@
     }
   }
 
+  @Test(timeOut = TIMEOUT_MS)
+  public void callerIsRefusedAtOnceWhileNoUpstreamIsInReach() {
+    cluster.upstream("p1").close();
+    cluster.upstream("p2").close();
+    for (int i = 0; i < 6; i++) {
+      cluster.get(0, "/safe/a", "lost-" + i);
+    }
+    long beganMs = System.currentTimeMillis();
+    HttpAnswer answer = cluster.get(0, "/safe/a", "at-once");
+    assertThat(answer.status()).isEqualTo(503);
+    assertThat(System.currentTimeMillis() - beganMs).isLessThan(150);
+    assertThat(Double.parseDouble(answer.headers().get("Retry-After"))).isPositive();
+  }
+
   /** Returns an id whose key is far from those of other numbers. */
   private static String spreadId(int number) {
     return Integer.toHexString(number * 0x9E3779B1);
