Hot ranges settle sooner when they are still too hot

Cause: the first moves of a hot range are planned on the few requests that have been counted by then, and give some upstream far too much; moved keys then stayed for 2.5 s.

Keys that moved because they are hot may move again after 1 s; lasting differences in load keep 2.5 s. A fleet of many upstreams may begin as many moves at once as three tenths of their number.

Test: RangeBalanceTests.hotRangeOfALargeFleetIsSpreadWithinThreeSeconds fails without it (50 / 7 against a bound of 5).

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
@@ -22,10 +22,10 @@
    * Policy for keys that have just become hot: many moves at once, but only for differences that
    * are too large to be random.
    */
-  private static final BalancingPolicy HOT_KEYS = new BalancingPolicy(1.5, 0, 16);
+  private static final BalancingPolicy HOT_KEYS = new BalancingPolicy(1.5, 0, 16, 0.3, 1000);
 
   /** Policy for lasting differences in load: few moves at once, which may be small. */
-  private static final BalancingPolicy LASTING_SKEW = new BalancingPolicy(1.12, 0.05, 4);
+  private static final BalancingPolicy LASTING_SKEW = new BalancingPolicy(1.12, 0.05, 4, 0, 2500);
 
   /** Load below which no part moves, in decayed requests; a few requests per second. */
   private static final double MIN_MOVED_LOAD = 4;
@@ -44,12 +44,6 @@
   /** Minimum ratio of the target's capacity to the owner's for moving a single hot key. */
   private static final double MIN_CAPACITY_RATIO = 1.25;
 
-  /**
-   * Time for which moved keys are not moved again, in milliseconds; covers some round trips and a
-   * warm-up.
-   */
-  private static final long SETTLE_TIME_MS = 2500;
-
   /** Interval between rounds of balancing, in milliseconds; loads change little in less time. */
   private static final long ROUND_INTERVAL_MS = 500;
 
@@ -60,9 +54,25 @@
    *
    * @param overloadRatio ratio of an upstream's load to the mean above which part of it moves
    * @param minShare minimum load of a move, as a fraction of the mean load of an upstream
-   * @param maxMoves maximum number of moves begun at once; requests for their keys wait meanwhile
+   * @param minMoves number of moves that may be begun at once for few upstreams; requests for their
+   *     keys wait meanwhile
+   * @param movesPerUpstream number of moves that may be begun at once for many upstreams, as a
+   *     fraction of their number; a hot range takes as many moves as upstreams to share it
+   * @param settleTimeMs time for which moved keys are not moved again, in milliseconds; covers some
+   *     round trips. The first moves of a hot range are planned on few requests, and may give an
+   *     upstream far too much
    */
-  private record BalancingPolicy(double overloadRatio, double minShare, int maxMoves) {}
+  private record BalancingPolicy(
+      double overloadRatio,
+      double minShare,
+      int minMoves,
+      double movesPerUpstream,
+      long settleTimeMs) {
+
+    int maxMoves(int upstreams) {
+      return Math.max(minMoves, (int) (movesPerUpstream * upstreams));
+    }
+  }
 
   /**
    * Move of part of a piece to another upstream.
@@ -192,7 +202,8 @@
     double capacity = loadsByOwner.values().stream().mapToDouble(s -> s.candidate.capacity()).sum();
     double mean = loads.total() / capacity;
     int moves = 0;
-    while (moves < policy.maxMoves()) {
+    int maxMoves = policy.maxMoves(loadsByOwner.size());
+    while (moves < maxMoves) {
       Optional<Move> move = findNextMove(planned, loadsByOwner, loads, mean, policy, nowMs);
       if (move.isEmpty()) {
         break;
@@ -264,8 +275,9 @@
     if (!overloaded && !ownsNothing || desiredLoad < minMovedLoad(policy, mean, emptiest)) {
       return Optional.empty();
     }
+    long settledSinceMs = nowMs - policy.settleTimeMs();
     Optional<Move> move =
-        findHotKeyMove(pieces, busiest, loadsByOwner, loads, desiredLoad, nowMs)
+        findHotKeyMove(pieces, busiest, loadsByOwner, loads, desiredLoad, settledSinceMs)
             .or(
                 () ->
                     findPartMove(
@@ -275,7 +287,7 @@
                         loads,
                         desiredLoad,
                         minMovedLoad(policy, mean, emptiest),
-                        nowMs));
+                        settledSinceMs));
     if (move.isPresent()) {
       double moved = loads.of(move.get().part());
       UpstreamLoad target = loadsByOwner.get(move.get().target());
@@ -309,7 +321,7 @@
       Map<RangeOwner, UpstreamLoad> loadsByOwner,
       DecayingKeyLoads loads,
       double desiredLoad,
-      long nowMs) {
+      long settledSinceMs) {
     UpstreamLoad strongest = from;
     for (UpstreamLoad upstream : loadsByOwner.values()) {
       boolean stronger = upstream.candidate.capacity() > strongest.candidate.capacity();
@@ -319,7 +331,7 @@
       return Optional.empty();
     }
     for (RangePiece piece : pieces) {
-      if (piece.isOwnedBy(from.candidate.owner()) && piece.isSettled(nowMs - SETTLE_TIME_MS)) {
+      if (piece.isOwnedBy(from.candidate.owner()) && piece.isSettled(settledSinceMs)) {
         KeyRange part = loads.narrowest(piece.range(), desiredLoad);
         if (part.width() == 1 && loads.of(part) > from.load / 2) {
           return Optional.of(new Move(piece, part, strongest.candidate.owner()));
@@ -340,11 +352,11 @@
       DecayingKeyLoads loads,
       double desiredLoad,
       double minLoad,
-      long nowMs) {
+      long settledSinceMs) {
     @Nullable Move best = null;
     double bestPeak = from.relativeLoad() * MAX_PEAK_RATIO;
     for (RangePiece piece : pieces) {
-      if (!piece.isOwnedBy(from.candidate.owner()) || !piece.isSettled(nowMs - SETTLE_TIME_MS)) {
+      if (!piece.isOwnedBy(from.candidate.owner()) || !piece.isSettled(settledSinceMs)) {
         continue;
       }
       for (KeyRange part : candidateParts(piece.range(), loads, desiredLoad)) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -71,11 +71,16 @@
   /** Replays requests and returns how many of the last second each owner received. */
   private Map<RangeOwner, Integer> playRequests(
       int seconds, double hotFraction, int firstHot, int hotKeys) {
+    return playRequests(seconds, hotFraction, firstHot, hotKeys, REQUESTS_PER_SECOND);
+  }
+
+  private Map<RangeOwner, Integer> playRequests(
+      int seconds, double hotFraction, int firstHot, int hotKeys, int requestsPerSecond) {
     Map<RangeOwner, Integer> lastSecond = new HashMap<>();
     for (int second = 0; second < seconds; second++) {
       lastSecond.clear();
       for (int step = 0; step < 20; step++) {
-        for (int i = 0; i < REQUESTS_PER_SECOND / 20; i++) {
+        for (int i = 0; i < requestsPerSecond / 20; i++) {
           int key =
               random.nextDouble() < hotFraction
                   ? firstHot + random.nextInt(hotKeys)
@@ -133,6 +138,21 @@
     assertThat(after).isLessThan(0.2 * REQUESTS_PER_SECOND);
   }
 
+  /**
+   * Two fifths of the requests of a large fleet hit 120 keys, over ten times what one owner takes.
+   */
+  @Test
+  public void hotRangeOfALargeFleetIsSpreadWithinThreeSeconds() {
+    int upstreams = 100;
+    int requestsPerSecond = 700;
+    reset(upstreams);
+    runUntilSettled();
+    playRequests(5, 0, 0, 1, requestsPerSecond);
+    Map<RangeOwner, Integer> lastSecond = playRequests(3, 0.4, 30_000, 120, requestsPerSecond);
+    double mean = (double) requestsPerSecond / upstreams;
+    assertThat(maxRequests(lastSecond) / mean).isLessThan(5);
+  }
+
   @Test
   public void otherKeysMoveAwayFromTheOwnerOfASingleHotKey() {
     reset(UPSTREAMS);
