--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -279,7 +279,7 @@
   }
 
   @Override
-  public void onProgress() {
+  public void onGrantsDue() {
     if (!tickScheduled) {
       tickScheduled = true;
       loop.execute(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -48,8 +48,8 @@
     /** Called after the map was written and its owners hold their keys, or might do so soon. */
     void onWritten(String service, byte[] value, StoreVersion version);
 
-    /** Called when further commands may be due. */
-    void onProgress();
+    /** Called when grants are due, because a map with new owners was written. */
+    void onGrantsDue();
 
     /**
      * Called if the store holds another map or another leader, so that this VM must stop leading.
@@ -208,7 +208,6 @@
     log(command.assignment(), "keys released", result.outcome());
     if (!stopped) {
       controller.onRelease(command, result.outcome(), result.handover(), clock.nowMs());
-      listener.onProgress();
     }
   }
 
@@ -268,7 +267,7 @@
     long nowMs = clock.nowMs();
     controller.onWritten(command, version.number(), nowMs);
     announcement = Optional.of(new Announcement(value, version, nowMs + MAX_ANNOUNCEMENT_DELAY_MS));
-    listener.onProgress();
+    listener.onGrantsDue();
   }
 
   /**
