Requests hear of moves of their keys before the owner rejects them

A request that an owner has disowned waits for another assignment, and pauses are by key.

Ruled out: more attempts after a 421; each counts against the budget that all share.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
@@ -44,6 +44,8 @@
   private long mapVersion;
   private final Map<RangeOwner, Long> excludedUntilMs = new HashMap<>();
   private final long grantsFromMs;
+  private long writeIntervalMs;
+  private long nextWriteMs = Long.MIN_VALUE;
   private boolean writePending;
   private boolean rewriteDue;
   private long heldBackUntilMs = Long.MIN_VALUE;
@@ -91,6 +93,15 @@
     }
   }
 
+  /**
+   * Sets the time from one write of the map to the next, in milliseconds. Each write is sent to all
+   * entry VMs, so that ranges that move within this time share one.
+   */
+  public void setWriteInterval(long intervalMs) {
+    Assert.isTrue(intervalMs >= 0, "intervalMs must not be negative");
+    writeIntervalMs = intervalMs;
+  }
+
   /**
    * Returns the commands that are due now.
    *
@@ -190,9 +201,10 @@
                             || p.isFree()
                                 && !p.isHeldBack(nowMs)
                                 && p.target().map(usable::containsKey).orElse(false));
-    if (writePending || !changed) {
+    if (writePending || !changed || nowMs < nextWriteMs) {
       return;
     }
+    nextWriteMs = nowMs + writeIntervalMs;
     List<RangeAssignment> assignments = new ArrayList<>();
     for (RangePiece piece : pieces) {
       if (piece.isFree() && piece.target().isPresent() && !piece.isHeldBack(nowMs)) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -28,6 +28,7 @@
   private long version = 10;
   private long nowMs;
   private int moves;
+  private int writes;
   private RangeController controller = newController();
 
   private RangeController newController() {
@@ -57,6 +58,7 @@
         controller.onRelease(
             (RangeCommand.Release) command, CommandOutcome.DONE, Optional.of("h"), nowMs);
       } else {
+        writes++;
         controller.onWritten((RangeCommand.Write) command, ++version, nowMs);
       }
     }
@@ -153,6 +155,20 @@
     assertThat(maxRequests(lastSecond) / mean).isLessThan(5);
   }
 
+  /** Each write of the map goes to all entry VMs of a large fleet. */
+  @Test
+  public void movesShareWritesOfTheMap() {
+    reset(100);
+    controller.setWriteInterval(200);
+    runUntilSettled();
+    playRequests(5, 0, 0, 1, 700);
+    moves = 0;
+    writes = 0;
+    playRequests(4, 0.4, 30_000, 120, 700);
+    assertThat(moves).isGreaterThan(40);
+    assertThat(writes).isLessThanOrEqualTo(4 * 5);
+  }
+
   @Test
   public void otherKeysMoveAwayFromTheOwnerOfASingleHotKey() {
     reset(UPSTREAMS);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -15,6 +15,7 @@
 import org.foxtailford.core.range.LeaderFitness;
 import org.foxtailford.core.range.LeaderVacancyDetector;
 import org.foxtailford.core.range.LeadershipTiming;
+import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.range.RangeCommandClient;
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.store.PlatformRows;
@@ -472,10 +473,20 @@
     broadcast(List.of(messages.rows(SystemTables.RANGES, page.rows())));
   }
 
+  @Override
+  public void onReleases(String service, List<RangeAssignment> ranges) {
+    state.recordMoves(service, ranges, clock.nowMs());
+    KnownLeader known = Assert.notNull(tasks, "tasks").leader();
+    broadcast(messages.moves(known, service, ranges));
+  }
+
   /** Announces this leader and pushes rows to live entry VMs, or to all known if none is live. */
   private void broadcast(List<TableRows> rows) {
     KnownLeader known = Assert.notNull(tasks, "tasks").leader();
-    PeerReport report = messages.announcement(known, rows);
+    broadcast(messages.announcement(known, rows));
+  }
+
+  private void broadcast(PeerReport report) {
     for (UpstreamAddress peer : broadcastTargets()) {
       peers
           .send(peer, report, ControlTiming.PEER_TIMEOUT_MS)
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -11,7 +11,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.range.LeadershipTerms;
+import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.range.RangeMap;
 import org.foxtailford.core.route.CallerLimits;
 import org.foxtailford.core.route.RoutingConfiguration;
@@ -63,6 +65,15 @@
    */
   static final long ERA_GRACE_MS = 5000;
 
+  /**
+   * Time for which a move is believed to go on if no newer map comes, in milliseconds; requests do
+   * not wait for longer.
+   */
+  private static final long MAX_MOVE_MS = 1200;
+
+  /** Range that the leader takes away from its owner; later assignments have a higher fence. */
+  private record Move(KeyRange range, long fence, long untilMs) {}
+
   private final PlatformRows platform;
   private final MillisClock clock;
   private final String node;
@@ -78,6 +89,7 @@
   private @Nullable Listener listener;
   private long unreadableRows;
   private final Map<String, Long> eraBeganMs = new HashMap<>();
+  private final Map<String, List<Move>> moves = new HashMap<>();
   private boolean upstreamsKnown;
 
   /** Creates an empty state. */
@@ -418,6 +430,28 @@
     return owners.getOrDefault(service, RangeMap.EMPTY);
   }
 
+  /** Records that the leader has begun to take ranges away from their owners. */
+  void recordMoves(String service, List<RangeAssignment> ranges, long nowMs) {
+    List<Move> current = moves.computeIfAbsent(service, name -> new ArrayList<>());
+    current.removeIf(move -> nowMs >= move.untilMs());
+    ranges.forEach(
+        range -> current.add(new Move(range.range(), range.fence(), nowMs + MAX_MOVE_MS)));
+  }
+
+  @Override
+  public boolean isBeingMoved(String service, int key, long fence) {
+    long nowMs = clock.nowMs();
+    for (Move move : moves.getOrDefault(service, List.of())) {
+      if (move.range().first() <= key
+          && key <= move.range().last()
+          && nowMs < move.untilMs()
+          && fence < move.fence()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   @Override
   public Collection<String> entryVms() {
     Collection<String> cached = entryVms;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -13,6 +13,7 @@
 import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.LeadershipTiming;
 import org.foxtailford.core.range.OwnerCapacities;
+import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.range.RangeCandidate;
 import org.foxtailford.core.range.RangeCommandClient;
 import org.foxtailford.core.range.RangeController;
@@ -40,6 +41,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * Time between two writes of the owners for each entry VM that gets them, in milliseconds; with a
+   * hundred VMs, a move waits for 0.1 s on average.
+   */
+  private static final long WRITE_INTERVAL_PER_VM_MS = 2;
+
   /** Age at which the capacities of upstreams are computed again, in milliseconds. */
   private static final long CAPACITY_AGE_MS = 500;
 
@@ -58,6 +65,9 @@
     /** Called after the range map of a service was written. */
     void onOwnersWritten(String service, RowPage page);
 
+    /** Called when keys are about to be taken away from their owners. */
+    void onReleases(String service, List<RangeAssignment> ranges);
+
     /** Called after this VM kept the leadership of a store that was restored from an older copy. */
     void onLeadershipKept(KnownLeader leader);
 
@@ -150,6 +160,7 @@
       if (service.keyed()) {
         keyed.add(service.name());
         RangeExecutor executor = executors.computeIfAbsent(service.name(), this::newExecutor);
+        executor.controller().setWriteInterval(WRITE_INTERVAL_PER_VM_MS * state.entryVms().size());
         executor.execute(
             executor.controller().nextCommands(candidates(service.name()), mayMove, nowMs));
       }
@@ -278,6 +289,11 @@
     listener.onOwnersWritten(service, new RowPage(List.of(row), version, false));
   }
 
+  @Override
+  public void onReleases(String service, List<RangeAssignment> ranges) {
+    listener.onReleases(service, ranges);
+  }
+
   @Override
   public void onGrantsDue() {
     if (!tickScheduled) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.TableMirror;
@@ -13,6 +14,7 @@
 import org.foxtailford.schema.entry.LeavingUpstream;
 import org.foxtailford.schema.entry.PeerReply;
 import org.foxtailford.schema.entry.PeerReport;
+import org.foxtailford.schema.entry.RangeMove;
 import org.foxtailford.schema.entry.TableRows;
 import org.foxtailford.schema.entry.TableVersion;
 
@@ -67,6 +69,16 @@
     return newReport().setLeaderTerm(leader.term()).setLeads(true).addAllPushed(rows).build();
   }
 
+  /** Returns a report by which the leader tells which ranges it takes away from their owners. */
+  PeerReport moves(KnownLeader leader, String service, Collection<RangeAssignment> ranges) {
+    PeerReport.Builder report = newReport().setLeaderTerm(leader.term()).setLeads(true);
+    for (RangeAssignment range : ranges) {
+      report.addMoves(
+          RangeMove.newBuilder().setService(service).setRange(RecordCodec.toRecord(range)));
+    }
+    return report.build();
+  }
+
   private PeerReport.Builder newReport() {
     return PeerReport.newBuilder()
         .setNode(self.node())
@@ -113,6 +125,10 @@
 
   /** Applies rows that the leader pushes, and what another VM has heard of leaving upstreams. */
   void apply(PeerReport report, long nowMs) {
+    for (RangeMove move : report.getMovesList()) {
+      state.recordMoves(
+          move.getService(), List.of(RecordCodec.toAssignment(move.getRange())), nowMs);
+    }
     for (TableRows rows : report.getPushedList()) {
       state.applyPushedRows(rows.getTable(), RecordCodec.toPage(rows));
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -1,6 +1,7 @@
 package org.foxtailford.entry.control;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -48,6 +49,9 @@
     /** Called after the map was written and its owners hold their keys, or might do so soon. */
     void onWritten(String service, byte[] value, StoreVersion version);
 
+    /** Called when keys are about to be taken away from their owners. */
+    void onReleases(String service, List<RangeAssignment> ranges);
+
     /** Called when grants are due, because a map with new owners was written. */
     void onGrantsDue();
 
@@ -126,6 +130,15 @@
   }
 
   void execute(List<RangeCommand> commands) {
+    List<RangeAssignment> releases = new ArrayList<>();
+    for (RangeCommand command : commands) {
+      if (command instanceof RangeCommand.Release) {
+        releases.add(((RangeCommand.Release) command).assignment());
+      }
+    }
+    if (!releases.isEmpty()) {
+      listener.onReleases(service, releases);
+    }
     for (RangeCommand command : commands) {
       if (command instanceof RangeCommand.Grant) {
         grant((RangeCommand.Grant) command);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
@@ -63,11 +63,7 @@
       List<RangeAssignment> assignments = new ArrayList<>();
       RangeMapRecord record = RangeMapRecord.parseFrom(row.value());
       for (RangeRecord range : record.getRangesList()) {
-        assignments.add(
-            new RangeAssignment(
-                new KeyRange(range.getFirst(), range.getLast()),
-                new RangeOwner(range.getUpstream(), range.getBornMs()),
-                range.getFence()));
+        assignments.add(toAssignment(range));
       }
       return new RangeMap(row.version().number(), record.getEra(), assignments);
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
@@ -79,17 +75,33 @@
   static byte[] serializeRanges(String service, long era, Collection<RangeAssignment> assignments) {
     RangeMapRecord.Builder record = RangeMapRecord.newBuilder().setService(service).setEra(era);
     for (RangeAssignment assignment : assignments) {
-      record.addRanges(
-          RangeRecord.newBuilder()
-              .setFirst(assignment.range().first())
-              .setLast(assignment.range().last())
-              .setUpstream(assignment.owner().upstream())
-              .setBornMs(assignment.owner().bornMs())
-              .setFence(assignment.fence()));
+      record.addRanges(toRecord(assignment));
     }
     return record.build().toByteArray();
   }
 
+  static RangeRecord toRecord(RangeAssignment assignment) {
+    return RangeRecord.newBuilder()
+        .setFirst(assignment.range().first())
+        .setLast(assignment.range().last())
+        .setUpstream(assignment.owner().upstream())
+        .setBornMs(assignment.owner().bornMs())
+        .setFence(assignment.fence())
+        .build();
+  }
+
+  /**
+   * Converts a record.
+   *
+   * @throws IllegalArgumentException if the range is invalid
+   */
+  static RangeAssignment toAssignment(RangeRecord range) {
+    return new RangeAssignment(
+        new KeyRange(range.getFirst(), range.getLast()),
+        new RangeOwner(range.getUpstream(), range.getBornMs()),
+        range.getFence());
+  }
+
   /** Returns a message with rows of a copy, all of the copy's era. */
   static TableRows toMessage(TableMirror mirror, Collection<Row> rows, RowPacker packer) {
     TableRows.Builder message =
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -43,6 +43,7 @@
   private int sends;
   private int deliveries;
   private boolean mayHaveRun;
+  private long disownedFence;
   private boolean finished;
   private boolean settled;
   private long waitsUntilMs;
@@ -117,6 +118,16 @@
     return Math.max(0, callerDeadlineMs - nowMs);
   }
 
+  /** Records that the owner by an assignment with a given fence has disowned the key. */
+  void recordDisowned(long fence) {
+    disownedFence = fence;
+  }
+
+  /** Returns whether the owner by an assignment has disowned the key when it got this request. */
+  boolean isDisowned(long fence) {
+    return fence == disownedFence;
+  }
+
   boolean isFinished() {
     return finished;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -19,6 +19,14 @@
   /** Returns the owners of a service's keys; keys without an owner are missing from the map. */
   RangeMap owners(String service);
 
+  /**
+   * Returns whether the leader is taking a key away from the owner by an assignment, which rejects
+   * requests for it meanwhile.
+   *
+   * @param fence fence of the assignment
+   */
+  boolean isBeingMoved(String service, int key, long fence);
+
   /** Returns the names of the entry VMs that share rate limits, including this one. */
   Collection<String> entryVms();
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
@@ -125,7 +125,11 @@
   boolean recordMisdirection(RequestCall call, UpstreamHandle upstream) {
     Optional<RangeAssignment> assignment =
         owner(call).filter(a -> a.owner().upstream().equals(upstream.entry().id()));
-    assignment.ifPresent(a -> misdirections.recordRejection(a.fence(), clock.nowMs()));
+    assignment.ifPresent(
+        a -> {
+          misdirections.recordRejection(call.key().getAsInt(), a.fence(), clock.nowMs());
+          call.recordDisowned(a.fence());
+        });
     return assignment.isPresent();
   }
 
@@ -207,7 +211,15 @@
   }
 
   boolean isMisdirected(RequestCall call, long nowMs) {
-    return owner(call).filter(a -> misdirections.isPaused(a.fence(), nowMs)).isPresent();
+    return owner(call).filter(assignment -> isBeingMoved(call, assignment, nowMs)).isPresent();
+  }
+
+  /** Returns whether a request for a key waits for a newer assignment. */
+  private boolean isBeingMoved(RequestCall call, RangeAssignment assignment, long nowMs) {
+    int key = call.key().getAsInt();
+    return call.isDisowned(assignment.fence())
+        || misdirections.isPaused(key, assignment.fence(), nowMs)
+        || view.isBeingMoved(call.service().name(), key, assignment.fence());
   }
 
   boolean isOwnerFull(RequestCall call, long nowMs) {
@@ -236,7 +248,7 @@
     if (assignment.isEmpty()) {
       return Optional.empty();
     }
-    if (misdirections.isPaused(assignment.get().fence(), nowMs)) {
+    if (isBeingMoved(call, assignment.get(), nowMs)) {
       return Optional.empty();
     }
     Optional<UpstreamEntry> entry = view.upstreams().find(assignment.get().owner().upstream());
