--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePlanner.java
@@ -249,51 +249,56 @@
     return Optional.empty();
   }
 
+  /**
+   * Finds a move from one upstream. The target is the one with most room in absolute terms: one
+   * with little capacity may be emptier in proportion, but could not take a part that is worth a
+   * move.
+   */
   private static Optional<Move> findMoveFrom(
-      UpstreamLoad busiest,
+      UpstreamLoad source,
       List<RangePiece> pieces,
       Map<RangeOwner, UpstreamLoad> loadsByOwner,
       DecayingKeyLoads loads,
       double mean,
       BalancingPolicy policy,
       long nowMs) {
-    UpstreamLoad emptiest =
+    UpstreamLoad target =
         loadsByOwner.values().stream()
             .filter(upstream -> !upstream.candidate.cold())
             .max(Comparator.comparingDouble(upstream -> upstream.deficit(mean)))
             .orElse(null);
-    if (emptiest == null || busiest == emptiest) {
+    if (target == null || source == target) {
       return Optional.empty();
     }
-    double excess = (busiest.relativeLoad() - mean) * busiest.candidate.capacity();
-    double deficit = emptiest.deficit(mean);
+    double excess = (source.relativeLoad() - mean) * source.candidate.capacity();
+    double deficit = target.deficit(mean);
     boolean overloaded =
-        busiest.relativeLoad() > policy.overloadRatio() * mean
-            && excess > randomExcess(loadsByOwner.size(), mean * busiest.candidate.capacity());
-    boolean ownsNothing = emptiest.width == 0;
+        source.relativeLoad() > policy.overloadRatio() * mean
+            && excess > randomExcess(loadsByOwner.size(), mean * source.candidate.capacity());
+    boolean ownsNothing = target.width == 0;
     double desiredLoad = Math.min(excess, deficit);
-    if (!overloaded && !ownsNothing || desiredLoad < minMovedLoad(policy, mean, emptiest)) {
+    if (!overloaded && !ownsNothing || desiredLoad < minMovedLoad(policy, mean, target)) {
       return Optional.empty();
     }
     long settledSinceMs = nowMs - policy.settleTimeMs();
     Optional<Move> move =
-        findHotKeyMove(pieces, busiest, loadsByOwner, loads, desiredLoad, settledSinceMs)
+        findHotKeyMove(pieces, source, loadsByOwner, loads, desiredLoad, settledSinceMs)
             .or(
                 () ->
                     findPartMove(
                         pieces,
-                        busiest,
-                        emptiest,
+                        source,
+                        target,
                         loads,
                         desiredLoad,
-                        minMovedLoad(policy, mean, emptiest),
+                        minMovedLoad(policy, mean, target),
                         settledSinceMs));
     if (move.isPresent()) {
       double moved = loads.of(move.get().part());
-      UpstreamLoad target = loadsByOwner.get(move.get().target());
-      busiest.load -= moved;
-      target.load += moved;
-      target.width += move.get().part().width();
+      UpstreamLoad receiver = loadsByOwner.get(move.get().target());
+      source.load -= moved;
+      receiver.load += moved;
+      receiver.width += move.get().part().width();
     }
     return move;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -37,7 +37,7 @@
  * Performs the leader's tasks during one term: renews the leadership, grants keys, and writes their
  * owners to the store. Confined to the event loop.
  */
-final class LeaderTasks implements RangeExecutor.MapListener {
+final class LeaderTasks implements RangeExecutor.Listener {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -43,8 +43,8 @@
    */
   private static final long MAX_ANNOUNCEMENT_DELAY_MS = 100;
 
-  /** Receives the results of writes of the range map. */
-  interface MapListener {
+  /** Receives what concerns all entry VMs: moves, new owners, and the end of the leadership. */
+  interface Listener {
 
     /** Called after the map was written and its owners hold their keys, or might do so soon. */
     void onWritten(String service, byte[] value, StoreVersion version);
@@ -68,7 +68,7 @@
   private final Function<RangeOwner, Optional<UpstreamAddress>> addressLookup;
   private final RowStore store;
   private final Supplier<StoreVersion> leaderRowVersion;
-  private final MapListener listener;
+  private final Listener listener;
   private final MillisClock clock;
   private final Executor loop;
   private Optional<RangeCommand.Write> pendingWrite = Optional.empty();
@@ -94,7 +94,7 @@
       Function<RangeOwner, Optional<UpstreamAddress>> addressLookup,
       RowStore store,
       Supplier<StoreVersion> leaderRowVersion,
-      MapListener listener,
+      Listener listener,
       MillisClock clock,
       Executor loop) {
     this.service = Assert.hasLength(service, "service");
@@ -137,7 +137,7 @@
       }
     }
     if (!releases.isEmpty()) {
-      listener.onReleases(service, releases);
+      listener.onReleases(service, releases); // before the owners reject requests for these keys
     }
     for (RangeCommand command : commands) {
       if (command instanceof RangeCommand.Grant) {
@@ -189,7 +189,7 @@
   private void onGrant(RangeCommand.Grant command, RangeCommandClient.GrantResult result) {
     firstGrantsInFlight -= command.session().isEmpty() ? 1 : 0;
     if (command.session().isEmpty() || result.outcome() != CommandOutcome.DONE) {
-      log(command.assignment(), "keys granted", result.outcome());
+      log(command.assignment(), "keys granted", result.outcome().name());
     }
     if (!stopped) {
       controller.onGrant(command, result.outcome(), result.session(), clock.nowMs());
@@ -202,6 +202,7 @@
 
   private void release(RangeCommand.Release command) {
     RangeAssignment assignment = command.assignment();
+    log(assignment, "release of keys sent", "");
     Optional<UpstreamAddress> address = addressLookup.apply(assignment.owner());
     if (address.isEmpty()) {
       controller.onRelease(command, CommandOutcome.UNKNOWN, Optional.empty(), clock.nowMs());
@@ -218,20 +219,20 @@
   }
 
   private void onRelease(RangeCommand.Release command, RangeCommandClient.ReleaseResult result) {
-    log(command.assignment(), "keys released", result.outcome());
+    log(command.assignment(), "keys released", result.outcome().name());
     if (!stopped) {
       controller.onRelease(command, result.outcome(), result.handover(), clock.nowMs());
     }
   }
 
-  private void log(RangeAssignment assignment, String event, CommandOutcome outcome) {
+  private void log(RangeAssignment assignment, String event, String reason) {
     logger
         .atInfo()
         .with(EventFields.SERVICE, service)
         .with(EventFields.UPSTREAM, assignment.owner().upstream())
         .with(EventFields.KEYS, assignment.range().first() + "-" + assignment.range().last())
         .with(EventFields.FENCE, assignment.fence())
-        .with(EventFields.REASON, outcome.name())
+        .with(EventFields.REASON, reason)
         .log("%s", event);
   }
 
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/log/LogReferenceTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/log/LogReferenceTests.java
@@ -67,6 +67,7 @@
     }
     events.add("keys granted"); // passed as an argument to the log statement of both range commands
     events.add("keys released");
+    events.add("release of keys sent");
     assertThat(events).hasSizeGreaterThan(20);
     return events;
   }
