--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -229,7 +229,9 @@
   private void checkForRestoredStore(long nowMs) {
     long era = Math.max(store.era(), state.era());
     if (era > knownEra) {
-      logger.atWarning().with(EventFields.ERA, era).log("store was restored from an older copy");
+      if (started) { // the first era that a new process hears of is no news
+        logger.atWarning().with(EventFields.ERA, era).log("store was restored from an older copy");
+      }
       knownEra = era;
       joined = false;
     }
