--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -128,6 +128,13 @@
     return send(vm, HttpMethod.GET, path, requestId, "").join();
   }
 
+  /** Sends bytes to a VM as if they were the report of another one. */
+  CompletableFuture<HttpAnswer> report(int vm, byte[] message) {
+    HttpExchange exchange =
+        new HttpExchange(HttpMethod.POST, "/foxtailford/peer", new DefaultHttpHeaders(), message);
+    return client.send(endpoint(settings.get(vm).peers()), exchange, CALL_TIMEOUT_MS);
+  }
+
   int readiness(int vm) {
     HttpExchange exchange =
         new HttpExchange(HttpMethod.GET, "/readiness", new DefaultHttpHeaders(), new byte[0]);
