--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -330,11 +329,8 @@
     view.onLeaving(upstream.entry());
   }
 
-  /** Pauses an upstream that answered 503, if it said for how long it wants nothing. */
-  void onUnavailable(RequestCall call, UpstreamHandle upstream, HttpHeaders headers) {
-    if (!headers.contains(HttpHeaderNames.RETRY_AFTER)) {
-      return;
-    }
+  /** Pauses an upstream that asked for it, unless its time can't be read. */
+  void onPauseRequested(RequestCall call, UpstreamHandle upstream, HttpHeaders headers) {
     OptionalLong pauseMs = dialect.retryAfterMs(headers);
     metrics.recordPause(pauseMs.isPresent() ? "obeyed" : "unreadable");
     if (pauseMs.isPresent()) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -122,8 +122,8 @@
         .ifPresent(report -> scheduler.ownerPacing().recordReport(upstream, report));
     int status = newHead.status().code();
     refused = scheduler.dialect().isNotRun(status, newHead.headers());
-    if (status == RequestCall.SERVICE_UNAVAILABLE) {
-      scheduler.onUnavailable(call, upstream, newHead.headers());
+    if (scheduler.dialect().asksForPause(status, newHead.headers())) {
+      scheduler.onPauseRequested(call, upstream, newHead.headers());
     }
     if (scheduler.dialect().isLeaving(newHead.headers())) {
       scheduler.onLeaving(upstream);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
@@ -36,8 +36,11 @@
   /** Returns whether an answer states that the upstream is leaving. */
   boolean isLeaving(HttpHeaders headers);
 
+  /** Returns whether an upstream that is unavailable asks for a pause. */
+  boolean asksForPause(int status, HttpHeaders headers);
+
   /**
-   * Returns the time for which an upstream that rejected a request wants nothing more, in
+   * Returns the time for which an upstream that asks for a pause wants nothing more, in
    * milliseconds; empty if missing or malformed.
    */
   OptionalLong retryAfterMs(HttpHeaders headers);
