Log which configuration decided a request, and how old each copy is

The logs could not tell apart why a confirmed change was not in force: whether a VM had not heard of the operators' table, had skipped a change, or had ignored it. Each request's line now has the version that decided it and the age of the copy; a failed read says how old the copy is that stays in use; the replies between VMs tell the age of each copy, which no decision uses yet. Meter foxtailford.configuration.age.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -220,6 +220,7 @@
     gauge("foxtailford.connections.begun", () -> upstreamRegistry.connects());
     gauge("foxtailford.upstreams", () -> routingState.upstreams().size());
     gauge("foxtailford.rows.unreadable", () -> routingState.unreadableRows());
+    gauge("foxtailford.configuration.age", () -> routingState.configurationAgeMs() / 1000.0);
     gauge("foxtailford.leads", () -> control.isLeading() ? 1 : 0);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -109,7 +109,7 @@
     this.commandClient = Assert.notNull(commandClient, "commandClient");
     this.state = Assert.notNull(state, "state");
     this.peers = new PeerClient(peerCalls);
-    this.messages = new PeerMessages(self, state);
+    this.messages = new PeerMessages(self, state, clock);
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
     this.loop = Assert.notNull(loop, "loop");
@@ -346,7 +346,7 @@
   }
 
   private void applyReply(PeerReply reply, long sentMs, long nowMs) {
-    messages.apply(reply, nowMs);
+    messages.apply(reply, sentMs);
     long asOfMs = sentMs - reply.getStoreAgeMs();
     if (reply.getStoreReached()) {
       started = started || state.isComplete();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -18,6 +18,7 @@
 import org.foxtailford.core.route.CallerLimits;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.route.ServicePolicy;
+import org.foxtailford.core.store.CopyAges;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.RowPage;
@@ -78,6 +79,7 @@
   private final MillisClock clock;
   private final String node;
   private final Map<String, TableMirror> mirrors = new HashMap<>();
+  private final CopyAges ages = new CopyAges();
   private final UpstreamDirectory upstreams = new UpstreamDirectory();
   private final Map<String, RangeMap> owners = new HashMap<>();
   private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
@@ -126,6 +128,11 @@
     return Assert.notNull(mirrors.get(table), "mirror of " + table);
   }
 
+  /** Returns the ages of the copies. */
+  CopyAges ages() {
+    return ages;
+  }
+
   /** Returns the copy of a table, or null if the table is not copied. */
   @Nullable TableMirror mirrorOrNull(String table) {
     return mirrors.get(table);
@@ -420,6 +427,11 @@
     return Optional.ofNullable(configuration);
   }
 
+  @Override
+  public long configurationAgeMs() {
+    return ages.ageMs(platform.operatorTable(), clock.nowMs()).orElse(-1);
+  }
+
   @Override
   public UpstreamDirectory upstreams() {
     return upstreams;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -264,6 +264,7 @@
       end("another VM acquired leadership");
     } else {
       lastConfirmedMs = sentMs;
+      state.ages().record(SystemTables.RANGES, sentMs); // only the leader writes them
       nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
     }
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -8,6 +8,7 @@
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.TableMirror;
+import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.entry.KeyLoad;
@@ -15,6 +16,7 @@
 import org.foxtailford.schema.entry.PeerReply;
 import org.foxtailford.schema.entry.PeerReport;
 import org.foxtailford.schema.entry.RangeMove;
+import org.foxtailford.schema.entry.TableAge;
 import org.foxtailford.schema.entry.TableRows;
 import org.foxtailford.schema.entry.TableVersion;
 
@@ -26,11 +28,13 @@
 
   private final EntryIdentity self;
   private final EntryRoutingState state;
+  private final MillisClock clock;
   private final RowPacker packer = new RowPacker();
 
-  PeerMessages(EntryIdentity self, EntryRoutingState state) {
+  PeerMessages(EntryIdentity self, EntryRoutingState state, MillisClock clock) {
     this.self = Assert.notNull(self, "self");
     this.state = Assert.notNull(state, "state");
+    this.clock = Assert.notNull(clock, "clock");
   }
 
   /** Returns a report that asks for everything newer than what this VM knows. */
@@ -104,6 +108,23 @@
       }
     }
     reply.addAllLeaving(leaving());
+    addAges(reply);
+  }
+
+  private void addAges(PeerReply.Builder reply) {
+    long nowMs = clock.nowMs();
+    for (TableMirror mirror : state.mirrors()) {
+      state
+          .ages()
+          .ageMs(mirror.table(), nowMs)
+          .ifPresent(
+              ageMs ->
+                  reply.addAges(
+                      TableAge.newBuilder()
+                          .setTable(mirror.table())
+                          .setEra(mirror.version().era())
+                          .setAgeMs(ageMs)));
+    }
   }
 
   private List<LeavingUpstream> leaving() {
@@ -115,12 +136,22 @@
     return leaving;
   }
 
-  /** Applies a reply to a report of this VM. */
-  void apply(PeerReply reply, long nowMs) {
+  /**
+   * Applies a reply to a report of this VM.
+   *
+   * @param sentMs when the report was sent, in milliseconds
+   */
+  void apply(PeerReply reply, long sentMs) {
     for (TableRows rows : reply.getTablesList()) {
       state.apply(rows.getTable(), RecordCodec.toPage(rows), RecordCodec.eraBegin(rows));
     }
-    markLeaving(reply.getLeavingList(), nowMs);
+    for (TableAge age : reply.getAgesList()) {
+      TableMirror mirror = state.mirrorOrNull(age.getTable());
+      if (mirror != null && mirror.version().era() == age.getEra() && age.getAgeMs() >= 0) {
+        state.ages().record(age.getTable(), sentMs - age.getAgeMs());
+      }
+    }
+    markLeaving(reply.getLeavingList(), clock.nowMs());
   }
 
   /** Applies rows that the leader pushes, and what another VM has heard of leaving upstreams. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -109,6 +109,7 @@
       retryDelayMs = INITIAL_RETRY_DELAY_MS;
       nextCallMs = nowMs + intervalMs;
       state.apply(table, page);
+      state.ages().record(table, sentMs);
       onSuccess.accept(waitMs == 0 ? sentMs : nowMs);
       return;
     }
@@ -131,6 +132,7 @@
         .with(EventFields.TABLE, table)
         .with(EventFields.REASON, String.valueOf(failure))
         .with(EventFields.TOOK_MS, nowMs - sentMs)
+        .with(EventFields.AGE_MS, state.ages().ageMs(table, nowMs).orElse(-1))
         .log("store call failed");
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -38,6 +38,8 @@
   private final String requestId;
   private final WaitingRequest terms;
   private final long callerDeadlineMs;
+  private final long configurationVersion;
+  private final long configurationAgeMs;
   private final List<UpstreamAttempt> activeAttempts = new ArrayList<>();
   private final Set<String> triedUpstreams = new HashSet<>();
   private int sends;
@@ -60,7 +62,9 @@
       OptionalInt key,
       String requestId,
       WaitingRequest terms,
-      long callerDeadlineMs) {
+      long callerDeadlineMs,
+      long configurationVersion,
+      long configurationAgeMs) {
     this.exchange = exchange;
     this.scheduler = scheduler;
     this.route = route;
@@ -69,6 +73,8 @@
     this.requestId = requestId;
     this.terms = terms;
     this.callerDeadlineMs = callerDeadlineMs;
+    this.configurationVersion = configurationVersion;
+    this.configurationAgeMs = configurationAgeMs;
     this.waitsUntilMs = terms.arrivedMs();
   }
 
@@ -279,6 +285,8 @@
         .with(EventFields.REQUEST, requestId)
         .with(EventFields.ROUTE, route.name())
         .with(EventFields.SERVICE, service.name())
+        .with(EventFields.VERSION, configurationVersion)
+        .with(EventFields.AGE_MS, configurationAgeMs)
         .with(EventFields.REASON, reason)
         .with(EventFields.RETRY_AFTER_MS, delayMs)
         .with(EventFields.ATTEMPTS, (long) sends)
@@ -296,6 +304,8 @@
         .with(EventFields.REQUEST, requestId)
         .with(EventFields.ROUTE, route.name())
         .with(EventFields.SERVICE, service.name())
+        .with(EventFields.VERSION, configurationVersion)
+        .with(EventFields.AGE_MS, configurationAgeMs)
         .with(EventFields.STATUS, (long) status)
         .with(EventFields.REASON, reason)
         .with(EventFields.ATTEMPTS, (long) sends)
@@ -319,6 +329,8 @@
           .atInfo()
           .with(EventFields.REQUEST, requestId)
           .with(EventFields.SERVICE, service.name())
+          .with(EventFields.VERSION, configurationVersion)
+          .with(EventFields.AGE_MS, configurationAgeMs)
           .with(EventFields.TOOK_MS, scheduler.nowMs() - terms.arrivedMs())
           .with(EventFields.ATTEMPTS, (long) sends)
           .log("caller gone");
@@ -352,6 +364,8 @@
         .with(EventFields.REQUEST, requestId)
         .with(EventFields.ROUTE, route.name())
         .with(EventFields.SERVICE, service.name())
+        .with(EventFields.VERSION, configurationVersion)
+        .with(EventFields.AGE_MS, configurationAgeMs)
         .with(EventFields.UPSTREAM, attempt.upstream().entry().id())
         .with(EventFields.STATUS, (long) status)
         .with(EventFields.ATTEMPTS, (long) sends)
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -91,7 +91,9 @@
             key,
             scheduler.dialect().requestId(exchange.headers()).orElse(""),
             terms,
-            arrivedMs + callerMs);
+            arrivedMs + callerMs,
+            configuration.version(),
+            view.configurationAgeMs());
     scheduler.register(call);
     exchange.setListener(call);
     call.startDeadlineTimer();
@@ -123,6 +125,7 @@
         .with(EventFields.STATUS, (long) status)
         .with(EventFields.REASON, reason)
         .with(EventFields.VERSION, version)
+        .with(EventFields.AGE_MS, view.configurationAgeMs())
         .log("request refused before scheduling");
     exchange.answer(status, headers, Unpooled.EMPTY_BUFFER);
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -13,6 +13,12 @@
   /** Returns the active configuration; empty until one has been received. */
   Optional<RoutingConfiguration> configuration();
 
+  /**
+   * Returns the time since the configuration was known to be the latest one, in milliseconds; -1 if
+   * it never was.
+   */
+  long configurationAgeMs();
+
   /** Returns the known upstreams with their states. */
   UpstreamDirectory upstreams();
 
