--- /dev/null
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -0,0 +1,244 @@
+package org.foxtailford.entry.control;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.foxtailford.core.range.CommandOutcome;
+import org.foxtailford.core.range.KeyRange;
+import org.foxtailford.core.range.RangeCommandClient;
+import org.foxtailford.core.range.RangeTiming;
+import org.foxtailford.core.route.CallerLimits;
+import org.foxtailford.core.route.RoutingConfiguration;
+import org.foxtailford.core.store.PlatformRows;
+import org.foxtailford.core.store.Row;
+import org.foxtailford.core.store.UnreadableRowException;
+import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.entry.PeerReport;
+import org.foxtailford.testkit.simulation.EventQueue;
+
+/** Entry VMs' controls on virtual time, with a simulated store and network. */
+final class ControlWorld {
+
+  private static final String OPERATORS = "operators";
+  private static final String UPSTREAMS = "upstreams";
+  private static final long ONE_WAY_MS = 1;
+  private static final int PORT = 1000;
+
+  private final EventQueue events = new EventQueue();
+  private final SimulatedStore store = new SimulatedStore(events);
+  private final List<Vm> vms = new ArrayList<>();
+  private final Random random;
+
+  ControlWorld(int count, long seed) {
+    random = new Random(seed);
+    put(1);
+    for (int i = 0; i < count; i++) {
+      vms.add(new Vm(i));
+    }
+    runFor(6000);
+  }
+
+  long nowMs() {
+    return events.nowMs();
+  }
+
+  SimulatedStore store() {
+    return store;
+  }
+
+  List<Vm> vms() {
+    return vms;
+  }
+
+  void runFor(long ms) {
+    events.runUntil(events.nowMs() + ms);
+  }
+
+  /** Runs an action after a delay. */
+  void later(long delayMs, Runnable action) {
+    events.schedule(delayMs, action);
+  }
+
+  /** Writes a version of the configuration; returns when it was acknowledged. */
+  long put(long version) {
+    return store.put(OPERATORS, "config", Long.toString(version).getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns the leader as the VMs themselves see it; fails unless exactly one leads. */
+  Vm leader() {
+    List<Vm> leaders = vms.stream().filter(vm -> vm.isLeading()).toList();
+    if (leaders.size() != 1) {
+      throw new AssertionError(leaders.size() + " VMs lead");
+    }
+    return leaders.get(0);
+  }
+
+  /** An entry VM without its request path. */
+  final class Vm {
+
+    private final int number;
+    private final VirtualLoop loop = new VirtualLoop(events);
+    private final SimulatedStore.Link link = store.new Link();
+    private final EntryRoutingState state;
+    private final EntryControl control;
+    private boolean cutOff;
+
+    Vm(int number) {
+      this.number = number;
+      String node = "vm-" + number;
+      state = new EntryRoutingState(new NumberRows(), loop.steadyClock(), node);
+      control =
+          new EntryControl(
+              new EntryIdentity(node, 1, "dc", address(number), 1, 100, true),
+              List.of(address(0), address(1)),
+              link,
+              new NumberRows(),
+              new GrantingClient(),
+              state,
+              this::send,
+              new RangeTiming(3000, 800, 300, 700, 3000, 100),
+              new ControlClocks(loop.steadyClock(), events::nowMs),
+              loop,
+              new Random(random.nextLong()));
+      loop.execute(control::start);
+    }
+
+    String name() {
+      return "vm-" + number;
+    }
+
+    SimulatedStore.Link link() {
+      return link;
+    }
+
+    /** Makes reads of the operators' table stay without an answer, or ends it. */
+    void setOperatorReadsSilent(boolean silent) {
+      link.setSilent(OPERATORS, silent);
+    }
+
+    /** Cuts the VM off from its peers, silently, or ends the cut. */
+    void setCutOff(boolean newCutOff) {
+      cutOff = newCutOff;
+    }
+
+    void pause(long durationMs) {
+      loop.pause(durationMs);
+    }
+
+    void end() {
+      loop.end();
+    }
+
+    boolean isLeading() {
+      return control.isLeading();
+    }
+
+    /** Returns the version of the configuration in force; 0 before the first one. */
+    long version() {
+      return state.configuration().map(RoutingConfiguration::version).orElse(0L);
+    }
+
+    private CompletableFuture<HttpAnswer> send(
+        Endpoint endpoint, HttpExchange exchange, long timeoutMs) {
+      CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+      events.schedule(
+          timeoutMs,
+          () -> answer.completeExceptionally(new IllegalStateException("no answer in time")));
+      Vm target = vms.get(endpoint.getPort() - PORT);
+      if (target.loop.isEnded()) {
+        events.schedule(
+            2 * ONE_WAY_MS,
+            () -> answer.completeExceptionally(new ConnectException("Connection refused")));
+      } else if (!cutOff && !target.cutOff) {
+        events.schedule(
+            ONE_WAY_MS, () -> target.loop.execute(() -> target.answer(exchange, answer)));
+      }
+      return answer;
+    }
+
+    private void answer(HttpExchange exchange, CompletableFuture<HttpAnswer> answer) {
+      try {
+        byte[] reply = control.onReport(PeerReport.parseFrom(exchange.body())).toByteArray();
+        HttpAnswer ok = new HttpAnswer(200, new DefaultHttpHeaders(), reply);
+        events.schedule(ONE_WAY_MS, () -> answer.complete(ok));
+      } catch (IOException e) {
+        answer.completeExceptionally(e);
+      }
+    }
+  }
+
+  private static UpstreamAddress address(int number) {
+    return new UpstreamAddress("10.0.0." + number, PORT + number);
+  }
+
+  /** Rows of operators in which a configuration is just its number. */
+  private static final class NumberRows implements PlatformRows {
+
+    @Override
+    public String operatorTable() {
+      return OPERATORS;
+    }
+
+    @Override
+    public String upstreamTable() {
+      return UPSTREAMS;
+    }
+
+    @Override
+    public boolean isConfiguration(Row row) {
+      return row.key().equals("config");
+    }
+
+    @Override
+    public RoutingConfiguration readConfiguration(Row row) {
+      long version = Long.parseLong(new String(row.value(), StandardCharsets.UTF_8));
+      return new RoutingConfiguration(version, List.of(), List.of(), CallerLimits.DEFAULT);
+    }
+
+    @Override
+    public Optional<String> findEvacuatedDataCentre(Row row) {
+      return Optional.empty();
+    }
+
+    @Override
+    public UpstreamEntry readUpstream(Row row) {
+      throw new UnreadableRowException("no upstreams here");
+    }
+  }
+
+  /** Upstreams that accept every grant and release. */
+  private static final class GrantingClient implements RangeCommandClient {
+
+    @Override
+    public CompletableFuture<GrantResult> grant(
+        String upstream,
+        UpstreamAddress address,
+        KeyRange range,
+        long fence,
+        long grantTtlMs,
+        Optional<String> handover,
+        OptionalLong session,
+        long timeoutMs) {
+      return CompletableFuture.completedFuture(
+          new GrantResult(CommandOutcome.DONE, OptionalLong.of(1)));
+    }
+
+    @Override
+    public CompletableFuture<ReleaseResult> release(
+        String upstream, UpstreamAddress address, KeyRange range, long fence, long timeoutMs) {
+      return CompletableFuture.completedFuture(
+          new ReleaseResult(CommandOutcome.DONE, Optional.empty()));
+    }
+  }
+}
