--- a/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
@@ -8,6 +8,9 @@
   /** Id of the caller's request. */
   public static final MetadataKey<String> REQUEST = stringField("request");
 
+  /** Hash of a request's content, in hexadecimal; equal on all VMs and for each retry. */
+  public static final MetadataKey<String> FINGERPRINT = stringField("fingerprint");
+
   /** Name of the route that matches a request. */
   public static final MetadataKey<String> ROUTE = stringField("route");
 
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestGuard.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestGuard.java
@@ -11,6 +11,7 @@
 import org.foxtailford.core.metrics.RouterMetrics;
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.poison.PoisonVerdict;
+import org.foxtailford.core.poison.RequestFingerprint;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 import org.foxtailford.core.routing.RequestAttributes;
@@ -63,7 +64,12 @@
       boolean idempotent,
       String upstream,
       Supplier<CompletableFuture<HttpAnswer>> attempt) {
-    long fingerprint = RequestFingerprint.of(exchange, attributes);
+    long fingerprint =
+        RequestFingerprint.of(
+            exchange.method().name(),
+            exchange.uri(),
+            attributes.key().orElse(""),
+            exchange.body());
     PoisonVerdict verdict = poisonTracker.verdict(fingerprint);
     if (verdict != PoisonVerdict.CLEAR) {
       metrics.poison(verdict.name());
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -2,17 +2,21 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.WaitingRequest;
+import org.foxtailford.core.poison.RequestFingerprint;
 import org.foxtailford.core.route.RouteRule;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.net.proxy.CallerExchange;
@@ -42,6 +46,7 @@
   private final long configurationAgeMs;
   private final List<UpstreamAttempt> activeAttempts = new ArrayList<>();
   private final Set<String> triedUpstreams = new HashSet<>();
+  private OptionalLong fingerprint = OptionalLong.empty();
   private int sends;
   private int deliveries;
   private boolean mayHaveRun;
@@ -102,6 +107,26 @@
     return terms;
   }
 
+  /** Returns the hash of the request's content; of the part that is buffered if it is long. */
+  long fingerprint() {
+    if (fingerprint.isEmpty()) {
+      fingerprint = OptionalLong.of(computeFingerprint());
+    }
+    return fingerprint.getAsLong();
+  }
+
+  private long computeFingerprint() {
+    String host = exchange.headers().get(HttpHeaderNames.HOST, "");
+    String keyText = key.isPresent() ? Integer.toString(key.getAsInt()) : "";
+    ByteBuf body = exchange.retainedBody();
+    try {
+      return RequestFingerprint.of(
+          exchange.method().name(), host + exchange.uri(), keyText, ByteBufUtil.getBytes(body));
+    } finally {
+      body.release();
+    }
+  }
+
   Set<String> triedUpstreams() {
     return triedUpstreams;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -274,6 +274,7 @@
     logger
         .atInfo()
         .with(EventFields.REQUEST, call.requestId())
+        .with(EventFields.FINGERPRINT, Long.toHexString(call.fingerprint()))
         .with(EventFields.SERVICE, call.service().name())
         .with(EventFields.UPSTREAM, upstream.entry().id())
         .with(EventFields.REASON, reason)
