--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestGuard.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/idempotency/RequestGuard.java
@@ -66,10 +66,7 @@
       Supplier<CompletableFuture<HttpAnswer>> attempt) {
     long fingerprint =
         RequestFingerprint.of(
-            exchange.method().name(),
-            exchange.uri(),
-            attributes.key().orElse(""),
-            exchange.body());
+            exchange.method().name(), exchange.uri(), attributes.key().orElse(""), exchange.body());
     PoisonVerdict verdict = poisonTracker.verdict(fingerprint);
     if (verdict != PoisonVerdict.CLEAR) {
       metrics.poison(verdict.name());
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -46,6 +46,9 @@
   private static final long CALL_TIMEOUT_MS = 4000;
   private static final long AWAIT_TIMEOUT_MS = 15_000;
 
+  /** Time from the end of an upstream's process to the start of the next one. */
+  private static final long RESTART_MS = 1000;
+
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final PooledHttpClient client = new PooledHttpClient(loops, 64, 4 << 20);
@@ -70,6 +73,15 @@
     return upstream;
   }
 
+  /** Makes an upstream end under each request whose path begins with a text, and start again. */
+  void endUnder(String id, String service, String path) {
+    UpstreamProcessStandIn upstream = upstreams.get(id);
+    upstream.endUnder(
+        path,
+        RESTART_MS,
+        () -> store.put("servers", id, upstream.registration(service, "dc", "ready")));
+  }
+
   void configure(int version) {
     store.put("op", "config", String.format(CONFIGURATION, version));
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServer.java
@@ -98,6 +98,11 @@
     return stopped;
   }
 
+  /** Closes the open connections, busy or not, without waiting; new ones are accepted. */
+  public void closeConnections() {
+    connections.close();
+  }
+
   /** Returns the number of open connections, idle or busy. */
   public int connections() {
     return connections.size();
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamBehaviour.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamBehaviour.java
@@ -10,6 +10,8 @@
   PAUSING,
   /** Runs requests and states in each answer that it is leaving. */
   LEAVING,
+  /** Rejects each request by closing its connections. */
+  RESETTING,
   /** Runs requests and never answers. */
   SILENT,
   /** Answers with success, but without the response signature. */
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpAnswer;
@@ -32,7 +33,6 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final EventLoopGroup loops;
-  private final HttpServer server;
   private final String id;
   private final boolean keyed;
   private final Map<String, Integer> runCounts = new ConcurrentHashMap<>();
@@ -40,6 +40,12 @@
   private final List<HeldGrant> heldGrants = new ArrayList<>();
   private volatile UpstreamBehaviour behaviour = UpstreamBehaviour.NORMAL;
   private volatile long serviceTimeMs = 5;
+  private volatile String fatalPath = "";
+  private volatile Runnable restartListener = () -> {};
+  private volatile long restartDelayMs;
+  private final AtomicInteger ends = new AtomicInteger();
+  private volatile HttpServer server;
+  private volatile long bornMs = 1_700_000_000_000L;
   private int port;
 
   private record HeldGrant(int from, int to, long fence, long expiryMs) {}
@@ -55,7 +61,11 @@
     this.loops = Assert.notNull(loops, "loops");
     this.id = Assert.hasLength(id, "id");
     this.keyed = keyed;
-    this.server = new HttpServer(loops, new HttpLimits(8 << 10, 2 << 20), this);
+    this.server = newServer();
+  }
+
+  private HttpServer newServer() {
+    return new HttpServer(loops, new HttpLimits(8 << 10, 2 << 20), this);
   }
 
   /** Starts the server on a free port of the loopback address and returns this upstream. */
@@ -82,7 +92,7 @@
         .put("state", state)
         .put("warmup_left", "0ms")
         .put("sequence", 1)
-        .put("born", 1_700_000_000_000L)
+        .put("born", bornMs)
         .toString();
   }
 
@@ -101,6 +111,42 @@
     serviceTimeMs = newServiceTimeMs;
   }
 
+  /**
+   * Makes the process end under each request whose path begins with a text, and start again later
+   * as another incarnation.
+   *
+   * @param restartDelayMs time from the end to the start, in milliseconds
+   * @param onRestart called after the start
+   */
+  public void endUnder(String path, long newRestartDelayMs, Runnable onRestart) {
+    restartDelayMs = newRestartDelayMs;
+    restartListener = Assert.notNull(onRestart, "onRestart");
+    fatalPath = Assert.hasLength(path, "path");
+  }
+
+  /** Returns how many times the process has ended. */
+  public int ends() {
+    return ends.get();
+  }
+
+  /** Closes all connections and stops listening, as the end of a process does. */
+  private void endProcess() {
+    ends.incrementAndGet();
+    HttpServer ended = server;
+    new Thread(ended::close, "end of " + id).start(); // closing waits for the event loops
+    loops.next().schedule(this::startProcess, restartDelayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void startProcess() {
+    bornMs++;
+    synchronized (this) {
+      heldGrants.clear();
+    }
+    server = newServer();
+    server.bind(Endpoint.newBuilder().setHost("127.0.0.1").setPort(port).build());
+    restartListener.run();
+  }
+
   /** Returns how many times each request was run, by request id. */
   public Map<String, Integer> runCounts() {
     return Map.copyOf(runCounts);
@@ -195,6 +241,10 @@
     if (behaviour == UpstreamBehaviour.FULL) {
       return completed(newAnswer(503, headers.set("Not-Executed", "1"), ""));
     }
+    if (behaviour == UpstreamBehaviour.RESETTING) {
+      server.closeConnections();
+      return new CompletableFuture<>();
+    }
     if (behaviour == UpstreamBehaviour.PAUSING) {
       pausedAtMs.add(System.currentTimeMillis());
       headers.set("Not-Executed", "1").set("Retry-After", "0.75");
@@ -205,6 +255,10 @@
     }
     runCounts.merge(requestId, 1, Integer::sum);
     CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+    if (!fatalPath.isEmpty() && exchange.path().startsWith(fatalPath)) {
+      endProcess();
+      return answer;
+    }
     if (behaviour == UpstreamBehaviour.SILENT) {
       return answer;
     }
