Stop requests under which upstreams end, on all entry VMs of the platform

What callers saw: upstreams ended one after another, and with each one the requests that it ran for others. A request under which three had ended was sent again for as long as it came.

Cause: a rule of the product, in core.poison, that only foxtaild applied. The entry VM on the platform counted the ends of upstreams nowhere; retries, suspensions and budgets each looked at one attempt. Class: a guard that belongs to one program of two.

Fix: PoisonGuard tells the end of a process from a lost connection by whether the upstream accepts a connection afterwards, and a request that may be repeated waits for that, at most 50 ms. Losses are counted by incarnation, so each counts once whoever saw it. LossExchange tells them to all VMs: the leader pushes them, a numbered log brings what a push did not reach. A suspect runs beside no other suspect at an upstream. Two losses stop a request, or three if another one shares them.

LossExchangeTests: losses that different VMs see stop the request at all within 100 ms, count once, survive the leader, and reach all VMs in 60 drawn series of pauses.

Ruled out: refusing at two losses whatever else was there, as foxtaild does: the test of harmless requests failed, since requests of several VMs were retried at the same upstream as the one at fault. Suspicion after any lost connection: upstreams that are full reset connections.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/poison/PoisonTracker.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/poison/PoisonTracker.java
@@ -21,8 +21,8 @@
  * <p>A request whose connection was lost together with its upstream becomes a suspect. A suspect
  * runs only while no other suspect runs on this VM, so that harmless suspects are not in flight at
  * the next loss; a complete answer clears it. A request that was in flight at {@link
- * PoisonLimits#maxLosses} losses is refused. Requests are identified by a fingerprint of their
- * content. Thread-safe.
+ * PoisonLimits#maxLosses} losses is refused, or at {@link PoisonLimits#maxSharedLosses} if another
+ * one was there each time. Requests are identified by a fingerprint of their content. Thread-safe.
  */
 public final class PoisonTracker {
 
@@ -54,10 +54,43 @@
       suspects.remove(fingerprint);
       return PoisonVerdict.CLEAR;
     }
-    boolean poison = losses.size() >= limits.maxLosses();
+    boolean poison =
+        losses.size() >= limits.maxSharedLosses()
+            || losses.size() >= limits.maxLosses() && !isShared(fingerprint, losses);
     return poison ? PoisonVerdict.POISON : PoisonVerdict.SUSPECT;
   }
 
+  /** Returns whether another request was in flight at all losses of a request. */
+  private boolean isShared(long fingerprint, List<Loss> losses) {
+    if (limits.maxSharedLosses() == limits.maxLosses()) {
+      return false;
+    }
+    Set<String> upstreams = upstreamsOf(losses);
+    return suspects.entrySet().stream()
+        .anyMatch(
+            other ->
+                other.getKey() != fingerprint
+                    && upstreamsOf(other.getValue()).containsAll(upstreams));
+  }
+
+  private static Set<String> upstreamsOf(List<Loss> losses) {
+    Set<String> upstreams = new HashSet<>();
+    losses.forEach(loss -> upstreams.add(loss.upstream()));
+    return upstreams;
+  }
+
+  /**
+   * Returns the time for which a poison request is refused from now on, in milliseconds; 0 if it is
+   * not refused.
+   */
+  public synchronized long refusedForMs(long fingerprint) {
+    if (verdict(fingerprint) != PoisonVerdict.POISON) {
+      return 0;
+    }
+    long oldestMs = suspects.get(fingerprint).stream().mapToLong(Loss::atMs).min().orElse(0);
+    return oldestMs + limits.ttlMs() - clock.nowMs();
+  }
+
   /**
    * Starts the run of a suspect unless a suspect is already running on this VM.
    *
@@ -85,6 +118,8 @@
   public synchronized Optional<PoisonReport> recordConnectionLoss(
       String upstream, long fingerprint) {
     long nowMs = clock.nowMs();
+    long sinceMs = nowMs - limits.correlationWindowMs();
+    lostConnections.values().removeIf(lost -> lost.getLast().atMs() < sinceMs);
     Deque<LostConnection> requests =
         lostConnections.computeIfAbsent(upstream, absent -> new ArrayDeque<>());
     requests.add(new LostConnection(fingerprint, nowMs));
@@ -123,6 +158,32 @@
     return report.getFingerprintsCount() == 0 ? Optional.empty() : Optional.of(report.build());
   }
 
+  /**
+   * Records that an upstream answers. If it was taken for lost, for example because a network
+   * partition refused connections, the requests that ran there are cleared of that loss.
+   */
+  public synchronized void recordUpstreamAlive(String upstream) {
+    lostConnections.remove(upstream);
+    if (upstreamLossTimesMs.remove(upstream) != null) {
+      suspects.values().forEach(losses -> losses.removeIf(l -> l.upstream().equals(upstream)));
+      suspects.values().removeIf(List::isEmpty);
+    }
+  }
+
+  /** Returns whether an upstream counts as lost. */
+  public synchronized boolean isLost(String upstream) {
+    return upstreamLossTimesMs.containsKey(upstream);
+  }
+
+  /**
+   * Adds a loss that another entry VM has seen.
+   *
+   * @param atMs when it happened, in milliseconds
+   */
+  public synchronized void applyLoss(String upstream, long fingerprint, long atMs) {
+    recordLoss(fingerprint, new Loss(upstream, atMs));
+  }
+
   /** Adds the losses in another entry VM's report. */
   public synchronized void applyReport(PoisonReport report) {
     long nowMs = clock.nowMs();
@@ -134,7 +195,7 @@
   private void recordLoss(long fingerprint, Loss loss) {
     List<Loss> losses = suspects.computeIfAbsent(fingerprint, absent -> new ArrayList<>());
     boolean known = losses.stream().anyMatch(other -> isSameLoss(loss, other));
-    if (!known && losses.size() < limits.maxLosses()) {
+    if (!known && losses.size() < limits.maxSharedLosses()) {
       losses.add(loss);
     }
     if (suspects.size() > limits.maxSuspects()) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/poison/PoisonProperties.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/poison/PoisonProperties.java
@@ -13,7 +13,7 @@
  */
 class PoisonProperties {
 
-  private static final PoisonLimits LIMITS = new PoisonLimits(2, 60_000, 1000, 5000, 1);
+  private static final PoisonLimits LIMITS = new PoisonLimits(2, 2, 60_000, 1000, 5000, 1);
   private static final int STEPS = 400;
 
   @Property(seed = "1", tries = 500)
@@ -51,7 +51,7 @@
 
   @Property(seed = "1", tries = 20)
   void withoutPoisonVerdictsManyUpstreamsAreLost(@ForAll long seed) {
-    PoisonLimits withoutVerdicts = new PoisonLimits(1000, 60_000, 1000, 5000, 1);
+    PoisonLimits withoutVerdicts = new PoisonLimits(1000, 1000, 60_000, 1000, 5000, 1);
     assertThat(new PoisonWorld(seed, 3, 0, withoutVerdicts).run(STEPS).lostUpstreams())
         .isGreaterThan(20);
   }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/poison/PoisonTrackerTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/poison/PoisonTrackerTests.java
@@ -2,12 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class PoisonTrackerTests {
 
-  private static final PoisonLimits LIMITS = new PoisonLimits(2, 60_000, 3, 5000, 1000);
+  private static final PoisonLimits LIMITS = new PoisonLimits(2, 2, 60_000, 3, 5000, 1000);
 
   private long nowMs;
   private PoisonTracker tracker;
@@ -78,6 +79,44 @@
     assertThat(tracker.verdict(7)).isEqualTo(PoisonVerdict.SUSPECT);
   }
 
+  @Test
+  public void requestsThatShareTheirLossesGetAThirdTrial() {
+    tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, () -> nowMs);
+    for (String upstream : List.of("u1", "u2")) {
+      tracker.recordConnectionLoss(upstream, 7);
+      loseUpstream(upstream, 8);
+    }
+    assertThat(tracker.verdict(7)).isEqualTo(PoisonVerdict.SUSPECT);
+    assertThat(tracker.verdict(8)).isEqualTo(PoisonVerdict.SUSPECT);
+    tracker.recordAnswer(8);
+    assertThat(tracker.verdict(7)).isEqualTo(PoisonVerdict.POISON);
+  }
+
+  @Test
+  public void thirdSharedLossMakesTheRequestPoison() {
+    tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, () -> nowMs);
+    for (String upstream : List.of("u1", "u2", "u3")) {
+      tracker.recordConnectionLoss(upstream, 7);
+      loseUpstream(upstream, 8);
+    }
+    assertThat(tracker.verdict(7)).isEqualTo(PoisonVerdict.POISON);
+    nowMs += 1000;
+    assertThat(tracker.refusedForMs(7)).isEqualTo(PoisonLimits.BY_INCARNATION.ttlMs() - 1000);
+  }
+
+  // A partition refuses connections, so upstreams behind it looked lost for good.
+  @Test
+  public void answerOfAnUpstreamTakenForLostClearsItsRequests() {
+    tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, () -> nowMs);
+    loseUpstream("u1", 7);
+    assertThat(tracker.isLost("u1")).isTrue();
+    tracker.recordUpstreamAlive("u1");
+    assertThat(tracker.isLost("u1")).isFalse();
+    assertThat(tracker.verdict(7)).isEqualTo(PoisonVerdict.CLEAR);
+    tracker.recordConnectionLoss("u1", 7);
+    assertThat(tracker.verdict(7)).isEqualTo(PoisonVerdict.CLEAR);
+  }
+
   @Test
   public void suspicionExpires() {
     loseUpstream("u1", 7);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -15,6 +15,9 @@
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.StopPlan;
 import org.foxtailford.core.overload.WindowedRetryBudget;
+import org.foxtailford.core.poison.LossLog;
+import org.foxtailford.core.poison.PoisonLimits;
+import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.time.MillisClock;
@@ -25,7 +28,9 @@
 import org.foxtailford.entry.control.EntryControl;
 import org.foxtailford.entry.control.EntryIdentity;
 import org.foxtailford.entry.control.EntryRoutingState;
+import org.foxtailford.entry.control.LossExchange;
 import org.foxtailford.entry.metrics.MicrometerRequestMetrics;
+import org.foxtailford.entry.request.PoisonGuard;
 import org.foxtailford.entry.request.RequestDispatcher;
 import org.foxtailford.entry.request.RequestScheduler;
 import org.foxtailford.entry.request.UpstreamRegistry;
@@ -42,6 +47,7 @@
 import org.foxtailford.platform.HttpRowStore;
 import org.foxtailford.platform.JsonPlatformRows;
 import org.foxtailford.schema.Endpoint;
+import org.foxtailford.schema.PoisonReport;
 
 /** An entry VM: creates its components, starts and stops them. */
 public final class EntryVm {
@@ -96,6 +102,9 @@
     upstreamRegistry =
         new UpstreamRegistry(
             address -> new UpstreamPool(loops, address, dialect, clock), random::nextDouble);
+    PoisonTracker poisonTracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, clock);
+    LossExchange losses =
+        new LossExchange(new LossLog(PoisonLimits.BY_INCARNATION, clock), poisonTracker, clock);
     scheduler =
         new RequestScheduler(
             loop,
@@ -104,6 +113,7 @@
             upstreamRegistry,
             dialect,
             new MicrometerRequestMetrics(registry),
+            new PoisonGuard(poisonTracker, loop, this::onUpstreamLost),
             retryBudget(settings),
             random::nextDouble,
             settings.node(),
@@ -128,6 +138,7 @@
                 new SessionClient(loops, MAX_HEAD_BYTES),
                 new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
             routingState,
+            losses,
             new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_MESSAGE_BYTES),
             rangeTiming(settings),
             clocks,
@@ -142,6 +153,10 @@
     shutdown = new GracefulShutdown(callers, scheduler, clock, loop);
   }
 
+  private void onUpstreamLost(PoisonReport report) {
+    control.onUpstreamLost(report);
+  }
+
   private static RangeTiming rangeTiming(EntrySettings settings) {
     long grantTtlMs = Math.min(MAX_GRANT_TTL_MS, settings.bounds().maxGrantTtlMs());
     return new RangeTiming(
@@ -161,6 +176,11 @@
 
   private final class RoutingStateListener implements EntryRoutingState.Listener {
 
+    @Override
+    public void onUpstreamRestarted(String id) {
+      scheduler.onUpstreamRestarted(id);
+    }
+
     @Override
     public void onUpstreamGone(String id) {
       upstreamRegistry.remove(id);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -27,10 +27,12 @@
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpClient;
+import org.foxtailford.schema.PoisonReport;
 import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.PeerReply;
 import org.foxtailford.schema.entry.PeerReport;
 import org.foxtailford.schema.entry.TableRows;
+import org.foxtailford.schema.entry.UpstreamLoss;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -52,6 +54,7 @@
   private final PeerClient peers;
   private final PeerRegistry registry;
   private final PeerMessages messages;
+  private final LossExchange losses;
   private final RangeTiming timing;
   private final MillisClock clock;
   private final PauseAwareClock pauseAwareClock;
@@ -87,6 +90,7 @@
       PlatformRows platform,
       RangeCommandClient commandClient,
       EntryRoutingState state,
+      LossExchange losses,
       HttpClient peerCalls,
       RangeTiming timing,
       ControlClocks clocks,
@@ -103,7 +107,8 @@
     this.state = Assert.notNull(state, "state");
     this.ages = state.ages();
     this.peers = new PeerClient(peerCalls);
-    this.messages = new PeerMessages(self, state, clock);
+    this.losses = Assert.notNull(losses, "losses");
+    this.messages = new PeerMessages(self, state, losses, clock);
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
     this.loop = Assert.notNull(loop, "loop");
@@ -276,10 +281,17 @@
     long asOfMs = ages.nowMs();
     KnownLeader known = leader.get();
     PeerReport report = messages.loadReport(leader);
+    long lossesNumber = losses.lastNumber();
     peers
         .send(known.address(), report, ControlTiming.PEER_TIMEOUT_MS)
         .whenCompleteAsync(
-            (reply, failure) -> onLeaderReply(known, reply, failure, nowMs, asOfMs), loop);
+            (reply, failure) -> {
+              onLeaderReply(known, reply, failure, nowMs, asOfMs);
+              if (failure == null) {
+                losses.onReply(reply, lossesNumber);
+              }
+            },
+            loop);
   }
 
   private boolean isSelf(KnownLeader known) {
@@ -348,6 +360,7 @@
       return;
     }
     queryInFlight = true;
+    long lossesNumber = losses.lastNumber();
     long asOfMs = ages.nowMs();
     nextQueryMs = nowMs + ControlTiming.PEER_QUERY_MS;
     peers
@@ -357,6 +370,7 @@
               queryInFlight = false;
               if (failure == null) {
                 applyReply(reply, asOfMs);
+                losses.onReply(reply, lossesNumber);
               } else {
                 logger
                     .atInfo()
@@ -526,6 +540,7 @@
               StoreVersion.NONE));
     }
     messages.apply(report, nowMs);
+    pushLosses(losses.addTold(report.getLossesList()));
     loads.add(report.getKeyLoadsList(), nowMs);
     loads.addWorkTimes(report.getWorkTimesList(), nowMs);
     return reply(report, nowMs);
@@ -548,7 +563,22 @@
     return reply.build();
   }
 
-  /** Reports to the leader at once, because an upstream said that it is leaving. */
+  /** Tells the other VMs at once of upstreams that this VM lost while they ran requests. */
+  public void onUpstreamLost(PoisonReport report) {
+    List<UpstreamLoss> added = losses.addOwn(report);
+    if (!added.isEmpty()) {
+      reportEarly();
+      pushLosses(added);
+    }
+  }
+
+  private void pushLosses(List<UpstreamLoss> added) {
+    if (tasks != null && !added.isEmpty()) {
+      broadcast(messages.losses(tasks.leader(), added));
+    }
+  }
+
+  /** Reports to the leader at once, because of news that other VMs must hear soon. */
   public void reportEarly() {
     nextReportMs = Math.min(nextReportMs, clock.nowMs());
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -47,6 +47,9 @@
   /** Receives notifications of changes. */
   public interface Listener {
 
+    /** Called before {@link #onUpstreamGone} if another incarnation of the upstream has started. */
+    void onUpstreamRestarted(String id);
+
     /** Called after an upstream was removed or has restarted. */
     void onUpstreamGone(String id);
 
@@ -310,6 +313,7 @@
             && previous.get().address().equals(entry.address());
     if (!unchanged) {
       if (previous.isPresent() && !previous.get().isSameIncarnation(entry) && listener != null) {
+        listener.onUpstreamRestarted(entry.id());
         listener.onUpstreamGone(entry.id());
       }
       logger
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
@@ -0,0 +1,116 @@
+package org.foxtailford.entry.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.foxtailford.core.poison.LossLog;
+import org.foxtailford.core.poison.PoisonTracker;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.schema.PoisonReport;
+import org.foxtailford.schema.entry.PeerReply;
+import org.foxtailford.schema.entry.PeerReport;
+import org.foxtailford.schema.entry.UpstreamLoss;
+
+/**
+ * Exchanges the losses of upstreams that entry VMs have seen. Members report theirs to the leader,
+ * which pushes them to all at once; what a push does not reach comes with the next report. Confined
+ * to the event loop.
+ */
+public final class LossExchange {
+
+  private final LossLog log;
+  private final PoisonTracker tracker;
+  private final MillisClock clock;
+  private long leaderIncarnation;
+  private long toldNumber;
+  private long heardNumber;
+
+  /**
+   * Creates an exchange without losses.
+   *
+   * @param tracker receives the losses that other VMs tell
+   */
+  public LossExchange(LossLog log, PoisonTracker tracker, MillisClock clock) {
+    this.log = Assert.notNull(log, "log");
+    this.tracker = Assert.notNull(tracker, "tracker");
+    this.clock = Assert.notNull(clock, "clock");
+  }
+
+  /** Adds losses that this VM has seen, which its tracker knows, and returns those to tell. */
+  List<UpstreamLoss> addOwn(PoisonReport report) {
+    long nowMs = clock.nowMs();
+    long before = log.lastNumber();
+    for (long fingerprint : report.getFingerprintsList()) {
+      log.add(new LossLog.Loss(report.getUpstream(), fingerprint), nowMs);
+    }
+    return toMessages(log.after(before));
+  }
+
+  /** Adds losses that another VM tells, and returns those that were unknown. */
+  List<UpstreamLoss> addTold(Collection<UpstreamLoss> losses) {
+    long nowMs = clock.nowMs();
+    long before = log.lastNumber();
+    for (UpstreamLoss told : losses) {
+      long atMs = nowMs - Math.max(0, told.getAgeMs());
+      if (!told.getUpstream().isEmpty()
+          && log.add(new LossLog.Loss(told.getUpstream(), told.getFingerprint()), atMs)) {
+        tracker.applyLoss(told.getUpstream(), told.getFingerprint(), atMs);
+      }
+    }
+    return toMessages(log.after(before));
+  }
+
+  /** Adds to a report what the leader was not told yet, and asks for what it has not told. */
+  void addTo(PeerReport.Builder report, Optional<KnownLeader> leader) {
+    long incarnation = leader.map(KnownLeader::incarnation).orElse(0L);
+    if (incarnation != leaderIncarnation) {
+      leaderIncarnation = incarnation;
+      toldNumber = 0;
+      heardNumber = 0;
+    }
+    report
+        .addAllLosses(toMessages(log.after(toldNumber)))
+        .setLossesLife(leaderIncarnation)
+        .setLossesNumber(heardNumber);
+  }
+
+  /** Adds to a reply what the sender of the report lacks. */
+  void addTo(PeerReply.Builder reply, PeerReport report, long incarnation) {
+    long known = report.getLossesLife() == incarnation ? report.getLossesNumber() : 0;
+    reply.addAllLosses(toMessages(log.after(known))).setLossesNumber(log.lastNumber());
+  }
+
+  /** Returns the number up to which a report that is made now tells this VM's losses. */
+  long lastNumber() {
+    return log.lastNumber();
+  }
+
+  /**
+   * Applies a reply.
+   *
+   * @param reportedNumber number up to which the report told this VM's losses
+   */
+  void onReply(PeerReply reply, long reportedNumber) {
+    addTold(reply.getLossesList());
+    if (reply.getLife() == leaderIncarnation) {
+      toldNumber = Math.max(toldNumber, reportedNumber);
+      heardNumber = reply.getLossesNumber();
+    }
+  }
+
+  private List<UpstreamLoss> toMessages(List<LossLog.Entry> entries) {
+    long nowMs = clock.nowMs();
+    List<UpstreamLoss> messages = new ArrayList<>();
+    for (LossLog.Entry entry : entries) {
+      messages.add(
+          UpstreamLoss.newBuilder()
+              .setUpstream(entry.loss().upstream())
+              .setFingerprint(entry.loss().fingerprint())
+              .setAgeMs(nowMs - entry.atMs())
+              .build());
+    }
+    return messages;
+  }
+}
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -19,6 +19,7 @@
 import org.foxtailford.schema.entry.TableAge;
 import org.foxtailford.schema.entry.TableRows;
 import org.foxtailford.schema.entry.TableVersion;
+import org.foxtailford.schema.entry.UpstreamLoss;
 
 /**
  * Builds the messages between entry VMs from this VM's routing state, and applies what others send.
@@ -29,11 +30,14 @@
   private final EntryIdentity self;
   private final EntryRoutingState state;
   private final MillisClock clock;
+  private final LossExchange losses;
   private final RowPacker packer = new RowPacker();
 
-  PeerMessages(EntryIdentity self, EntryRoutingState state, MillisClock clock) {
+  PeerMessages(
+      EntryIdentity self, EntryRoutingState state, LossExchange losses, MillisClock clock) {
     this.self = Assert.notNull(self, "self");
     this.state = Assert.notNull(state, "state");
+    this.losses = Assert.notNull(losses, "losses");
     this.clock = Assert.notNull(clock, "clock");
   }
 
@@ -41,6 +45,7 @@
   PeerReport.Builder report(Optional<KnownLeader> leader) {
     PeerReport.Builder report = newReport().addAllLeaving(leaving());
     leader.ifPresent(known -> report.setLeaderTerm(known.term()));
+    losses.addTo(report, leader);
     for (TableMirror mirror : state.mirrors()) {
       report.addWanted(
           TableVersion.newBuilder()
@@ -73,6 +78,11 @@
     return newReport().setLeaderTerm(leader.term()).setLeads(true).addAllPushed(rows).build();
   }
 
+  /** Returns a report by which the leader tells losses of upstreams that it has just heard of. */
+  PeerReport losses(KnownLeader leader, Collection<UpstreamLoss> losses) {
+    return newReport().setLeaderTerm(leader.term()).setLeads(true).addAllLosses(losses).build();
+  }
+
   /** Returns a report by which the leader tells which ranges it takes away from their owners. */
   PeerReport moves(KnownLeader leader, String service, Collection<RangeAssignment> ranges) {
     PeerReport.Builder report = newReport().setLeaderTerm(leader.term()).setLeads(true);
@@ -108,6 +118,7 @@
       }
     }
     reply.addAllLeaving(leaving());
+    losses.addTo(reply, report, self.incarnation());
     addAges(reply);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -47,6 +46,7 @@
   private final List<UpstreamAttempt> activeAttempts = new ArrayList<>();
   private final Set<String> triedUpstreams = new HashSet<>();
   private OptionalLong fingerprint = OptionalLong.empty();
+  private boolean bodyBuffered;
   private int sends;
   private int deliveries;
   private boolean mayHaveRun;
@@ -107,7 +107,7 @@
     return terms;
   }
 
-  /** Returns the hash of the request's content; of the part that is buffered if it is long. */
+  /** Returns the hash of the request's content; without the body if that is too long to buffer. */
   long fingerprint() {
     if (fingerprint.isEmpty()) {
       fingerprint = OptionalLong.of(computeFingerprint());
@@ -116,12 +116,14 @@
   }
 
   private long computeFingerprint() {
-    String host = exchange.headers().get(HttpHeaderNames.HOST, "");
     String keyText = key.isPresent() ? Integer.toString(key.getAsInt()) : "";
-    ByteBuf body = exchange.retainedBody();
+    ByteBuf body = bodyBuffered ? exchange.retainedBody() : Unpooled.EMPTY_BUFFER;
     try {
       return RequestFingerprint.of(
-          exchange.method().name(), host + exchange.uri(), keyText, ByteBufUtil.getBytes(body));
+          exchange.method().name(),
+          route.host() + exchange.uri(),
+          keyText,
+          ByteBufUtil.getBytes(body));
     } finally {
       body.release();
     }
@@ -180,6 +182,11 @@
     return waitingSinceMs;
   }
 
+  /** Returns whether the request may be sent again if an attempt is lost after it was sent. */
+  boolean mayRepeatAfterLoss(UpstreamAttempt attempt) {
+    return winner != attempt && canRetry() && route.kind().isIdempotent();
+  }
+
   /** Returns whether the route allows the request to reach one more upstream. */
   boolean canRetry() {
     return !finished && winner == null && deliveries < route.maxAttempts();
@@ -193,6 +200,7 @@
   @Override
   public void onBodyReady() {
     if (!finished && sends == 0) {
+      bodyBuffered = exchange.isBodyComplete();
       scheduler.submit(this);
     }
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -72,15 +72,20 @@
   /** Fraction of the latency target that a request may wait before a retry. */
   private static final double RETRY_WAIT_SHARE = 0.25;
 
+  /** Reason for the refusal of a request under which upstreams have ended. */
+  private static final String STOPPED = "upstreams ended under it";
+
   /** Additional attempts for sends that never left this VM, beyond the route's limit. */
   private static final int MAX_UNREACHED_SENDS = 3;
 
   private final EventLoop loop;
   private final MillisClock clock;
   private final RoutingView view;
+  private final UpstreamRegistry registry;
   private final UpstreamSelector upstreams;
   private final ExchangeDialect dialect;
   private final RequestMetrics metrics;
+  private final PoisonGuard poison;
   private final DoubleSupplier random;
   private final QueueAdmissionPolicy admission = new QueueAdmissionPolicy(MAX_WAITING);
   private final Map<String, List<RequestCall>> waitingByService = new HashMap<>();
@@ -102,6 +107,7 @@
       UpstreamRegistry registry,
       ExchangeDialect dialect,
       RequestMetrics metrics,
+      PoisonGuard poison,
       WindowedRetryBudget retryBudget,
       DoubleSupplier random,
       String node,
@@ -112,8 +118,10 @@
     this.view = Assert.notNull(view, "view");
     this.dialect = Assert.notNull(dialect, "dialect");
     this.metrics = Assert.notNull(metrics, "metrics");
+    this.poison = Assert.notNull(poison, "poison");
     this.retryBudget = Assert.notNull(retryBudget, "retryBudget");
     this.random = Assert.notNull(random, "random");
+    this.registry = Assert.notNull(registry, "registry");
     this.upstreams = new UpstreamSelector(clock, view, registry, random, node, dataCentre, drainMs);
   }
 
@@ -144,6 +152,10 @@
     return metrics;
   }
 
+  PoisonGuard poison() {
+    return poison;
+  }
+
   OwnerSendPacing ownerPacing() {
     return upstreams.ownerPacing();
   }
@@ -173,7 +185,9 @@
 
   /** Sends a request, queues it or refuses it. */
   void submit(RequestCall call) {
-    if (!trySend(call)) {
+    if (poison.isStopped(call)) {
+      call.refuse(STOPPED, RequestCall.BAD_GATEWAY);
+    } else if (!trySend(call)) {
       enqueue(call);
     }
   }
@@ -244,7 +258,7 @@
   }
 
   private boolean trySend(RequestCall call) {
-    Optional<UpstreamHandle> upstream = upstreams.findFree(call);
+    Optional<UpstreamHandle> upstream = upstreams.findFree(call, poison.isSuspect(call));
     upstream.ifPresent(handle -> sendTo(call, handle));
     return upstream.isPresent();
   }
@@ -263,7 +277,11 @@
   /** Sends an unanswered request to a second upstream, if the budget and its load allow. */
   void hedge(RequestCall call) {
     boolean eligible =
-        call.canRetry() && call.exchange().isBodyComplete() && !hasWaiting(call.service());
+        call.canRetry()
+            && call.exchange().isBodyComplete()
+            && !hasWaiting(call.service())
+            && !poison.isSuspect(call)
+            && !poison.isStopped(call);
     Optional<UpstreamHandle> upstream = eligible ? upstreams.findIdle(call) : Optional.empty();
     if (upstream.isEmpty()) {
       metrics.recordDeniedRetry("silence");
@@ -304,7 +322,9 @@
             && call.exchange().isBodyComplete()
             && call.terms().deadlineMs() - nowMs() > upstreams.averageMs(call.service().name()) / 2;
     boolean reached = call.deliveries() > 0;
-    if (retryable && (!reached || tryRetry(call, reason))) {
+    if (poison.isStopped(call)) {
+      call.refuse(STOPPED, RequestCall.BAD_GATEWAY);
+    } else if (retryable && (!reached || tryRetry(call, reason))) {
       submit(call);
     } else if (call.mayHaveRun()) {
       call.fail(RequestCall.BAD_GATEWAY, reason);
@@ -324,6 +344,11 @@
     }
   }
 
+  /** Records that another incarnation of an upstream has started. */
+  public void onUpstreamRestarted(String id) {
+    registry.find(id).ifPresent(poison::onRestarted);
+  }
+
   /** Records that an upstream said that it is leaving. */
   void onLeaving(UpstreamHandle upstream) {
     view.onLeaving(upstream.entry());
@@ -373,7 +398,8 @@
             upstreams.expectedSendRate(call),
             call.callerRemainingMs(nowMs()),
             random.getAsDouble());
-    return Math.max(delayMs, upstreams.suspendedUntilMs(call) - nowMs());
+    long suspendedMs = upstreams.suspendedUntilMs(call) - nowMs();
+    return Math.max(Math.max(delayMs, suspendedMs), poison.refusedForMs(call));
   }
 
   /** Sends waiting requests of a service as far as upstreams have capacity. */
@@ -411,7 +437,9 @@
    */
   private void keepWaiting(RequestCall call, List<RequestCall> queue, QueueScan scan, long nowMs) {
     scan.recordNoCapacity(call);
-    if (nowMs >= call.waitsUntilMs()) {
+    if (poison.isStopped(call)) {
+      call.refuse(STOPPED, RequestCall.BAD_GATEWAY);
+    } else if (nowMs >= call.waitsUntilMs()) {
       call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
     } else if (scan.suspendedUntilMs(call) > call.waitsUntilMs()) {
       refuseSuspended(call);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -48,6 +48,7 @@
   private boolean accepted;
   private boolean closed;
   private boolean inFlight;
+  private boolean trial;
 
   UpstreamAttempt(RequestCall call, UpstreamHandle upstream, RequestScheduler scheduler) {
     this.call = call;
@@ -71,7 +72,12 @@
     long leftMs = Math.max(1, call.terms().deadlineMs() - scheduler.nowMs());
     scheduler.dialect().setTarget(headers, upstream.entry().id(), leftMs);
     upstream.load().recordSend(scheduler.nowMs());
+    upstream.running().add(call);
     inFlight = true;
+    trial = scheduler.poison().isSuspect(call);
+    if (trial) {
+      upstream.beginTrial();
+    }
     boolean whole = exchange.isBodyComplete();
     UpstreamRequest request =
         new UpstreamRequest(
@@ -226,6 +232,7 @@
   }
 
   private void recordOutcome(HttpResponse answer, long tookMs, boolean measuresWork) {
+    scheduler.poison().onAnswered(upstream, call);
     if (answer.status().code() / 100 == SERVER_ERROR_CLASS) {
       upstream.load().recordErrorResponse(scheduler.nowMs());
     } else {
@@ -245,6 +252,7 @@
       scheduler.ownerPacing().recordRejection(upstream);
     } else {
       upstream.load().recordErrorResponse(scheduler.nowMs());
+      scheduler.poison().onAnswered(upstream, call);
     }
     String reason = refused ? "upstream refused with " + status : "unusable answer " + status;
     logFailure(reason, tookMs);
@@ -260,12 +268,33 @@
     close();
     if (failure == UpstreamFailure.REFUSED) {
       upstream.load().recordUnreachable(nowMs);
+      scheduler.poison().onRefused(upstream);
     } else if (failure == UpstreamFailure.LOST) {
       scheduler.ownerPacing().recordConnectionLoss(upstream, nowMs - sentMs);
     } else {
       upstream.load().recordConnectionLoss(nowMs);
     }
     logFailure(failure + ": " + reason, nowMs - sentMs);
+    if (failure == UpstreamFailure.LOST || failure == UpstreamFailure.BROKEN_OFF) {
+      onLost(failure);
+    } else {
+      endFailed(failure);
+    }
+  }
+
+  /**
+   * Lets a request that may be sent again wait until it is known whether its upstream has ended.
+   */
+  private void onLost(UpstreamFailure failure) {
+    if (call.mayRepeatAfterLoss(this)) {
+      scheduler.poison().onConnectionLost(upstream, call, () -> endFailed(failure));
+    } else {
+      scheduler.poison().onConnectionLost(upstream, call, () -> {});
+      endFailed(failure);
+    }
+  }
+
+  private void endFailed(UpstreamFailure failure) {
     call.onAttemptFailed(this, failure.isNotRun(), failure.name());
     scheduler.sendWaiting(call.service().name());
   }
@@ -298,6 +327,10 @@
     if (inFlight) {
       inFlight = false;
       upstream.load().recordEnd(scheduler.nowMs());
+      upstream.running().remove(call);
+      if (trial) {
+        upstream.endTrial();
+      }
     }
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
@@ -1,5 +1,7 @@
 package org.foxtailford.entry.request;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.foxtailford.core.overload.SendPacer;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
@@ -12,12 +14,39 @@
   private final UpstreamLoad load;
   private final UpstreamPool pool;
   private final SendPacer pacer;
+  private final String incarnation;
+  private final Set<RequestCall> running = new HashSet<>();
+  private int trials;
 
   UpstreamHandle(UpstreamEntry entry, UpstreamPool pool, SendPacer pacer) {
     this.entry = entry;
     this.pacer = pacer;
     this.load = new UpstreamLoad(entry.slots());
     this.pool = pool;
+    this.incarnation = entry.id() + "/" + entry.bornMs();
+  }
+
+  /** Returns a name that no other incarnation of an upstream has. */
+  String incarnation() {
+    return incarnation;
+  }
+
+  /** Returns the requests of this VM that were sent and have not ended. */
+  Set<RequestCall> running() {
+    return running;
+  }
+
+  /** Returns whether a request that is suspected of ending upstreams runs here. */
+  boolean hasTrial() {
+    return trials > 0;
+  }
+
+  void beginTrial() {
+    trials++;
+  }
+
+  void endTrial() {
+    trials--;
   }
 
   UpstreamEntry entry() {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamRegistry.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import org.foxtailford.core.overload.SendPacer;
@@ -45,6 +46,11 @@
     return created;
   }
 
+  /** Returns the handle of an upstream; empty if this VM has not used it. */
+  Optional<UpstreamHandle> find(String id) {
+    return Optional.ofNullable(handles.get(id));
+  }
+
   /** Removes the handle of an upstream, if there is one, and closes its connections. */
   public void remove(String id) {
     UpstreamHandle handle = handles.remove(id);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
@@ -88,14 +88,21 @@
     return ownerPacing;
   }
 
-  /** Returns an upstream that can take a request now; empty if none can. */
-  Optional<UpstreamHandle> findFree(RequestCall call) {
-    return call.service().keyed() ? findFreeOwner(call) : findFreeUpstream(call, false);
+  /**
+   * Returns an upstream that can take a request now; empty if none can.
+   *
+   * @param suspect whether the request is suspected of ending upstreams, so that it must not run
+   *     beside another such request
+   */
+  Optional<UpstreamHandle> findFree(RequestCall call, boolean suspect) {
+    return call.service().keyed()
+        ? findFreeOwner(call).filter(owner -> !suspect || !owner.hasTrial())
+        : findFreeUpstream(call, false, suspect);
   }
 
   /** Returns an upstream without a queue that can take a request now; empty if none can. */
   Optional<UpstreamHandle> findIdle(RequestCall call) {
-    return findFreeUpstream(call, true);
+    return findFreeUpstream(call, true, false);
   }
 
   /** Records that a request is sent to an upstream. */
@@ -275,7 +282,8 @@
             entry.id(), service.coldRequestsPerSecond(), view.entryVms(), nowMs);
   }
 
-  private Optional<UpstreamHandle> findFreeUpstream(RequestCall call, boolean idleOnly) {
+  private Optional<UpstreamHandle> findFreeUpstream(
+      RequestCall call, boolean idleOnly, boolean suspect) {
     long nowMs = clock.nowMs();
     ServicePolicy service = call.service();
     int share = connectionShare(service);
@@ -289,6 +297,7 @@
             entry -> registry.getOrCreate(entry).load(),
             entry ->
                 !call.triedUpstreams().contains(entry.id())
+                    && !(suspect && registry.getOrCreate(entry).hasTrial())
                     && hasRoom(registry.getOrCreate(entry), share, idleOnly, nowMs)
                     && isWithinColdRate(service, entry, nowMs),
             entry -> entry.dataCentre().equals(dataCentre) ? 0 : remotePenaltyMs,
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -10,6 +10,10 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import org.foxtailford.core.poison.LossLog;
+import org.foxtailford.core.poison.PoisonLimits;
+import org.foxtailford.core.poison.PoisonTracker;
+import org.foxtailford.core.poison.PoisonVerdict;
 import org.foxtailford.core.range.CommandOutcome;
 import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.range.RangeCommandClient;
@@ -84,6 +88,10 @@
     return leaders.get(0);
   }
 
+  boolean hasLeader() {
+    return vms.stream().filter(Vm::isLeading).count() == 1;
+  }
+
   /** An entry VM without its request path. */
   final class Vm {
 
@@ -92,6 +100,7 @@
     private final SimulatedStore.Link link = store.new Link();
     private final EntryRoutingState state;
     private final EntryControl control;
+    private final PoisonTracker tracker;
     private boolean cutOff;
 
     Vm(int number) {
@@ -99,6 +108,7 @@
       String node = "vm-" + number;
       ControlClocks clocks = ControlClocks.of(loop.steadyClock(), events::nowMs);
       state = new EntryRoutingState(new NumberRows(), clocks, node);
+      tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, loop.steadyClock());
       control =
           new EntryControl(
               new EntryIdentity(node, 1, "dc", address(number), 1, 100, true),
@@ -107,6 +117,10 @@
               new NumberRows(),
               new GrantingClient(),
               state,
+              new LossExchange(
+                  new LossLog(PoisonLimits.BY_INCARNATION, loop.steadyClock()),
+                  tracker,
+                  loop.steadyClock()),
               this::send,
               new RangeTiming(3000, 800, 300, 700, 3000, 100),
               clocks,
@@ -155,6 +169,16 @@
       return state.configurationAgeMs();
     }
 
+    /** Loses an upstream while it runs a request. */
+    void lose(String upstream, long fingerprint) {
+      tracker.recordConnectionLoss(upstream, fingerprint);
+      loop.execute(() -> tracker.recordUpstreamLoss(upstream).ifPresent(control::onUpstreamLost));
+    }
+
+    PoisonVerdict verdict(long fingerprint) {
+      return tracker.verdict(fingerprint);
+    }
+
     private CompletableFuture<HttpAnswer> send(
         Endpoint endpoint, HttpExchange exchange, long timeoutMs) {
       CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -60,6 +60,7 @@
     this.decoder = decoder;
     this.dialect = dialect;
     this.clock = clock;
+    this.idleSinceMs = clock.nowMs();
   }
 
   private ChannelHandlerContext context() {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -14,7 +14,9 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
@@ -116,6 +118,43 @@
     return send;
   }
 
+  /**
+   * Opens a connection for later requests, to find out whether the upstream accepts any.
+   *
+   * @param outcome receives the failure; empty if a connection was opened
+   */
+  public void probe(Consumer<Optional<UpstreamFailure>> outcome) {
+    if (closed) {
+      outcome.accept(Optional.of(UpstreamFailure.NOT_CONNECTED));
+      return;
+    }
+    connects++;
+    connecting++;
+    bootstrap
+        .connect(address.host(), address.port())
+        .addListener((ChannelFuture connected) -> onProbed(connected, outcome));
+  }
+
+  private void onProbed(ChannelFuture connected, Consumer<Optional<UpstreamFailure>> outcome) {
+    connecting--;
+    UpstreamConnection connection =
+        connected.isSuccess() ? connected.channel().pipeline().get(UpstreamConnection.class) : null;
+    if (connection == null) {
+      outcome.accept(Optional.of(failureOf(connected)));
+    } else {
+      open.add(connection);
+      release(connection);
+      outcome.accept(Optional.empty());
+    }
+  }
+
+  private static UpstreamFailure failureOf(ChannelFuture connected) {
+    Throwable cause = connected.cause();
+    boolean refused =
+        cause instanceof ConnectException && String.valueOf(cause.getMessage()).contains("refused");
+    return refused ? UpstreamFailure.REFUSED : UpstreamFailure.NOT_CONNECTED;
+  }
+
   private @Nullable UpstreamConnection pollFresh(long maxIdleMs) {
     for (UpstreamConnection connection : List.copyOf(idle)) {
       if (!connection.isActive()) {
@@ -131,12 +170,7 @@
   private void onConnected(ChannelFuture connected, UpstreamSend send) {
     connecting--;
     if (!connected.isSuccess()) {
-      Throwable cause = connected.cause();
-      boolean refused =
-          cause instanceof ConnectException
-              && String.valueOf(cause.getMessage()).contains("refused");
-      send.fail(
-          refused ? UpstreamFailure.REFUSED : UpstreamFailure.NOT_CONNECTED, String.valueOf(cause));
+      send.fail(failureOf(connected), String.valueOf(connected.cause()));
       return;
     }
     UpstreamConnection connection = connected.channel().pipeline().get(UpstreamConnection.class);
