Read and log the limit that an upstream names in its answers

The log said nothing of Server-Limit, so it could not show which VM had been told of a limit, and when. The adapter decodes it; one line a second names the request, the upstream and the limit; foxtailford.limits counts readable and unreadable ones. No decision uses it yet.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/metrics/MicrometerRequestMetrics.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/metrics/MicrometerRequestMetrics.java
@@ -87,6 +87,11 @@
     count("foxtailford.pauses", outcome);
   }
 
+  @Override
+  public void recordLimit(String outcome) {
+    count("foxtailford.limits", outcome);
+  }
+
   private void count(String name, String reason) {
     getOrCreate(
             counters,
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestMetrics.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestMetrics.java
@@ -18,6 +18,9 @@
   /** Records a pause that an upstream asked for, or one that can't be read and is ignored. */
   void recordPause(String outcome);
 
+  /** Records an answer that names its upstream's limit, readable or not. */
+  void recordLimit(String outcome);
+
   /** Records how long a queued request waited before it was sent, in milliseconds. */
   void recordWait(String service, long waitedMs);
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -370,6 +371,22 @@
     }
   }
 
+  /** Records that an upstream named the requests per second that it takes from all VMs. */
+  void onLimitNamed(RequestCall call, UpstreamHandle upstream, HttpHeaders headers) {
+    OptionalDouble perSecond = dialect.limitPerSecond(headers);
+    metrics.recordLimit(perSecond.isPresent() ? "readable" : "unreadable");
+    if (perSecond.isPresent()) {
+      logger
+          .atInfo()
+          .atMostEvery(1, TimeUnit.SECONDS)
+          .with(EventFields.REQUEST, call.requestId())
+          .with(EventFields.SERVICE, upstream.entry().service())
+          .with(EventFields.UPSTREAM, upstream.entry().id())
+          .with(EventFields.REASON, perSecond.getAsDouble() + " a second")
+          .log("upstream names a limit");
+    }
+  }
+
   private void refuseSuspended(RequestCall call) {
     call.refuse(
         upstreams.isPaused(call) ? "upstreams are paused" : "no upstream in reach",
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -131,6 +131,9 @@
     if (scheduler.dialect().asksForPause(status, newHead.headers())) {
       scheduler.onPauseRequested(call, upstream, newHead.headers());
     }
+    if (scheduler.dialect().namesLimit(newHead.headers())) {
+      scheduler.onLimitNamed(call, upstream, newHead.headers());
+    }
     if (scheduler.dialect().isLeaving(newHead.headers())) {
       scheduler.onLeaving(upstream);
     }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.foxtailford.core.upstream.LoadReport;
@@ -45,6 +46,15 @@
    */
   OptionalLong retryAfterMs(HttpHeaders headers);
 
+  /** Returns whether an answer names a limit for the requests to its upstream. */
+  boolean namesLimit(HttpHeaders headers);
+
+  /**
+   * Returns the requests per second that an upstream takes from all VMs together; empty if missing
+   * or malformed.
+   */
+  OptionalDouble limitPerSecond(HttpHeaders headers);
+
   /** Sets the request id on an answer of this VM. */
   void setRequestId(HttpHeaders headers, String requestId);
 
