--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
@@ -40,6 +40,8 @@
   private final List<HeldGrant> heldGrants = new ArrayList<>();
   private volatile UpstreamBehaviour behaviour = UpstreamBehaviour.NORMAL;
   private volatile long serviceTimeMs = 5;
+  private final List<Long> arrivedAtMs = new CopyOnWriteArrayList<>();
+  private volatile String limit = "";
   private volatile String fatalPath = "";
   private volatile Runnable restartListener = () -> {};
   private volatile long restartDelayMs;
@@ -111,6 +113,16 @@
     serviceTimeMs = newServiceTimeMs;
   }
 
+  /** Makes the process name a limit in its answers; an empty text ends that. */
+  public void nameLimit(String newLimit) {
+    limit = Assert.notNull(newLimit, "newLimit");
+  }
+
+  /** Returns when requests arrived, rejected ones included, in Unix milliseconds. */
+  public List<Long> arrivedAtMs() {
+    return List.copyOf(arrivedAtMs);
+  }
+
   /**
    * Makes the process end under each request whose path begins with a text, and start again later
    * as another incarnation.
@@ -235,6 +247,10 @@
     HttpHeaders headers = new DefaultHttpHeaders();
     String requestId = exchange.headers().get("Request-Id", "");
     headers.set("Request-Id", requestId).set("Instance-Load", "1,0,4,100").set("Instance-Id", id);
+    arrivedAtMs.add(System.currentTimeMillis());
+    if (!limit.isEmpty()) {
+      headers.set("Server-Limit", limit);
+    }
     if (keyed && !holds(Integer.parseInt(exchange.headers().get("Shard-Key", "0")))) {
       return completed(newAnswer(421, headers.set("Not-Executed", "1"), ""));
     }
