--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -78,6 +78,7 @@
 
   private final EntrySettings settings;
   private final MillisClock clock = new SystemMillisClock();
+  private final ControlClocks clocks = ControlClocks.of(clock, System::currentTimeMillis);
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) loops.next();
@@ -97,7 +98,6 @@
     Random random = new Random(incarnation ^ settings.node().hashCode());
     ExchangeDialect dialect = new HeaderDialect();
     JsonPlatformRows rows = new JsonPlatformRows();
-    ControlClocks clocks = ControlClocks.of(clock, System::currentTimeMillis);
     routingState = new EntryRoutingState(rows, clocks, settings.node());
     upstreamRegistry =
         new UpstreamRegistry(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -2,9 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.net.ConnectException;
-import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
@@ -53,6 +51,7 @@
   private final EntryRoutingState state;
   private final PeerClient peers;
   private final PeerRegistry registry;
+  private final PeerBroadcaster broadcaster;
   private final PeerMessages messages;
   private final LossExchange losses;
   private final RangeTiming timing;
@@ -112,6 +111,7 @@
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
     this.loop = Assert.notNull(loop, "loop");
+    this.broadcaster = new PeerBroadcaster(peers, registry, address, clock, loop);
     this.upstreamTable = platform.upstreamTable();
     this.election =
         new LeaderElection(
@@ -479,37 +479,13 @@
   public void onReleases(String service, List<RangeAssignment> ranges) {
     state.recordMoves(service, ranges, clock.nowMs());
     KnownLeader known = Assert.notNull(tasks, "tasks").leader();
-    broadcast(messages.moves(known, service, ranges));
+    broadcaster.send(messages.moves(known, service, ranges));
   }
 
   /** Announces this leader and pushes rows to live entry VMs, or to all known if none is live. */
   private void broadcast(List<TableRows> rows) {
     KnownLeader known = Assert.notNull(tasks, "tasks").leader();
-    broadcast(messages.announcement(known, rows));
-  }
-
-  private void broadcast(PeerReport report) {
-    for (UpstreamAddress peer : broadcastTargets()) {
-      peers
-          .send(peer, report, ControlTiming.PEER_TIMEOUT_MS)
-          .whenCompleteAsync(
-              (reply, failure) -> {
-                if (failure != null) {
-                  logger
-                      .atInfo()
-                      .atMostEvery(1, TimeUnit.SECONDS)
-                      .with(EventFields.NODE, peer.toString())
-                      .with(EventFields.REASON, String.valueOf(failure))
-                      .log("push to peer failed");
-                }
-              },
-              loop);
-    }
-  }
-
-  private Collection<UpstreamAddress> broadcastTargets() {
-    Map<String, UpstreamAddress> livePeers = registry.livePeers(clock.nowMs());
-    return livePeers.isEmpty() ? registry.allAddresses(address) : livePeers.values();
+    broadcaster.send(messages.announcement(known, rows));
   }
 
   @Override
@@ -574,7 +550,7 @@
 
   private void pushLosses(List<UpstreamLoss> added) {
     if (tasks != null && !added.isEmpty()) {
-      broadcast(messages.losses(tasks.leader(), added));
+      broadcaster.send(messages.losses(tasks.leader(), added));
     }
   }
 
