Send an upstream no more than the limit that it names for all VMs together

What callers saw: an upstream in need that had named the requests a second it takes got several times as many, so that it got into greater need.

Fix: StatedRateLimit holds each VM that was told to its equal share, from a random moment on, whatever the kind of send. The leader hears of the limit with the reports and lowers the owner's capacity, so that its keys move to others. A request that can't wait for the share is refused at once.

The test of the end of a limit lets the other upstreams reject, since without that the choice among idle ones left the first one as few requests as the limit had (7 in 2 s).

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/OwnerCapacities.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/OwnerCapacities.java
@@ -27,6 +27,9 @@
   /** Share of its capacity that each upstream gets, so that its speed is still measured. */
   private static final double MIN_SHARE = 0.03;
 
+  /** Lowest speed of an upstream that limits its load. */
+  private static final double MIN_SPEED = 0.01;
+
   /** Number of halvings of the interval of answer times; a precision of a millionth. */
   private static final int HALVINGS = 20;
 
@@ -46,6 +49,14 @@
       Assert.isTrue(speed > 0, "speed must be positive");
     }
 
+    /**
+     * Returns this upstream with its speed lowered so that its load is at most a number of slots of
+     * average speed. It then gets few keys unless the others are busy, as a slow upstream does.
+     */
+    public Upstream limitedTo(double busySlots) {
+      return new Upstream(slots, Math.min(speed, Math.max(MIN_SPEED, busySlots / slots)));
+    }
+
     double throughput() {
       return slots * speed;
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
@@ -75,6 +76,9 @@
    */
   private static final long MAX_MOVE_MS = 1200;
 
+  /** Limit that stands for none at all in a report, where 0 means that it is not known. */
+  private static final double MIN_LIMIT = 1e-6;
+
   /** Range that the leader takes away from its owner; later assignments have a higher fence. */
   private record Move(KeyRange range, long fence, long untilMs) {}
 
@@ -515,6 +519,14 @@
     }
   }
 
+  @Override
+  public void countLimit(UpstreamEntry upstream, OptionalDouble perSecond) {
+    if (isKeyed(upstream)) {
+      double known = perSecond.isPresent() ? Math.max(MIN_LIMIT, perSecond.getAsDouble()) : -1;
+      workTime(upstream).setLimitPerSecond(known);
+    }
+  }
+
   private boolean isKeyed(UpstreamEntry upstream) {
     return configuration != null
         && configuration.findService(upstream.service()).map(ServicePolicy::keyed).orElse(false);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import org.foxtailford.core.range.KeyLoadHistory;
 import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.upstream.UpstreamEntry;
@@ -19,6 +20,14 @@
   private final Map<String, KeyLoadHistory> histories = new HashMap<>();
 
   private final Map<String, UpstreamSpeedEstimator> speedEstimators = new HashMap<>();
+  private final Map<String, Limit> limits = new HashMap<>();
+
+  /**
+   * Time for which a limit is believed if no answer of its upstream is reported, in milliseconds.
+   */
+  private static final long LIMIT_MEMORY_MS = 30_000;
+
+  private record Limit(double perSecond, long atMs) {}
 
   KeyLoadHistory historyOf(String service) {
     return histories.computeIfAbsent(service, name -> new KeyLoadHistory());
@@ -42,12 +51,31 @@
     return historyOf(service).requestsPerSecond() * averageMs / 1000;
   }
 
+  /**
+   * Returns how many slots of average speed an upstream may keep busy by the limit that it named;
+   * empty if it named none, or the service time is not known.
+   */
+  OptionalDouble limitedSlots(UpstreamEntry upstream, long nowMs) {
+    limits.values().removeIf(limit -> nowMs - limit.atMs() > LIMIT_MEMORY_MS);
+    Limit limit = limits.get(upstream.id());
+    UpstreamSpeedEstimator estimator = speedEstimators.get(upstream.service());
+    boolean known = limit != null && estimator != null && estimator.averageMs() > 0;
+    return known
+        ? OptionalDouble.of(limit.perSecond() * estimator.averageMs() / 1000)
+        : OptionalDouble.empty();
+  }
+
   void addWorkTimes(List<WorkTime> workTimes, long nowMs) {
     for (WorkTime workTime : workTimes) {
       UpstreamSpeedEstimator estimator =
           speedEstimators.computeIfAbsent(
               workTime.getService(), name -> new UpstreamSpeedEstimator());
       String upstream = workTime.getUpstream();
+      if (workTime.getLimitPerSecond() > 0) {
+        limits.put(upstream, new Limit(workTime.getLimitPerSecond(), nowMs));
+      } else if (workTime.getLimitPerSecond() < 0) {
+        limits.remove(upstream);
+      }
       estimator.add(upstream, workTime.getAnswers(), workTime.getTotalMs(), nowMs);
       estimator.addSlowness(
           upstream, workTime.getLoadReports(), workTime.getSlownessPercent() / 100.0, nowMs);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.foxtailford.core.event.EventFields;
@@ -223,7 +224,11 @@
   private List<Double> capacities(String service, List<UpstreamEntry> entries, long nowMs) {
     List<OwnerCapacities.Upstream> upstreams = new ArrayList<>();
     for (UpstreamEntry entry : entries) {
-      upstreams.add(new OwnerCapacities.Upstream(entry.slots(), loads.speed(entry, nowMs)));
+      OwnerCapacities.Upstream upstream =
+          new OwnerCapacities.Upstream(entry.slots(), loads.speed(entry, nowMs));
+      OptionalDouble limitedSlots = loads.limitedSlots(entry, nowMs);
+      upstreams.add(
+          limitedSlots.isPresent() ? upstream.limitedTo(limitedSlots.getAsDouble()) : upstream);
     }
     return OwnerCapacities.divide(upstreams, loads.busySlots(service));
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -206,8 +206,7 @@
     if (call.service().keyed()) {
       long readyMs = upstreams.ownerReadyMs(call, nowMs);
       if (readyMs > untilMs) {
-        boolean full = upstreams.isOwnerFull(call, nowMs);
-        call.refuse(full ? "owner is full" : "owner out of reach", RequestCall.BAD_GATEWAY);
+        call.refuse(upstreams.whyOwnerIsNotReady(call, nowMs), RequestCall.BAD_GATEWAY);
         return;
       }
       if (upstreams.isBeingMoved(call, nowMs)) {
@@ -376,6 +375,8 @@
     OptionalDouble perSecond = dialect.limitPerSecond(headers);
     metrics.recordLimit(perSecond.isPresent() ? "readable" : "unreadable");
     if (perSecond.isPresent()) {
+      upstream.limit().record(perSecond.getAsDouble(), view.entryVms().size(), nowMs());
+      view.countLimit(upstream.entry(), perSecond);
       logger
           .atInfo()
           .atMostEvery(1, TimeUnit.SECONDS)
@@ -387,6 +388,18 @@
     }
   }
 
+  /** Records that an upstream ran a request and named no limit, which ends an earlier one. */
+  void onNoLimitNamed(UpstreamHandle upstream) {
+    if (upstream.limit().recordNone(nowMs())) {
+      view.countLimit(upstream.entry(), OptionalDouble.empty());
+      logger
+          .atInfo()
+          .with(EventFields.SERVICE, upstream.entry().service())
+          .with(EventFields.UPSTREAM, upstream.entry().id())
+          .log("upstream names no limit any more");
+    }
+  }
+
   private void refuseSuspended(RequestCall call) {
     call.refuse(
         upstreams.isPaused(call) ? "upstreams are paused" : "no upstream in reach",
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.foxtailford.core.range.RangeMap;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.upstream.UpstreamDirectory;
@@ -42,6 +43,9 @@
   /** Records the slowness of an upstream's machine as it reports it; 1 is typical. */
   void countSlowness(UpstreamEntry upstream, double slowness);
 
+  /** Records the limit that an upstream's last answer named; empty if it named none. */
+  void countLimit(UpstreamEntry upstream, OptionalDouble perSecond);
+
   /** Records an answer that did not wait at the upstream and its service time, in milliseconds. */
   void countWork(UpstreamEntry upstream, double tookMs);
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -133,6 +133,8 @@
     }
     if (scheduler.dialect().namesLimit(newHead.headers())) {
       scheduler.onLimitNamed(call, upstream, newHead.headers());
+    } else if (!refused) {
+      scheduler.onNoLimitNamed(upstream);
     }
     if (scheduler.dialect().isLeaving(newHead.headers())) {
       scheduler.onLeaving(upstream);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.foxtailford.core.overload.SendPacer;
+import org.foxtailford.core.overload.StatedRateLimit;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
 import org.foxtailford.net.proxy.UpstreamPool;
@@ -14,13 +15,15 @@
   private final UpstreamLoad load;
   private final UpstreamPool pool;
   private final SendPacer pacer;
+  private final StatedRateLimit limit;
   private final String incarnation;
   private final Set<RequestCall> running = new HashSet<>();
   private int trials;
 
-  UpstreamHandle(UpstreamEntry entry, UpstreamPool pool, SendPacer pacer) {
+  UpstreamHandle(UpstreamEntry entry, UpstreamPool pool, SendPacer pacer, StatedRateLimit limit) {
     this.entry = entry;
     this.pacer = pacer;
+    this.limit = limit;
     this.load = new UpstreamLoad(entry.slots());
     this.pool = pool;
     this.incarnation = entry.id() + "/" + entry.bornMs();
@@ -65,6 +68,10 @@
     return pacer;
   }
 
+  StatedRateLimit limit() {
+    return limit;
+  }
+
   /** Returns whether an entry describes the same incarnation at the same address. */
   boolean isFor(UpstreamEntry other) {
     return entry.isSameIncarnation(other) && entry.address().equals(other.address());
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamRegistry.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamRegistry.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import org.foxtailford.core.overload.SendPacer;
+import org.foxtailford.core.overload.StatedRateLimit;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
@@ -41,7 +42,11 @@
       close(existing);
     }
     UpstreamHandle created =
-        new UpstreamHandle(entry, poolFactory.apply(entry.address()), new SendPacer(random));
+        new UpstreamHandle(
+            entry,
+            poolFactory.apply(entry.address()),
+            new SendPacer(random),
+            new StatedRateLimit(random));
     handles.put(entry.id(), created);
     return created;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
@@ -116,6 +116,7 @@
     if (service.keyed()) {
       ownerPacing.recordSend(upstream);
     }
+    upstream.limit().recordSend(clock.nowMs());
   }
 
   /** Records the time of an answer of a service, in milliseconds. */
@@ -199,7 +200,9 @@
         if (call.service().keyed() && handle.pacer().isFull(nowMs)) {
           return 1000 / Math.max(1, ownerPacing.intervalMs(handle));
         }
-        perSecond += load.slots() * 1000 / Math.max(1, load.workMs(averageMs(service)));
+        double workPerSecond = load.slots() * 1000 / Math.max(1, load.workMs(averageMs(service)));
+        perSecond +=
+            Math.min(workPerSecond, handle.limit().perSecond(view.entryVms().size(), nowMs));
         own += load.inFlight();
         total += load.occupied(nowMs);
       }
@@ -213,10 +216,15 @@
         .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
         .filter(entry -> view.upstreams().mayServeKeys(entry, leavingOwnerMs, nowMs))
         .map(registry::getOrCreate)
-        .map(owner -> Math.max(owner.load().suspendedUntilMs(), owner.pacer().nextSendMs(nowMs)))
+        .map(owner -> readyMs(owner, nowMs))
         .orElse(-1L);
   }
 
+  private long readyMs(UpstreamHandle owner, long nowMs) {
+    long pacedMs = Math.max(owner.pacer().nextSendMs(nowMs), limitedUntilMs(owner, nowMs));
+    return Math.max(owner.load().suspendedUntilMs(), pacedMs);
+  }
+
   /** Returns whether the key of a request is being moved, so that it waits for its next owner. */
   boolean isBeingMoved(RequestCall call, long nowMs) {
     return owner(call).filter(assignment -> isBeingMoved(call, assignment, nowMs)).isPresent();
@@ -230,11 +238,21 @@
         || view.isBeingMoved(call.service().name(), key, assignment.fence());
   }
 
-  boolean isOwnerFull(RequestCall call, long nowMs) {
-    return owner(call)
-        .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
-        .map(entry -> registry.getOrCreate(entry).pacer().isFull(nowMs))
-        .orElse(false);
+  /** Returns why a request for a key may not be sent to its owner yet. */
+  String whyOwnerIsNotReady(RequestCall call, long nowMs) {
+    Optional<UpstreamHandle> owner =
+        owner(call)
+            .flatMap(assignment -> view.upstreams().find(assignment.owner().upstream()))
+            .map(registry::getOrCreate);
+    if (owner.isPresent() && owner.get().pacer().isFull(nowMs)) {
+      return "owner is full";
+    }
+    boolean limited = owner.isPresent() && limitedUntilMs(owner.get(), nowMs) > nowMs;
+    return limited ? "owner has named a limit" : "owner out of reach";
+  }
+
+  private long limitedUntilMs(UpstreamHandle upstream, long nowMs) {
+    return upstream.limit().nextSendMs(view.entryVms().size(), nowMs);
   }
 
   boolean hasSameOwner(RequestCall a, RequestCall b) {
@@ -270,6 +288,7 @@
     boolean available =
         !handle.load().isSuspended(nowMs)
             && handle.pacer().nextSendMs(nowMs) <= nowMs
+            && limitedUntilMs(handle, nowMs) <= nowMs
             && handle.pool().hasRoom()
             && handle.load().occupied(nowMs) + 1 <= MAX_OWNER_OCCUPANCY * handle.load().slots()
             && isWithinColdRate(call.service(), entry.get(), nowMs);
@@ -311,10 +330,10 @@
     return (int) (CONNECTION_SHARE * service.maxConnections() / view.entryVms().size());
   }
 
-  private static boolean hasRoom(
+  private boolean hasRoom(
       UpstreamHandle handle, int connectionShare, boolean idleOnly, long nowMs) {
     handle.pool().setMaxConnections(connectionShare);
-    if (!handle.pool().hasRoom()) {
+    if (!handle.pool().hasRoom() || limitedUntilMs(handle, nowMs) > nowMs) {
       return false;
     }
     double occupied = handle.load().occupied(nowMs);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/UpstreamLimitTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UpstreamLimitTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.testkit.published.UpstreamBehaviour;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -84,6 +85,8 @@
     cluster.upstream("p1").nameLimit("2.0");
     load("/safe/x", 2000);
     cluster.upstream("p1").nameLimit("");
+    cluster.upstream("p2").setBehaviour(UpstreamBehaviour.FULL);
+    cluster.upstream("p3").setBehaviour(UpstreamBehaviour.FULL);
     load("/safe/x", 4000);
     assertThat(arrivedAfter("p1", System.currentTimeMillis() - 2000)).isGreaterThan(10);
   }
