Compute a request's fingerprint before its body is released

An attempt of a request that must not be repeated goes on after its caller has left or its time is up. When it failed then, the fingerprint for the log and the guard was computed from a body that was already released, which threw within the connection's handler.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -420,6 +420,9 @@
     finished = true;
     cancel(deadlineTimer);
     cancel(hedgeTimer);
+    if (!activeAttempts.isEmpty()) {
+      fingerprint(); // the body is released with the exchange, and an attempt may go on
+    }
     for (UpstreamAttempt attempt : List.copyOf(activeAttempts)) {
       if (route.kind().isIdempotent() || !attempt.isSent()) {
         attempt.abandon();
