End answers that come without end, in bounded memory and time

What callers and operators would see: an entry VM that grows with each answer it will not pass on, and connections and slots at an upstream that stay taken for good.

Cause: an answer that can't be passed on (no signature, a failure that is tried again, a rejection) was kept whole; interim answers and answers to other requests were skipped without a count; an attempt of a request that must not be repeated was left to its own end after its request had ended, and an answer under way to its caller too. Class: waiting for the end of something that another decides.

Fix: such an answer ends its connection at 32 KB and counts against the upstream, and so does one that nobody waits for any more; what belongs to no request at 64 KB; attempts that go on after their request ended, and answers under way to callers that named a deadline, 0.5 s after the deadline, at which upstreams stop their work. A caller that named none may read for as long as it likes.

Heads without end were bounded already.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -33,6 +33,12 @@
   static final int GATEWAY_TIMEOUT = 504;
   static final int BAD_GATEWAY = 502;
 
+  /**
+   * Time after the caller's deadline until an answer is overdue, in milliseconds. Upstreams stop
+   * their work at the deadline that they were given, which is not later.
+   */
+  private static final long OVERDUE_MS = 500;
+
   private final CallerExchange exchange;
   private final RequestScheduler scheduler;
   private final RouteRule route;
@@ -41,6 +47,7 @@
   private final String requestId;
   private final WaitingRequest terms;
   private final long callerDeadlineMs;
+  private final boolean callerHasDeadline;
   private final long configurationVersion;
   private final long configurationAgeMs;
   private final List<UpstreamAttempt> activeAttempts = new ArrayList<>();
@@ -68,6 +75,7 @@
       String requestId,
       WaitingRequest terms,
       long callerDeadlineMs,
+      boolean callerHasDeadline,
       long configurationVersion,
       long configurationAgeMs) {
     this.exchange = exchange;
@@ -78,6 +86,7 @@
     this.requestId = requestId;
     this.terms = terms;
     this.callerDeadlineMs = callerDeadlineMs;
+    this.callerHasDeadline = callerHasDeadline;
     this.configurationVersion = configurationVersion;
     this.configurationAgeMs = configurationAgeMs;
     this.waitsUntilMs = terms.arrivedMs();
@@ -288,7 +297,13 @@
   }
 
   private void onDeadline() {
-    if (finished || exchange.isAnswerStarted()) {
+    if (finished) {
+      return;
+    }
+    if (exchange.isAnswerStarted()) {
+      if (callerHasDeadline) { // any other caller may read a long answer for as long as it likes
+        scheduler.schedule(overdueDelayMs(), this::onAnswerOverdue);
+      }
       return;
     }
     if (sends == 0 || !mayHaveRun && activeAttempts.isEmpty()) {
@@ -298,6 +313,26 @@
     }
   }
 
+  /** Returns the time until what the upstreams still send is overdue, in milliseconds. */
+  private long overdueDelayMs() {
+    return callerRemainingMs(scheduler.nowMs()) + OVERDUE_MS;
+  }
+
+  /** Cuts off an answer that goes on after the caller's deadline, perhaps without end. */
+  private void onAnswerOverdue() {
+    if (!finished) {
+      logger
+          .atWarning()
+          .with(EventFields.REQUEST, requestId)
+          .with(EventFields.REASON, "answer overdue")
+          .log("answer aborted");
+      List<UpstreamAttempt> overdue = List.copyOf(activeAttempts);
+      finish();
+      overdue.forEach(UpstreamAttempt::abandonOverdue);
+      exchange.abort();
+    }
+  }
+
   /**
    * Refuses the request with a retry delay if it has certainly not run and never will; otherwise
    * fails it.
@@ -410,7 +445,7 @@
 
   /**
    * Ends the request once. Active attempts are abandoned if the request is idempotent or was not
-   * sent yet; any other attempt runs to its end.
+   * sent yet; any other attempt runs to its end, or until its answer is overdue.
    */
   private void finish() {
     if (settled) {
@@ -426,6 +461,8 @@
     for (UpstreamAttempt attempt : List.copyOf(activeAttempts)) {
       if (route.kind().isIdempotent() || !attempt.isSent()) {
         attempt.abandon();
+      } else {
+        scheduler.schedule(overdueDelayMs(), attempt::abandonOverdue);
       }
     }
     scheduler.unregister(this);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -92,6 +92,7 @@
             scheduler.dialect().requestId(exchange.headers()).orElse(""),
             terms,
             arrivedMs + callerMs,
+            remainingMs.isPresent(),
             configuration.version(),
             view.configurationAgeMs());
     scheduler.register(call);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -49,6 +49,7 @@
   private boolean closed;
   private boolean inFlight;
   private boolean trial;
+  private int droppedBytes;
 
   UpstreamAttempt(RequestCall call, UpstreamHandle upstream, RequestScheduler scheduler) {
     this.call = call;
@@ -161,24 +162,47 @@
   @Override
   public void onContent(ByteBuf part) {
     HttpResponse answer = head;
-    if (closed || answer == null || call.isFinished()) {
+    if (closed || answer == null) {
       part.release();
+    } else if (call.isFinished()) {
+      drop(part);
     } else if (accepted) {
       call.exchange().write(part);
       applyBackpressure();
     } else {
       buffer.addComponent(true, part);
-      if (buffer.readableBytes() > MAX_BUFFERED_BYTES
-          && isAcceptable(answer)
-          && call.accept(this)) {
-        accepted = true;
-        beginAnswer(answer, contentLength(answer));
-        flushBuffer();
-        applyBackpressure();
+      if (buffer.readableBytes() > MAX_BUFFERED_BYTES) {
+        onBufferFull(answer);
       }
     }
   }
 
+  /** Drops a part of an answer that nobody waits for any more, and ends a long one. */
+  private void drop(ByteBuf part) {
+    droppedBytes += part.readableBytes();
+    part.release();
+    if (droppedBytes > MAX_BUFFERED_BYTES) {
+      abandonOverdue();
+    }
+  }
+
+  /** Begins to pass on a long answer, or ends one that will not be passed on. */
+  private void onBufferFull(HttpResponse answer) {
+    if (isAcceptable(answer) && call.accept(this)) {
+      accepted = true;
+      beginAnswer(answer, contentLength(answer));
+      flushBuffer();
+      applyBackpressure();
+    } else {
+      UpstreamSend overlong = send;
+      onUnacceptableAnswer(answer, scheduler.nowMs() - sentMs);
+      if (overlong != null) {
+        overlong.abandon(); // the rest may come without end
+      }
+      scheduler.sendWaiting(call.service().name());
+    }
+  }
+
   private static Optional<Long> contentLength(HttpResponse answer) {
     long contentLength = HttpUtil.getContentLength(answer, -1L);
     return contentLength < 0 ? Optional.empty() : Optional.of(contentLength);
@@ -316,6 +340,15 @@
         .log("attempt failed");
   }
 
+  /** Abandons an attempt whose answer is overdue, and counts that against the upstream. */
+  void abandonOverdue() {
+    if (!closed) {
+      upstream.load().recordErrorResponse(scheduler.nowMs());
+      logFailure("answer overdue", scheduler.nowMs() - sentMs);
+      abandon();
+    }
+  }
+
   void abandon() {
     if (!closed) {
       close();
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -73,6 +73,15 @@
     return upstream;
   }
 
+  /** Registers an upstream that listens on a port of the loopback address. */
+  void register(String id, String service, int port) {
+    String entry =
+        """
+        {"service":"%s","address":"127.0.0.1:%d","zone":"dc","version":"v1","slots":4,
+        "state":"ready","warmup_left":"0ms","sequence":1,"born":1700000000000}""";
+    store.put("servers", id, String.format(entry, service, port));
+  }
+
   /** Makes an upstream end under each request whose path begins with a text, and start again. */
   void endUnder(String id, String service, String path) {
     UpstreamProcessStandIn upstream = upstreams.get(id);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -35,6 +35,12 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+  /** Bytes that are skipped while an answer is expected: several small answers to others. */
+  private static final int MAX_SKIPPED_BYTES = 64 << 10;
+
+  /** Bytes that the head of a skipped answer counts for; an interim one has hardly more. */
+  private static final int SKIPPED_HEAD_BYTES = 1 << 10;
+
   private final UpstreamAnswerDecoder decoder;
   private final ExchangeDialect dialect;
   private final MillisClock clock;
@@ -44,6 +50,7 @@
   private String requestId = "";
   private boolean bodySent;
   private boolean skipping;
+  private int skippedBytes;
   private boolean headReceived;
   private boolean answerEnded;
   private boolean connectionReset;
@@ -91,6 +98,7 @@
     headReceived = false;
     answerEnded = false;
     skipping = false;
+    skippedBytes = 0;
     reusable = true;
     bodySent = false;
     decoder.expectAnswer(request.method());
@@ -171,6 +179,7 @@
     skipping = otherRequest || interim;
     if (skipping) {
       reusable = reusable && !otherRequest;
+      skip(SKIPPED_HEAD_BYTES);
       return;
     }
     headReceived = true;
@@ -179,6 +188,14 @@
     current.onHead(head);
   }
 
+  /** Counts what belongs to no request of this connection; it may come without end. */
+  private void skip(int bytes) {
+    skippedBytes += bytes;
+    if (skippedBytes > MAX_SKIPPED_BYTES) {
+      fail(UpstreamFailure.GARBLED, "too many bytes that belong to no request");
+    }
+  }
+
   private static boolean isFramed(HttpResponse head) {
     return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
   }
@@ -191,6 +208,7 @@
     boolean last = content instanceof LastHttpContent;
     if (skipping) {
       skipping = !last;
+      skip(content.content().readableBytes());
       return;
     }
     if (!headReceived) {
