A limit of an earlier incarnation does not lower the next one's capacity

The leader keeps the limit that an upstream named for 30 s by the upstream's id, and a VM told it of the end only if it had been told of the limit itself. Under the same id the next incarnation got few keys for that long. Each answer without a limit now says so in the report.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/KeyLoads.java
@@ -17,11 +17,6 @@
  */
 final class KeyLoads {
 
-  private final Map<String, KeyLoadHistory> histories = new HashMap<>();
-
-  private final Map<String, UpstreamSpeedEstimator> speedEstimators = new HashMap<>();
-  private final Map<String, Limit> limits = new HashMap<>();
-
   /**
    * Time for which a limit is believed if no answer of its upstream is reported, in milliseconds.
    */
@@ -29,6 +24,11 @@
 
   private record Limit(double perSecond, long atMs) {}
 
+  private final Map<String, KeyLoadHistory> histories = new HashMap<>();
+
+  private final Map<String, UpstreamSpeedEstimator> speedEstimators = new HashMap<>();
+  private final Map<String, Limit> limits = new HashMap<>();
+
   KeyLoadHistory historyOf(String service) {
     return histories.computeIfAbsent(service, name -> new KeyLoadHistory());
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -52,6 +52,7 @@
   private final LongConsumer onSuccess;
   private int callsInFlight;
   private Call latest = Call.NONE;
+  private long answeredCall;
   private boolean fullReadRequired;
   private long nextCallMs;
   private long retryDelayMs = INITIAL_RETRY_DELAY_MS;
@@ -71,8 +72,6 @@
         new Call(0, Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, 0, StoreVersion.NONE);
   }
 
-  private long answeredCall;
-
   /**
    * Creates a poller.
    *
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -390,8 +390,8 @@
 
   /** Records that an upstream ran a request and named no limit, which ends an earlier one. */
   void onNoLimitNamed(UpstreamHandle upstream) {
+    view.countLimit(upstream.entry(), OptionalDouble.empty()); // also for a new incarnation
     if (upstream.limit().recordNone(nowMs())) {
-      view.countLimit(upstream.entry(), OptionalDouble.empty());
       logger
           .atInfo()
           .with(EventFields.SERVICE, upstream.entry().service())
