The age of a copy counts the store's wait once

The age of a copy whose read waits at the store was taken from when the call was sent, also when the store ended its wait without a change.

membersReadNothingWhileTheLeaderReadsInTime fails without this.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -63,13 +63,15 @@
    * @param number number of the call, from 1
    * @param sentMs when it was sent, by the monotonic clock, in milliseconds
    * @param asOfMs when it was sent, by the clock of the copies' ages, in milliseconds
+   * @param waitMs time for which the store may wait for a change, in milliseconds
    * @param overdueMs from when on its answer is overdue, in milliseconds
    * @param known version of the copy when it was sent
    */
-  private record Call(long number, long sentMs, long asOfMs, long overdueMs, StoreVersion known) {
+  private record Call(
+      long number, long sentMs, long asOfMs, long waitMs, long overdueMs, StoreVersion known) {
 
     private static final Call NONE =
-        new Call(0, Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, 0, StoreVersion.NONE);
+        new Call(0, Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, 0, 0, StoreVersion.NONE);
   }
 
   /**
@@ -127,7 +129,12 @@
     StoreVersion version = state.mirror(table).version();
     Call call =
         new Call(
-            latest.number() + 1, nowMs, ages.nowMs(), nowMs + storeWaitMs + OVERDUE_MS, version);
+            latest.number() + 1,
+            nowMs,
+            ages.nowMs(),
+            storeWaitMs,
+            nowMs + storeWaitMs + OVERDUE_MS,
+            version);
     latest = call;
     callsInFlight++;
     boolean outdated = version.number() == 0 || version.era() != store.era();
@@ -151,11 +158,17 @@
       retryDelayMs = INITIAL_RETRY_DELAY_MS;
       nextCallMs = clock.nowMs() + intervalMs;
       state.apply(table, page);
-      ages.record(table, call.asOfMs());
-      onSuccess.accept(call.asOfMs());
+      long asOfMs = page.rows().isEmpty() ? endOfWaitMs(call) : call.asOfMs();
+      ages.record(table, asOfMs);
+      onSuccess.accept(asOfMs);
     }
   }
 
+  /** Returns the time as of which nothing had changed when the store ended its wait. */
+  private long endOfWaitMs(Call call) {
+    return Math.min(ages.nowMs(), call.asOfMs() + call.waitMs());
+  }
+
   private static boolean isBehind(StoreVersion answered, StoreVersion known) {
     return answered.era() == known.era() && known.isNewerThan(answered);
   }
