--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
@@ -1,9 +1,11 @@
 package org.foxtailford.entry.control;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.LossLog;
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.time.MillisClock;
@@ -20,6 +22,8 @@
  */
 public final class LossExchange {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final LossLog log;
   private final PoisonTracker tracker;
   private final MillisClock clock;
@@ -57,6 +61,13 @@
       if (!told.getUpstream().isEmpty()
           && log.add(new LossLog.Loss(told.getUpstream(), told.getFingerprint()), atMs)) {
         tracker.applyLoss(told.getUpstream(), told.getFingerprint(), atMs);
+        logger
+            .atInfo()
+            .with(EventFields.UPSTREAM, told.getUpstream())
+            .with(EventFields.FINGERPRINT, Long.toHexString(told.getFingerprint()))
+            .with(EventFields.AGE_MS, told.getAgeMs())
+            .with(EventFields.REASON, tracker.verdict(told.getFingerprint()).name())
+            .log("loss of an upstream heard");
       }
     }
     return toMessages(log.after(before));
