Failing tests: losses of upstreams that some VMs do not know, and suspicions that are lifted

Callers of the users saw a request sent on under which three upstreams had ended. Not a fault: lossOfUpstreamThatIsGoneOrStartedAgainStays and lossAfterOneThatWasTakenBackCounts hold, and must go on to.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -133,13 +133,28 @@
     }
   }
 
+  /** Moves the requests below {@code /safe/} to the service whose upstreams hold keys. */
+  void configureSafeRequestsToKeyedService(int version) {
+    String moved =
+        CONFIGURATION.replace(
+            "\"safe\",\"1500ms\",\"600ms\",1,null,2,\"plain\"",
+            "\"safe\",\"1500ms\",\"600ms\",1,null,2,\"keyed\"");
+    store.put("op", "config", String.format(moved, version));
+  }
+
   CompletableFuture<HttpAnswer> send(
       int vm, HttpMethod method, String path, String requestId, String body) {
+    int key = Math.floorMod(requestId.hashCode(), 65536);
+    return send(vm, method, path, requestId, body, key);
+  }
+
+  CompletableFuture<HttpAnswer> send(
+      int vm, HttpMethod method, String path, String requestId, String body, int key) {
     HttpHeaders headers =
         new DefaultHttpHeaders()
             .set("Request-Id", requestId)
             .set("Deadline-Ms", 2000)
-            .set("Shard-Key", Math.floorMod(requestId.hashCode(), 65536));
+            .set("Shard-Key", key);
     HttpExchange exchange =
         new HttpExchange(method, path, headers, body.getBytes(StandardCharsets.UTF_8));
     return client.send(endpoint(settings.get(vm).callers()), exchange, CALL_TIMEOUT_MS);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RequestThatEndsUpstreamsTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RequestThatEndsUpstreamsTests.java
@@ -21,6 +21,9 @@
   /** Upstreams that may end before such a request is known everywhere. */
   private static final int MAX_ENDS = 3;
 
+  /** Key of the request; it comes with the same one each time. */
+  private static final int KEY = 4711;
+
   private static final String FATAL = "/safe/fatal";
 
   private EntryTestCluster cluster;
@@ -72,6 +75,49 @@
     assertThat(ends()).isBetween(1, MAX_ENDS);
   }
 
+  // BUDGET: each answer with an error lifted the suspicion, so the request ended one more upstream.
+  @Test(timeOut = TIMEOUT_MS)
+  public void requestThatIsAnsweredWithErrorsBetweenItsLossesIsStopped() throws Exception {
+    UPSTREAMS.forEach(id -> cluster.upstream(id).setBehaviour(UpstreamBehaviour.FAILING));
+    for (int i = 0; i < 6; i++) {
+      UPSTREAMS.forEach(id -> cluster.endUnder(id, "plain", "/once/fatal"));
+      cluster.send(i % 2, HttpMethod.POST, "/once/fatal", "fatal-" + i, "same body", KEY).join();
+      TimeUnit.MILLISECONDS.sleep(300);
+      UPSTREAMS.forEach(id -> cluster.endUnder(id, "plain", "/none/"));
+      for (int vm = 0; vm < 2; vm++) {
+        String id = "failed-" + i + "-" + vm;
+        cluster.send(vm, HttpMethod.POST, "/once/fatal", id, "same body", KEY).join();
+      }
+    }
+    assertThat(ends()).isBetween(1, MAX_ENDS);
+  }
+
+  // BUDGET: after a change of its route the request was another one to the guard.
+  @Test(timeOut = TIMEOUT_MS)
+  public void requestThatGoesToTwoServicesIsStoppedInBoth() throws Exception {
+    List<String> owners = List.of("k1", "k2", "k3", "k4");
+    for (String id : owners) {
+      cluster.addUpstream(id, "keyed");
+    }
+    EntryTestCluster.await("owners", () -> owners.stream().anyMatch(this::holdsKey));
+    UPSTREAMS.forEach(id -> cluster.endUnder(id, "plain", FATAL));
+    owners.forEach(id -> cluster.endUnder(id, "keyed", FATAL));
+    for (int i = 0; i < 20; i++) {
+      if (i == 6) {
+        cluster.configureSafeRequestsToKeyedService(5);
+        TimeUnit.MILLISECONDS.sleep(2000);
+      }
+      cluster.send(i % 2, HttpMethod.POST, FATAL, "fatal-" + i, "same body", KEY).join();
+      TimeUnit.MILLISECONDS.sleep(200);
+    }
+    int ownersEnded = owners.stream().mapToInt(id -> cluster.upstream(id).ends()).sum();
+    assertThat(ends() + ownersEnded).isBetween(1, MAX_ENDS);
+  }
+
+  private boolean holdsKey(String id) {
+    return cluster.upstream(id).holds(KEY);
+  }
+
   // Other requests in flight at an upstream that ends are suspects too, until they are answered.
   @Test(timeOut = TIMEOUT_MS)
   public void harmlessRequestsAreServedThoughTheyRanBesideIt() throws Exception {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -22,7 +22,6 @@
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.Row;
-import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.net.http.HttpAnswer;
@@ -48,7 +47,7 @@
     random = new Random(seed);
     put(1);
     for (int i = 0; i < count; i++) {
-      vms.add(new Vm(i));
+      vms.add(new Vm(i, 1));
     }
     runFor(6000);
   }
@@ -79,6 +78,16 @@
     return store.put(OPERATORS, "config", Long.toString(version).getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Registers an incarnation of an upstream. */
+  void register(String id, long bornMs) {
+    store.put(UPSTREAMS, id, Long.toString(bornMs).getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Removes the registration of an upstream. */
+  void unregister(String id) {
+    store.remove(UPSTREAMS, id);
+  }
+
   /** Returns the leader as the VMs themselves see it; fails unless exactly one leads. */
   Vm leader() {
     List<Vm> leaders = vms.stream().filter(vm -> vm.isLeading()).toList();
@@ -88,6 +97,12 @@
     return leaders.get(0);
   }
 
+  /** Ends all VMs and starts others of the same names, which remember nothing. */
+  void restartAll() {
+    vms.forEach(Vm::end);
+    vms.replaceAll(ended -> new Vm(ended.number, ended.incarnation + 1));
+  }
+
   boolean hasLeader() {
     return vms.stream().filter(Vm::isLeading).count() == 1;
   }
@@ -96,6 +111,7 @@
   final class Vm {
 
     private final int number;
+    private final long incarnation;
     private final VirtualLoop loop = new VirtualLoop(events);
     private final SimulatedStore.Link link = store.new Link();
     private final EntryRoutingState state;
@@ -103,15 +119,16 @@
     private final PoisonTracker tracker;
     private boolean cutOff;
 
-    Vm(int number) {
+    Vm(int number, long incarnation) {
       this.number = number;
+      this.incarnation = incarnation;
       String node = "vm-" + number;
       ControlClocks clocks = ControlClocks.of(loop.steadyClock(), events::nowMs);
       state = new EntryRoutingState(new NumberRows(), clocks, node);
       tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, loop.steadyClock());
       control =
           new EntryControl(
-              new EntryIdentity(node, 1, "dc", address(number), 1, 100, true),
+              new EntryIdentity(node, incarnation, "dc", address(number), 1, 100, true),
               List.of(address(0), address(1)),
               link,
               new NumberRows(),
@@ -243,7 +260,9 @@
 
     @Override
     public UpstreamEntry readUpstream(Row row) {
-      throw new UnreadableRowException("no upstreams here");
+      long bornMs = Long.parseLong(new String(row.value(), StandardCharsets.UTF_8));
+      UpstreamAddress address = new UpstreamAddress("10.1.0.1", 2000);
+      return new UpstreamEntry(row.key(), bornMs, "plain", address, "dc", 4, false, 0);
     }
   }
 
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LossExchangeTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LossExchangeTests.java
@@ -17,6 +17,12 @@
    */
   private static final long CONTACT_MS = 3000;
 
+  /** Time in which the registration of an upstream that has ended is removed, in milliseconds. */
+  private static final long LAPSE_MS = 2700;
+
+  /** Documented time after which a loss of an upstream that is still registered is taken back. */
+  private static final long JUDGEMENT_MS = 10_000;
+
   /** Time of a report to the leader, of its push, and of a control step, in milliseconds. */
   private static final long TELL_MS = 100;
 
@@ -55,6 +61,85 @@
     assertThat(away.verdict(FATAL)).isEqualTo(PoisonVerdict.SUSPECT);
   }
 
+  // BUDGET: losses were told through the leader alone, though the store was within reach.
+  @Test
+  public void vmThatReachesOnlyTheStoreLearnsTheLosses() {
+    ControlWorld world = new ControlWorld(VMS, 4);
+    ControlWorld.Vm away = member(world, 0);
+    away.setCutOff(true);
+    member(world, 1).lose("u1/1", FATAL);
+    member(world, 2).lose("u2/1", FATAL);
+    world.runFor(CONTACT_MS);
+    assertThat(away.verdict(FATAL)).isEqualTo(PoisonVerdict.POISON);
+  }
+
+  // BUDGET: what a VM saw that no other one reached was known to it alone.
+  @Test
+  public void lossesOfVmThatReachesOnlyTheStoreAreKnownToAll() {
+    ControlWorld world = new ControlWorld(VMS, 5);
+    ControlWorld.Vm away = member(world, 0);
+    away.setCutOff(true);
+    away.lose("u1/1", FATAL);
+    away.lose("u2/1", FATAL);
+    world.runFor(CONTACT_MS);
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.POISON);
+  }
+
+  // BUDGET: VMs that had all started anew sent the request again.
+  @Test
+  public void lossesOutlastTheEndOfAllVms() {
+    ControlWorld world = new ControlWorld(VMS, 6);
+    member(world, 0).lose("u1/1", FATAL);
+    member(world, 1).lose("u2/1", FATAL);
+    world.runFor(CONTACT_MS);
+    world.restartAll();
+    world.runFor(2 * CONTACT_MS);
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.POISON);
+  }
+
+  // A VM cut off from all upstreams took them for ended, and its requests were refused everywhere.
+  @Test
+  public void lossOfUpstreamThatStaysRegisteredIsTakenBack() {
+    ControlWorld world = new ControlWorld(VMS, 7);
+    world.register("u1", 1);
+    world.register("u2", 1);
+    world.runFor(CONTACT_MS);
+    member(world, 0).lose("u1/1", FATAL);
+    member(world, 0).lose("u2/1", FATAL);
+    world.runFor(CONTACT_MS);
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.POISON);
+    world.runFor(JUDGEMENT_MS);
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.CLEAR);
+  }
+
+  @Test
+  public void lossOfUpstreamThatIsGoneOrStartedAgainStays() {
+    ControlWorld world = new ControlWorld(VMS, 8);
+    world.register("u1", 1);
+    world.register("u2", 1);
+    world.runFor(CONTACT_MS);
+    member(world, 0).lose("u1/1", FATAL);
+    member(world, 1).lose("u2/1", FATAL);
+    world.runFor(LAPSE_MS);
+    world.unregister("u1");
+    world.register("u2", 2);
+    world.runFor(4 * JUDGEMENT_MS);
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.POISON);
+  }
+
+  @Test
+  public void lossAfterOneThatWasTakenBackCounts() {
+    ControlWorld world = new ControlWorld(VMS, 9);
+    world.register("u1", 1);
+    world.runFor(CONTACT_MS);
+    member(world, 0).lose("u1/1", FATAL);
+    world.runFor(CONTACT_MS + JUDGEMENT_MS);
+    member(world, 1).lose("u1/1", FATAL);
+    world.unregister("u1");
+    world.runFor(CONTACT_MS);
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.SUSPECT);
+  }
+
   @Test
   public void lossesReachAllVmsInTouchInDrawnSeriesOfFaults() {
     for (long seed = 0; seed < 60; seed++) {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
@@ -40,6 +40,12 @@
     return events.nowMs();
   }
 
+  /** Removes a row as an operator or an upstream does. */
+  void remove(String table, String key) {
+    Row removed = new Row(key, new byte[0], new StoreVersion(0, ++version), true);
+    tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, removed);
+  }
+
   /** Forgets all changes so far, so that readers have to read whole tables. */
   void discardHistory() {
     historyBegin = ++version;
@@ -48,7 +54,7 @@
   private RowPage page(String table, long after, boolean snapshot) {
     List<Row> rows = new ArrayList<>();
     for (Row row : tables.getOrDefault(table, new TreeMap<>()).values()) {
-      if (row.version().number() > after) {
+      if (row.version().number() > after && !(snapshot && row.deleted())) {
         rows.add(row);
       }
     }
