Stand-in of an upstream: a process that ends does so once

The failing test of the two services counted 9, 7, 5 and 11 ends. Cause, from the log of a run: the stand-in closed its listener on another thread, and each request that reached it until then was one more end and one more start, so that two starts bound the same port. The check and its bound stay.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.util.Assert;
@@ -46,6 +47,7 @@
   private volatile Runnable restartListener = () -> {};
   private volatile long restartDelayMs;
   private final AtomicInteger ends = new AtomicInteger();
+  private final AtomicBoolean running = new AtomicBoolean(true);
   private volatile HttpServer server;
   private volatile long bornMs = 1_700_000_000_000L;
   private int port;
@@ -141,12 +143,22 @@
     return ends.get();
   }
 
-  /** Closes all connections and stops listening, as the end of a process does. */
+  /** Closes all connections and stops listening once, as the end of a process does. */
   private void endProcess() {
-    ends.incrementAndGet();
-    HttpServer ended = server;
-    new Thread(ended::close, "end of " + id).start(); // closing waits for the event loops
-    loops.next().schedule(this::startProcess, restartDelayMs, TimeUnit.MILLISECONDS);
+    if (running.compareAndSet(true, false)) {
+      ends.incrementAndGet();
+      new Thread(this::restart, "restart of " + id).start(); // closing waits for the event loops
+    }
+  }
+
+  private void restart() {
+    server.close();
+    try {
+      TimeUnit.MILLISECONDS.sleep(restartDelayMs);
+      startProcess();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private void startProcess() {
@@ -155,6 +167,7 @@
       heldGrants.clear();
     }
     server = newServer();
+    running.set(true);
     server.bind(Endpoint.newBuilder().setHost("127.0.0.1").setPort(port).build());
     restartListener.run();
   }
@@ -177,6 +190,9 @@
 
   @Override
   public CompletableFuture<HttpAnswer> handle(HttpExchange exchange) {
+    if (!running.get()) {
+      return new CompletableFuture<>(); // its connection is about to be closed
+    }
     String target = exchange.headers().get("Target-Instance");
     if (target != null && !target.equals(id)) {
       return completed(newAnswer(421, new DefaultHttpHeaders().set("Instance-Id", id), ""));
