Tell a new leader the losses of upstreams: leaders differ by their term

Cause: members kept the numbers of what they had told and heard by the leader's start time; two VMs that started in the same millisecond looked like one leader. A reply of any VM with that start time moved the numbers too, leader or not. Now they belong to the leader's term, which is never given twice, and only a reply in that term moves them.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -535,10 +536,14 @@
     if (tasks != null) {
       reply.addAllLiveNodes(registry.livePeers(nowMs).keySet()).addLiveNodes(node);
     }
-    messages.addState(reply, report);
+    messages.addState(reply, report, ownTerm());
     return reply.build();
   }
 
+  private OptionalLong ownTerm() {
+    return tasks == null ? OptionalLong.empty() : OptionalLong.of(tasks.leader().term());
+  }
+
   /** Tells the other VMs at once of upstreams that this VM lost while they ran requests. */
   public void onUpstreamLost(PoisonReport report) {
     List<UpstreamLoss> added = losses.addOwn(report);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.LossLog;
 import org.foxtailford.core.poison.PoisonTracker;
@@ -24,10 +25,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final long NO_TERM = 0;
+
   private final LossLog log;
   private final PoisonTracker tracker;
   private final MillisClock clock;
-  private long leaderIncarnation;
+  private long leaderTerm = NO_TERM;
   private long toldNumber;
   private long heardNumber;
 
@@ -75,22 +78,29 @@
 
   /** Adds to a report what the leader was not told yet, and asks for what it has not told. */
   void addTo(PeerReport.Builder report, Optional<KnownLeader> leader) {
-    long incarnation = leader.map(KnownLeader::incarnation).orElse(0L);
-    if (incarnation != leaderIncarnation) {
-      leaderIncarnation = incarnation;
+    long term = leader.map(KnownLeader::term).orElse(NO_TERM);
+    if (term != leaderTerm) {
+      leaderTerm = term;
       toldNumber = 0;
       heardNumber = 0;
     }
     report
         .addAllLosses(toMessages(log.after(toldNumber)))
-        .setLossesLife(leaderIncarnation)
+        .setLossesTerm(leaderTerm)
         .setLossesNumber(heardNumber);
   }
 
-  /** Adds to a reply what the sender of the report lacks. */
-  void addTo(PeerReply.Builder reply, PeerReport report, long incarnation) {
-    long known = report.getLossesLife() == incarnation ? report.getLossesNumber() : 0;
-    reply.addAllLosses(toMessages(log.after(known))).setLossesNumber(log.lastNumber());
+  /**
+   * Adds to a reply what the sender of the report lacks.
+   *
+   * @param ownTerm term in which this VM leads; empty if it doesn't
+   */
+  void addTo(PeerReply.Builder reply, PeerReport report, OptionalLong ownTerm) {
+    boolean sameTerm = ownTerm.isPresent() && ownTerm.getAsLong() == report.getLossesTerm();
+    reply
+        .addAllLosses(toMessages(log.after(sameTerm ? report.getLossesNumber() : 0)))
+        .setLossesNumber(log.lastNumber())
+        .setLossesTerm(ownTerm.orElse(NO_TERM));
   }
 
   /** Returns the number up to which a report that is made now tells this VM's losses. */
@@ -105,7 +115,7 @@
    */
   void onReply(PeerReply reply, long reportedNumber) {
     addTold(reply.getLossesList());
-    if (reply.getLife() == leaderIncarnation) {
+    if (leaderTerm != NO_TERM && reply.getLossesTerm() == leaderTerm) {
       toldNumber = Math.max(toldNumber, reportedNumber);
       heardNumber = reply.getLossesNumber();
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.StoreVersion;
@@ -106,8 +107,12 @@
     return RecordCodec.toMessage(state.mirror(table), rows, packer);
   }
 
-  /** Adds to a reply what a report asks for, and the upstreams that are leaving. */
-  void addState(PeerReply.Builder reply, PeerReport report) {
+  /**
+   * Adds to a reply what a report asks for, and the upstreams that are leaving.
+   *
+   * @param ownTerm term in which this VM leads; empty if it doesn't
+   */
+  void addState(PeerReply.Builder reply, PeerReport report, OptionalLong ownTerm) {
     for (TableVersion wanted : report.getWantedList()) {
       TableMirror mirror = state.mirrorOrNull(wanted.getTable());
       StoreVersion known = new StoreVersion(wanted.getEra(), wanted.getVersion());
@@ -118,7 +123,7 @@
       }
     }
     reply.addAllLeaving(leaving());
-    losses.addTo(reply, report, self.incarnation());
+    losses.addTo(reply, report, ownTerm);
     addAges(reply);
   }
 
