Keep the losses of upstreams in the store, where all VMs in touch find them

Callers of the users saw a request sent on under which three upstreams had ended. The VM that saw a loss writes a row for it now, retried until the store has it; the leader reads the table by a waiting call, as it does for operators, and pushes what it finds; a VM that the leader doesn't reach reads it itself, with an age of its own. Ruled out: every VM asks every other one, which a VM that is cut off from its peers can't; a row for each request, which would need a condition and a read for each write. Cost: the leader makes a call each 1.8 s in calm, and each VM one for an end of an upstream that it saw. Found on the way: what the leader read from the store was not pushed (lossesThatTwoMembersSawStopTheRequestAtAll failed); it is now.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
@@ -53,10 +53,23 @@
   static final long OPERATOR_WAIT_MS = 700;
 
   /**
-   * Time beyond the leader's wait and the report interval after which a VM reads the operator table
-   * itself, in milliseconds; a few round trips.
+   * Time beyond the leader's wait and the report interval after which a VM reads a table itself for
+   * which the leader waits, in milliseconds; a few round trips.
    */
-  static final long OPERATOR_MARGIN_MS = 300;
+  static final long WAIT_MARGIN_MS = 300;
+
+  /**
+   * Time for which the store may hold a read of the losses open, in milliseconds. With the time
+   * after which its answer is overdue and the interval of reports it must stay below the time in
+   * which a request that ends upstreams has to be stopped everywhere.
+   */
+  static final long LOSS_WAIT_MS = 1800;
+
+  /** Interval between retries of a write of losses, in milliseconds. */
+  static final long LOSS_WRITE_RETRY_MS = 300;
+
+  /** Interval between removals of losses that have expired, in milliseconds. */
+  static final long LOSS_CLEANUP_MS = 60_000;
 
   /** Interval between reads of owners and members by a VM without leader, in milliseconds. */
   static final long SYSTEM_POLL_MS = 500;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.range.LeaderFitness;
 import org.foxtailford.core.range.LeaderVacancyDetector;
 import org.foxtailford.core.range.LeadershipTiming;
@@ -55,6 +56,7 @@
   private final PeerBroadcaster broadcaster;
   private final PeerMessages messages;
   private final LossExchange losses;
+  private final LossTable lossTable;
   private final RangeTiming timing;
   private final MillisClock clock;
   private final PauseAwareClock pauseAwareClock;
@@ -108,6 +110,8 @@
     this.ages = state.ages();
     this.peers = new PeerClient(peerCalls);
     this.losses = Assert.notNull(losses, "losses");
+    this.lossTable = new LossTable(store, PoisonLimits.BY_INCARNATION, clocks, loop);
+    state.setLossListener(loss -> pushLosses(losses.addTold(List.of(lossTable.toMessage(loss)))));
     this.messages = new PeerMessages(self, state, losses, clock);
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
@@ -156,8 +160,10 @@
     checkForRestoredStore(nowMs);
     join(nowMs);
     boolean leads = tasks != null;
+    lossTable.writeAsNeeded();
     if (leads) {
       readers.readAsLeader();
+      lossTable.removeExpired(state.mirror(SystemTables.LOSSES));
     } else {
       readers.readOutdated(reportIntervalMs());
     }
@@ -550,6 +556,7 @@
     if (!added.isEmpty()) {
       reportEarly();
       pushLosses(added);
+      lossTable.add(added);
     }
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.range.LeadershipTerms;
@@ -31,6 +32,7 @@
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.entry.request.RoutingView;
+import org.foxtailford.schema.entry.LossRecord;
 import org.foxtailford.schema.entry.WorkTime;
 import org.jspecify.annotations.Nullable;
 
@@ -100,6 +102,7 @@
   private final Map<String, Long> eraBeganMs = new HashMap<>();
   private final Map<String, List<Move>> moves = new HashMap<>();
   private boolean upstreamsKnown;
+  private Consumer<LossRecord> lossListener = loss -> {};
 
   /** Creates an empty state. */
   public EntryRoutingState(PlatformRows platform, ControlClocks clocks, String node) {
@@ -112,7 +115,8 @@
             platform.operatorTable(),
             platform.upstreamTable(),
             SystemTables.RANGES,
-            SystemTables.MEMBERS)) {
+            SystemTables.MEMBERS,
+            SystemTables.LOSSES)) {
       mirrors.put(table, new TableMirror(table));
     }
   }
@@ -122,6 +126,13 @@
     listener = Assert.notNull(newListener, "newListener");
   }
 
+  /**
+   * Sets the receiver of the losses that are read from the store, which replaces any earlier one.
+   */
+  void setLossListener(Consumer<LossRecord> newListener) {
+    lossListener = Assert.notNull(newListener, "newListener");
+  }
+
   /** Returns the copies of all tables. */
   Collection<TableMirror> mirrors() {
     return mirrors.values();
@@ -244,6 +255,9 @@
       if (table.equals(platform.upstreamTable())) {
         return applyUpstream(row);
       }
+      if (table.equals(SystemTables.LOSSES)) {
+        return applyLoss(row);
+      }
       return table.equals(SystemTables.RANGES) && applyOwners(row);
     } catch (UnreadableRowException e) {
       unreadableRows++;
@@ -353,6 +367,14 @@
     }
   }
 
+  /** Tells a loss; its removal tells nothing, since it expires at the same time everywhere. */
+  private boolean applyLoss(Row row) {
+    if (!row.deleted()) {
+      lossListener.accept(RecordCodec.parseLoss(row));
+    }
+    return false;
+  }
+
   private boolean applyOwners(Row row) {
     if (row.deleted()) {
       return false;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
@@ -17,6 +17,7 @@
 import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.schema.entry.LeaderRecord;
+import org.foxtailford.schema.entry.LossRecord;
 import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.RangeMapRecord;
 import org.foxtailford.schema.entry.RangeRecord;
@@ -58,6 +59,19 @@
     }
   }
 
+  static LossRecord parseLoss(Row row) {
+    try {
+      LossRecord loss = LossRecord.parseFrom(row.value());
+      if (loss.getUpstream().isEmpty()) {
+        throw new UnreadableRowException("loss row " + row.key() + " names no upstream");
+      }
+      return loss;
+    } catch (InvalidProtocolBufferException e) {
+      throw new UnreadableRowException(
+          "loss row " + row.key() + " does not contain a valid LossRecord", e);
+    }
+  }
+
   static RangeMap parseRanges(Row row) {
     try {
       List<RangeAssignment> assignments = new ArrayList<>();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/SystemTables.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/SystemTables.java
@@ -9,6 +9,9 @@
   /** Entry VMs, one row each. */
   static final String MEMBERS = "foxtailford-members";
 
+  /** Losses of upstreams while they ran requests, one row each. */
+  static final String LOSSES = "foxtailford-losses";
+
   /** Table of the leader record and its renewals. */
   static final String LEADER = "foxtailford-leader";
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TableReaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TableReaders.java
@@ -26,6 +26,7 @@
   private final TablePoller operators;
   private final TablePoller owners;
   private final TablePoller members;
+  private final TablePoller losses;
   private long lastSuccessMs = Long.MIN_VALUE / 2;
 
   /**
@@ -65,6 +66,9 @@
     owners = systemPoller(SystemTables.RANGES, ControlTiming.SYSTEM_POLL_MS, store, loop, onRead);
     members =
         systemPoller(SystemTables.MEMBERS, 2 * ControlTiming.SYSTEM_POLL_MS, store, loop, onRead);
+    losses =
+        new TablePoller(
+            SystemTables.LOSSES, 0, ControlTiming.LOSS_WAIT_MS, store, state, clock, loop, onRead);
   }
 
   private TablePoller systemPoller(
@@ -76,6 +80,7 @@
   void readAsLeader() {
     upstreams.poll();
     operators.poll();
+    losses.poll();
     members.pollEvery(ControlTiming.LEADER_MEMBER_POLL_MS);
   }
 
@@ -86,7 +91,7 @@
    */
   void readOutdated(long reportIntervalMs) {
     if (isUnattended(reportIntervalMs)) {
-      for (TablePoller poller : List.of(upstreams, operators, owners, members)) {
+      for (TablePoller poller : List.of(upstreams, operators, owners, members, losses)) {
         poller.poll();
       }
       return;
@@ -102,6 +107,10 @@
     if (ages.isOlderThan(SystemTables.MEMBERS, membersAgeMs + ControlTiming.STALENESS_MARGIN_MS)) {
       members.poll();
     }
+    long lossesAgeMs = reportIntervalMs + ControlTiming.LOSS_WAIT_MS;
+    if (ages.isOlderThan(SystemTables.LOSSES, lossesAgeMs + ControlTiming.WAIT_MARGIN_MS)) {
+      losses.poll();
+    }
   }
 
   /** Returns whether neither the leader nor this VM has read the upstreams in time. */
@@ -112,7 +121,7 @@
   /** Returns whether what operators wrote is older than it can be while the leader reads it. */
   boolean areOperatorsOutdated(long reportIntervalMs) {
     long leaderAgeMs = ControlTiming.OPERATOR_WAIT_MS + reportIntervalMs;
-    return ages.isOlderThan(operatorTable, leaderAgeMs + ControlTiming.OPERATOR_MARGIN_MS);
+    return ages.isOlderThan(operatorTable, leaderAgeMs + ControlTiming.WAIT_MARGIN_MS);
   }
 
   /** Reads the owners of keys at once. */
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LossExchangeTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LossExchangeTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
+import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.poison.PoisonVerdict;
 import org.testng.annotations.Test;
 
@@ -97,6 +98,17 @@
     assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.POISON);
   }
 
+  @Test
+  public void lossesThatHaveExpiredLeaveTheStore() {
+    ControlWorld world = new ControlWorld(3, 10);
+    member(world, 0).lose("u1/1", FATAL);
+    world.runFor(CONTACT_MS);
+    assertThat(world.store().count(SystemTables.LOSSES)).isEqualTo(1);
+    world.runFor(PoisonLimits.BY_INCARNATION.ttlMs() + 2 * ControlTiming.LOSS_CLEANUP_MS);
+    assertThat(world.store().count(SystemTables.LOSSES)).isZero();
+    assertThat(world.vms()).allMatch(vm -> vm.verdict(FATAL) == PoisonVerdict.CLEAR);
+  }
+
   // A VM cut off from all upstreams took them for ended, and its requests were refused everywhere.
   @Test
   public void lossOfUpstreamThatStaysRegisteredIsTakenBack() {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
@@ -46,6 +46,13 @@
     tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, removed);
   }
 
+  /** Returns the number of rows of a table. */
+  long count(String table) {
+    return tables.getOrDefault(table, new TreeMap<>()).values().stream()
+        .filter(row -> !row.deleted())
+        .count();
+  }
+
   /** Forgets all changes so far, so that readers have to read whole tables. */
   void discardHistory() {
     historyBegin = ++version;
@@ -147,17 +154,18 @@
     private Optional<StoreVersion> transact(List<RowWrite> rows) {
       for (RowWrite row : rows) {
         Row present = tables.getOrDefault(row.table(), new TreeMap<>()).get(row.key());
-        long number = present == null ? 0 : present.version().number();
+        long number = present == null || present.deleted() ? 0 : present.version().number();
         if (row.expectedVersion() >= 0 && row.expectedVersion() != number) {
           return Optional.empty();
         }
       }
       StoreVersion written = new StoreVersion(0, ++version);
       for (RowWrite row : rows) {
-        if (row.write()) {
+        if (row.action() != RowWrite.Action.CHECK) {
+          boolean removed = row.action() == RowWrite.Action.REMOVE;
           tables
               .computeIfAbsent(row.table(), name -> new TreeMap<>())
-              .put(row.key(), new Row(row.key(), row.value(), written, false));
+              .put(row.key(), new Row(row.key(), row.value(), written, removed));
         }
       }
       return Optional.of(written);
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/RowStoreStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/RowStoreStandIn.java
@@ -246,6 +246,10 @@
       VersionedRow row = new VersionedRow(put.path("value").asText(), version, false);
       store(put.path("table").asText(), put.path("key").asText(), row);
     }
+    for (JsonNode removed : body.path("remove")) {
+      VersionedRow row = new VersionedRow("", version, true);
+      store(removed.path("table").asText(), removed.path("key").asText(), row);
+    }
     return HttpAnswer.json(200, newBody().toString());
   }
 
