An answer with an error lifts no suspicion of a request

Cause: any complete answer cleared the request, an error of an upstream among them, which may come before the work begins; so each 500 between two losses set the count back to 0 on the VM that passed it on. Only an answer that reports no failure clears it now. Ruled out: to clear nothing, since harmless requests beside a loss would stay suspects for ten minutes. After: the test holds (at most 3), with the other tests of these requests and of endless answers (26, 0 failures).

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
@@ -75,8 +75,11 @@
     return tracker.suspectCount() == 0 ? 0 : tracker.refusedForMs(call.fingerprint());
   }
 
-  /** Records a complete answer, which clears the request and shows that the upstream lives. */
-  void onAnswered(UpstreamHandle upstream, RequestCall call) {
+  /**
+   * Records a complete answer that reports no failure. It clears the request, and shows that the
+   * upstream lives; an error doesn't clear the request, since it may come before the work begins.
+   */
+  void onServed(UpstreamHandle upstream, RequestCall call) {
     if (tracker.suspectCount() > 0) {
       tracker.recordAnswer(call.fingerprint());
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -261,10 +261,10 @@
   }
 
   private void recordOutcome(HttpResponse answer, long tookMs, boolean measuresWork) {
-    scheduler.poison().onAnswered(upstream, call);
     if (answer.status().code() / 100 == SERVER_ERROR_CLASS) {
       upstream.load().recordErrorResponse(scheduler.nowMs());
     } else {
+      scheduler.poison().onServed(upstream, call);
       upstream.load().recordSuccess(tookMs, measuresWork);
       boolean hadQueue =
           scheduler.dialect().load(answer.headers()).map(l -> l.waiting() > 0).orElse(true);
@@ -281,7 +281,6 @@
       scheduler.ownerPacing().recordRejection(upstream);
     } else {
       upstream.load().recordErrorResponse(scheduler.nowMs());
-      scheduler.poison().onAnswered(upstream, call);
     }
     String reason = refused ? "upstream refused with " + status : "unusable answer " + status;
     logFailure(reason, tookMs);
