A request has the same fingerprint whatever service runs it

Seen: requestThatGoesToTwoServicesIsStoppedInBoth, 5 ends of upstreams in 20 sends, allowed 3. Cause: the key was part of the fingerprint only if the service that a request was sent to has keys, so a change of the route, or a split, made it another request, with two more ends for each. The users' record has ends in two services after a change of a route. The fingerprint takes the key that the caller states, whatever the service is. Ruled out: no key in it, since requests without a body may differ in their key alone. After: the test holds. The tests of these requests drew another key for each send of the same request; they keep it now, as callers do.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -125,7 +125,8 @@
   }
 
   private long computeFingerprint() {
-    String keyText = key.isPresent() ? Integer.toString(key.getAsInt()) : "";
+    OptionalInt statedKey = scheduler.dialect().key(exchange.headers()); // whatever the service is
+    String keyText = statedKey.isPresent() ? Integer.toString(statedKey.getAsInt()) : "";
     ByteBuf body = bodyBuffered ? exchange.retainedBody() : Unpooled.EMPTY_BUFFER;
     try {
       return RequestFingerprint.of(
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -47,7 +47,7 @@
   private static final long AWAIT_TIMEOUT_MS = 15_000;
 
   /** Time from the end of an upstream's process to the start of the next one. */
-  private static final long RESTART_MS = 1000;
+  static final long RESTART_MS = 1000;
 
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RequestThatEndsUpstreamsTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RequestThatEndsUpstreamsTests.java
@@ -52,12 +52,13 @@
   public void requestThatEndedUpstreamsIsStoppedOnAllVms() throws Exception {
     UPSTREAMS.forEach(id -> cluster.endUnder(id, "plain", FATAL));
     for (int i = 0; i < 20; i++) {
-      cluster.send(i % 2, HttpMethod.POST, FATAL, "fatal-" + i, "same body").join();
+      cluster.send(i % 2, HttpMethod.POST, FATAL, "fatal-" + i, "same body", KEY).join();
       TimeUnit.MILLISECONDS.sleep(200);
     }
     assertThat(ends()).isBetween(1, MAX_ENDS);
     long beganMs = System.currentTimeMillis();
-    HttpAnswer answer = cluster.send(0, HttpMethod.POST, FATAL, "fatal-last", "same body").join();
+    HttpAnswer answer =
+        cluster.send(0, HttpMethod.POST, FATAL, "fatal-last", "same body", KEY).join();
     assertThat(answer.status()).isEqualTo(503);
     assertThat(Double.parseDouble(answer.headers().get("Retry-After"))).isGreaterThan(60);
     assertThat(System.currentTimeMillis() - beganMs).isLessThan(200);
@@ -69,7 +70,7 @@
   public void requestThatMayRunOnceIsStoppedToo() throws Exception {
     UPSTREAMS.forEach(id -> cluster.endUnder(id, "plain", "/once/fatal"));
     for (int i = 0; i < 20; i++) {
-      cluster.send(i % 2, HttpMethod.POST, "/once/fatal", "once-" + i, "same body").join();
+      cluster.send(i % 2, HttpMethod.POST, "/once/fatal", "once-" + i, "same body", KEY).join();
       TimeUnit.MILLISECONDS.sleep(200);
     }
     assertThat(ends()).isBetween(1, MAX_ENDS);
@@ -114,6 +115,20 @@
     assertThat(ends() + ownersEnded).isBetween(1, MAX_ENDS);
   }
 
+  // BUDGET: ends of processes that start again under one id, before that is known, counted once.
+  @Test(timeOut = TIMEOUT_MS)
+  public void endsOfProcessesUnderTheSameIdAndRegistrationAreCounted() throws Exception {
+    for (String id : UPSTREAMS.subList(1, UPSTREAMS.size())) {
+      cluster.store().remove("servers", id);
+    }
+    cluster.upstream("p1").endUnder("/once/fatal", EntryTestCluster.RESTART_MS, () -> {});
+    for (int i = 0; i < 30; i++) {
+      cluster.send(i % 2, HttpMethod.POST, "/once/fatal", "once-" + i, "same body", KEY).join();
+      TimeUnit.MILLISECONDS.sleep(250);
+    }
+    assertThat(ends()).isBetween(1, MAX_ENDS);
+  }
+
   private boolean holdsKey(String id) {
     return cluster.upstream(id).holds(KEY);
   }
