Tell the ends of processes apart that start again under one registration

Seen: endsOfProcessesUnderTheSameIdAndRegistrationAreCounted, 5 ends in 30 sends, allowed 3. Cause: a loss was identified by the upstream's id and its registered start, so the end of a process that started again under its id, before its registration was known, counted as the end before. A request that was sent after a loss of that process was known, here or from another VM, went to another one: it is named as such. Ruled out: the time of the loss alone, since a VM that was paused sees the same end seconds later (lossThatSeveralVmsSawCountsOnce).

--- a/foxtailford-core/src/main/java/org/foxtailford/core/poison/PoisonTracker.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/poison/PoisonTracker.java
@@ -31,6 +31,7 @@
   private final Map<Long, List<Loss>> suspects = new LinkedHashMap<>();
   private final Map<String, Deque<LostConnection>> lostConnections = new HashMap<>();
   private final Map<String, Long> upstreamLossTimesMs = new HashMap<>();
+  private final Map<String, Long> toldLossTimesMs = new HashMap<>();
   private final Set<Long> runningSuspects = new HashSet<>();
 
   private record Loss(String upstream, long atMs) {}
@@ -139,7 +140,7 @@
   public synchronized Optional<PoisonReport> recordUpstreamLoss(String upstream) {
     long nowMs = clock.nowMs();
     upstreamLossTimesMs.values().removeIf(lostMs -> nowMs - lostMs >= limits.duplicateWindowMs());
-    upstreamLossTimesMs.put(upstream, nowMs);
+    upstreamLossTimesMs.putIfAbsent(upstream, nowMs);
     return createReport(upstream, nowMs);
   }
 
@@ -170,6 +171,18 @@
     }
   }
 
+  /**
+   * Returns whether this VM or another one lost an upstream before a time, so that a request sent
+   * at that time went to another process.
+   */
+  public synchronized boolean isLostBefore(String upstream, long timeMs) {
+    long firstMs =
+        Math.min(
+            upstreamLossTimesMs.getOrDefault(upstream, Long.MAX_VALUE),
+            toldLossTimesMs.getOrDefault(upstream, Long.MAX_VALUE));
+    return firstMs < timeMs;
+  }
+
   /** Returns whether an upstream counts as lost. */
   public synchronized boolean isLost(String upstream) {
     return upstreamLossTimesMs.containsKey(upstream);
@@ -181,6 +194,9 @@
    * @param atMs when it happened, in milliseconds
    */
   public synchronized void applyLoss(String upstream, long fingerprint, long atMs) {
+    long sinceMs = clock.nowMs() - limits.ttlMs();
+    toldLossTimesMs.values().removeIf(lostMs -> lostMs < sinceMs);
+    toldLossTimesMs.merge(upstream, atMs, Math::min);
     recordLoss(fingerprint, new Loss(upstream, atMs));
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
@@ -92,10 +92,12 @@
   /**
    * Handles a connection that was lost before the answer was complete.
    *
+   * @param sentMs when the request was sent, in milliseconds
    * @param judged called when it is known whether the upstream has ended, or after some time
    */
-  void onConnectionLost(UpstreamHandle upstream, RequestCall call, Runnable judged) {
-    report(upstream, tracker.recordConnectionLoss(upstream.incarnation(), call.fingerprint()));
+  void onConnectionLost(UpstreamHandle upstream, RequestCall call, long sentMs, Runnable judged) {
+    String process = processAt(upstream, sentMs);
+    report(upstream, tracker.recordConnectionLoss(process, call.fingerprint()));
     List<Runnable> waiting = judgements.get(upstream);
     if (waiting == null) {
       waiting = new ArrayList<>();
@@ -106,6 +108,18 @@
     waiting.add(judged);
   }
 
+  /**
+   * Returns the name of the process to which a request was sent: another one than those that were
+   * lost before, though its registration may not be known yet.
+   */
+  private String processAt(UpstreamHandle upstream, long sentMs) {
+    int number = 1;
+    while (tracker.isLostBefore(upstream.processName(number), sentMs)) {
+      number++;
+    }
+    return upstream.processName(number);
+  }
+
   private void judge(UpstreamHandle upstream) {
     if (upstream.pool().openConnections() > 0) {
       endJudgement(upstream);
@@ -130,15 +144,17 @@
 
   /** Records that an upstream refused a connection, so that its process has probably ended. */
   void onRefused(UpstreamHandle upstream) {
-    report(upstream, tracker.recordUpstreamLoss(upstream.incarnation()));
+    for (int number = 1; number <= upstream.processes(); number++) {
+      report(upstream, tracker.recordUpstreamLoss(upstream.processName(number)));
+    }
   }
 
   /** Records that another incarnation of an upstream has started. */
   void onRestarted(UpstreamHandle upstream) {
     for (RequestCall call : upstream.running()) {
-      tracker.recordConnectionLoss(upstream.incarnation(), call.fingerprint());
+      tracker.recordConnectionLoss(upstream.processName(upstream.processes()), call.fingerprint());
     }
-    report(upstream, tracker.recordUpstreamLoss(upstream.incarnation()));
+    onRefused(upstream);
   }
 
   private void report(UpstreamHandle upstream, Optional<PoisonReport> report) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -315,9 +315,9 @@
    */
   private void onLost(UpstreamFailure failure) {
     if (call.mayRepeatAfterLoss(this)) {
-      scheduler.poison().onConnectionLost(upstream, call, () -> endFailed(failure));
+      scheduler.poison().onConnectionLost(upstream, call, sentMs, () -> endFailed(failure));
     } else {
-      scheduler.poison().onConnectionLost(upstream, call, () -> {});
+      scheduler.poison().onConnectionLost(upstream, call, sentMs, () -> {});
       endFailed(failure);
     }
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
@@ -19,6 +19,7 @@
   private final String incarnation;
   private final Set<RequestCall> running = new HashSet<>();
   private int trials;
+  private int processes = 1;
 
   UpstreamHandle(UpstreamEntry entry, UpstreamPool pool, SendPacer pacer, StatedRateLimit limit) {
     this.entry = entry;
@@ -34,6 +35,22 @@
     return incarnation;
   }
 
+  /**
+   * Returns a name of one of the processes that have used this registration, one after the other;
+   * the first is named as the incarnation. VMs that saw the same ends give the same names.
+   *
+   * @param number number of the process, from 1
+   */
+  String processName(int number) {
+    processes = Math.max(processes, number);
+    return number == 1 ? incarnation : incarnation + "#" + number;
+  }
+
+  /** Returns the number of processes that were named so far. */
+  int processes() {
+    return processes;
+  }
+
   /** Returns the requests of this VM that were sent and have not ended. */
   Set<RequestCall> running() {
     return running;
