Take back losses of upstreams that stay registered

Cause: a refused connection was taken for the end of a process, which a cut of the VM's own path looks like too; and only an answer to that very VM took it back, there alone. The same rule erred the other way: the answer of the next process under the same id lifted the loss of the one before. The registration judges now, on each VM by itself: a process that has ended is not registered 10 s later, since its registration lapses after three heartbeats; one that is, has not ended. Answers take back nothing. Ruled out: to send corrections from VM to VM, which a VM in a cut would neither send nor get. After: the test holds; losses of upstreams that are gone or started again stay, and one after a correction counts.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/poison/LossLog.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/poison/LossLog.java
@@ -1,6 +1,7 @@
 package org.foxtailford.core.poison;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
   private final PoisonLimits limits;
   private final MillisClock clock;
   private final Map<Loss, Entry> entries = new LinkedHashMap<>();
+  private final Map<Loss, Long> takenBackAtMs = new HashMap<>();
   private long lastNumber;
 
   /**
@@ -52,11 +54,12 @@
    * Adds a loss.
    *
    * @param atMs when it happened, in milliseconds
-   * @return whether it was unknown and has not expired
+   * @return whether it was unknown, is not one that was taken back, and has not expired
    */
   public boolean add(Loss loss, long atMs) {
     removeExpired();
-    if (entries.containsKey(loss) || isExpired(atMs)) {
+    boolean takenBack = atMs <= takenBackAtMs.getOrDefault(loss, Long.MIN_VALUE);
+    if (entries.containsKey(loss) || takenBack || isExpired(atMs)) {
       return false;
     }
     entries.put(loss, new Entry(++lastNumber, loss, atMs));
@@ -66,6 +69,13 @@
     return true;
   }
 
+  /** Takes back a loss: its upstream has not ended. A later one of the same kind counts again. */
+  public void takeBack(Loss loss) {
+    if (entries.remove(loss) != null) {
+      takenBackAtMs.put(loss, clock.nowMs());
+    }
+  }
+
   /** Returns the entries with a number above the given one, in the order of their numbers. */
   public List<Entry> after(long number) {
     removeExpired();
@@ -85,6 +95,7 @@
 
   private void removeExpired() {
     entries.values().removeIf(entry -> isExpired(entry.atMs()));
+    takenBackAtMs.values().removeIf(this::isExpired);
   }
 
   private boolean isExpired(long atMs) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/poison/PoisonTracker.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/poison/PoisonTracker.java
@@ -160,12 +160,15 @@
   }
 
   /**
-   * Records that an upstream answers. If it was taken for lost, for example because a network
-   * partition refused connections, the requests that ran there are cleared of that loss.
+   * Records that an upstream has not ended. If it was taken for lost, here or by another entry VM,
+   * for example because a network partition refused connections, the requests that ran there are
+   * cleared of that loss.
    */
   public synchronized void recordUpstreamAlive(String upstream) {
     lostConnections.remove(upstream);
-    if (upstreamLossTimesMs.remove(upstream) != null) {
+    Long seenMs = upstreamLossTimesMs.remove(upstream);
+    Long toldMs = toldLossTimesMs.remove(upstream);
+    if (seenMs != null || toldMs != null) {
       suspects.values().forEach(losses -> losses.removeIf(l -> l.upstream().equals(upstream)));
       suspects.values().removeIf(List::isEmpty);
     }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamEntry.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamEntry.java
@@ -38,4 +38,9 @@
   public boolean isSameIncarnation(UpstreamEntry other) {
     return id.equals(other.id) && bornMs == other.bornMs;
   }
+
+  /** Returns a name that no other incarnation of an upstream has. */
+  public String incarnation() {
+    return id + "/" + bornMs;
+  }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
@@ -68,6 +68,9 @@
   /** Interval between retries of a write of losses, in milliseconds. */
   static final long LOSS_WRITE_RETRY_MS = 300;
 
+  /** Interval between checks for losses of upstreams that have not ended, in milliseconds. */
+  static final long LOSS_TAKE_BACK_MS = 1000;
+
   /** Interval between removals of losses that have expired, in milliseconds. */
   static final long LOSS_CLEANUP_MS = 60_000;
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -80,6 +80,7 @@
   private long nextRefreshMs;
   private long nextQueryMs;
   private long nextJoinMs;
+  private long nextTakeBackMs;
   private long leaderContactMs;
   private long knownPauseMs;
   private long knownEra;
@@ -161,6 +162,7 @@
     join(nowMs);
     boolean leads = tasks != null;
     lossTable.writeAsNeeded();
+    takeBackLosses(nowMs);
     if (leads) {
       readers.readAsLeader();
       lossTable.removeExpired(state.mirror(SystemTables.LOSSES));
@@ -187,6 +189,14 @@
     updateStoreState(nowMs);
   }
 
+  private void takeBackLosses(long nowMs) {
+    boolean upstreamsKnown = !ages.isOlderThan(upstreamTable, ControlTiming.STORE_LOST_MS);
+    if (upstreamsKnown && nowMs >= nextTakeBackMs) {
+      nextTakeBackMs = nowMs + ControlTiming.LOSS_TAKE_BACK_MS;
+      losses.takeBackAsNeeded(state::isProcessRegistered);
+    }
+  }
+
   private long reportIntervalMs() {
     long scaledMs = 1000L * state.entryVms().size() / ControlTiming.TARGET_REPORTS_PER_SECOND;
     return Math.max(ControlTiming.MIN_REPORT_MS, Math.min(ControlTiming.MAX_REPORT_MS, scaledMs));
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -230,6 +230,25 @@
     return mirrors.values().stream().mapToLong(mirror -> mirror.version().era()).max().orElse(0);
   }
 
+  /**
+   * Returns whether a process of an upstream is registered now.
+   *
+   * @param process the upstream's incarnation; followed by {@code #} and a number for a later
+   *     process under the same registration
+   */
+  boolean isProcessRegistered(String process) {
+    int suffix = process.lastIndexOf('#');
+    String incarnation = suffix < 0 ? process : process.substring(0, suffix);
+    String id = incarnation.substring(0, Math.max(0, incarnation.lastIndexOf('/')));
+    boolean inStore = mirror(platform.upstreamTable()).find(id).isPresent();
+    return inStore
+        && upstreams
+            .find(id)
+            .map(UpstreamEntry::incarnation)
+            .filter(incarnation::equals)
+            .isPresent();
+  }
+
   /** Returns the highest term in which a known owner was granted its keys; 0 if there is none. */
   long highestTerm() {
     long highestFence = owners.values().stream().mapToLong(RangeMap::highestFence).max().orElse(0);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LossExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.LossLog;
 import org.foxtailford.core.poison.PoisonTracker;
@@ -27,6 +28,13 @@
 
   private static final long NO_TERM = 0;
 
+  /**
+   * Time after a loss from which a registration shows that the upstream has not ended, in
+   * milliseconds. The registration of a process that has ended lapses after three heartbeats; the
+   * rest allows for reads that are seconds behind.
+   */
+  static final long JUDGEMENT_MS = 10_000;
+
   private final LossLog log;
   private final PoisonTracker tracker;
   private final MillisClock clock;
@@ -76,6 +84,29 @@
     return toMessages(log.after(before));
   }
 
+  /**
+   * Takes back the losses of upstreams that have not ended: they are registered at a time at which
+   * the registration of one that has ended would have lapsed.
+   *
+   * @param isRegistered whether a process, by its name, is registered now
+   */
+  void takeBackAsNeeded(Predicate<String> isRegistered) {
+    long nowMs = clock.nowMs();
+    for (LossLog.Entry entry : log.after(0)) {
+      String upstream = entry.loss().upstream();
+      if (nowMs - entry.atMs() >= JUDGEMENT_MS && isRegistered.test(upstream)) {
+        log.takeBack(entry.loss());
+        tracker.recordUpstreamAlive(upstream);
+        logger
+            .atInfo()
+            .with(EventFields.UPSTREAM, upstream)
+            .with(EventFields.FINGERPRINT, Long.toHexString(entry.loss().fingerprint()))
+            .with(EventFields.AGE_MS, nowMs - entry.atMs())
+            .log("loss of an upstream taken back");
+      }
+    }
+  }
+
   /** Adds to a report what the leader was not told yet, and asks for what it has not told. */
   void addTo(PeerReport.Builder report, Optional<KnownLeader> leader) {
     long term = leader.map(KnownLeader::term).orElse(NO_TERM);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
@@ -76,17 +76,13 @@
   }
 
   /**
-   * Records a complete answer that reports no failure. It clears the request, and shows that the
-   * upstream lives; an error doesn't clear the request, since it may come before the work begins.
+   * Records a complete answer that reports no failure, which clears the request; an error doesn't,
+   * since it may come before the work begins.
    */
-  void onServed(UpstreamHandle upstream, RequestCall call) {
+  void onServed(RequestCall call) {
     if (tracker.suspectCount() > 0) {
       tracker.recordAnswer(call.fingerprint());
     }
-    String incarnation = upstream.incarnation();
-    if (tracker.isLost(incarnation)) {
-      tracker.recordUpstreamAlive(incarnation);
-    }
   }
 
   /**
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -264,7 +264,7 @@
     if (answer.status().code() / 100 == SERVER_ERROR_CLASS) {
       upstream.load().recordErrorResponse(scheduler.nowMs());
     } else {
-      scheduler.poison().onServed(upstream, call);
+      scheduler.poison().onServed(call);
       upstream.load().recordSuccess(tookMs, measuresWork);
       boolean hadQueue =
           scheduler.dialect().load(answer.headers()).map(l -> l.waiting() > 0).orElse(true);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamHandle.java
@@ -27,12 +27,7 @@
     this.limit = limit;
     this.load = new UpstreamLoad(entry.slots());
     this.pool = pool;
-    this.incarnation = entry.id() + "/" + entry.bornMs();
-  }
-
-  /** Returns a name that no other incarnation of an upstream has. */
-  String incarnation() {
-    return incarnation;
+    this.incarnation = entry.incarnation();
   }
 
   /**
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RequestThatEndsUpstreamsTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RequestThatEndsUpstreamsTests.java
@@ -124,6 +124,7 @@
     cluster.upstream("p1").endUnder("/once/fatal", EntryTestCluster.RESTART_MS, () -> {});
     for (int i = 0; i < 30; i++) {
       cluster.send(i % 2, HttpMethod.POST, "/once/fatal", "once-" + i, "same body", KEY).join();
+      cluster.get((i + 1) % 2, "/once/other", "other-" + i); // the next process may serve this one
       TimeUnit.MILLISECONDS.sleep(250);
     }
     assertThat(ends()).isBetween(1, MAX_ENDS);
