--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -50,7 +50,7 @@
   private final boolean callerHasDeadline;
   private final long configurationVersion;
   private final long configurationAgeMs;
-  private final List<UpstreamAttempt> activeAttempts = new ArrayList<>();
+  private final List<Attempt> activeAttempts = new ArrayList<>();
   private final Set<String> triedUpstreams = new HashSet<>();
   private OptionalLong fingerprint = OptionalLong.empty();
   private boolean bodyBuffered;
@@ -62,7 +62,7 @@
   private boolean settled;
   private long waitsUntilMs;
   private long waitingSinceMs;
-  private @Nullable UpstreamAttempt winner;
+  private @Nullable Attempt winner;
   private @Nullable ScheduledFuture<?> deadlineTimer;
   private @Nullable ScheduledFuture<?> hedgeTimer;
 
@@ -193,7 +193,7 @@
   }
 
   /** Returns whether the request may be sent again if an attempt is lost after it was sent. */
-  boolean mayRepeatAfterLoss(UpstreamAttempt attempt) {
+  boolean mayRepeatAfterLoss(Attempt attempt) {
     return winner != attempt && canRetry() && route.kind().isIdempotent();
   }
 
@@ -248,13 +248,13 @@
    *
    * @return false if the request has ended or another answer has been accepted
    */
-  boolean accept(UpstreamAttempt attempt) {
+  boolean accept(Attempt attempt) {
     if (finished || winner != null) {
       return false;
     }
     winner = attempt;
     cancel(hedgeTimer);
-    for (UpstreamAttempt other : List.copyOf(activeAttempts)) {
+    for (Attempt other : List.copyOf(activeAttempts)) {
       if (other != attempt) {
         other.abandon();
       }
@@ -270,7 +270,7 @@
    *
    * @param notRun whether the upstream certainly did not run the request and never will
    */
-  void onAttemptFailed(UpstreamAttempt attempt, boolean notRun, String reason) {
+  void onAttemptFailed(Attempt attempt, boolean notRun, String reason) {
     activeAttempts.remove(attempt);
     if (!notRun) {
       mayHaveRun = true;
@@ -285,7 +285,7 @@
         logger
             .atWarning()
             .with(EventFields.REQUEST, requestId)
-            .with(EventFields.UPSTREAM, attempt.upstream().entry().id())
+            .with(EventFields.UPSTREAM, attempt.target())
             .with(EventFields.REASON, reason)
             .log("answer aborted");
         exchange.abort();
@@ -327,9 +327,9 @@
           .with(EventFields.REQUEST, requestId)
           .with(EventFields.REASON, "answer overdue")
           .log("answer aborted");
-      List<UpstreamAttempt> overdue = List.copyOf(activeAttempts);
+      List<Attempt> overdue = List.copyOf(activeAttempts);
       finish();
-      overdue.forEach(UpstreamAttempt::abandonOverdue);
+      overdue.forEach(Attempt::abandonOverdue);
       exchange.abort();
     }
   }
@@ -409,7 +409,7 @@
 
   @Override
   public void onBodyPart(ByteBuf part, boolean last) {
-    UpstreamAttempt attempt = activeAttempts.isEmpty() ? null : activeAttempts.get(0);
+    Attempt attempt = activeAttempts.isEmpty() ? null : activeAttempts.get(0);
     if (finished || attempt == null) {
       part.release();
     } else {
@@ -425,7 +425,7 @@
   }
 
   /** Records the request as answered after the whole answer was written. */
-  void onAnswered(UpstreamAttempt attempt, int status) {
+  void onAnswered(Attempt attempt, int status) {
     long tookMs = scheduler.nowMs() - terms.arrivedMs();
     scheduler.metrics().recordAnswer(route.name(), status, tookMs);
     logger
@@ -435,7 +435,7 @@
         .with(EventFields.SERVICE, service.name())
         .with(EventFields.VERSION, configurationVersion)
         .with(EventFields.AGE_MS, configurationAgeMs)
-        .with(EventFields.UPSTREAM, attempt.upstream().entry().id())
+        .with(EventFields.UPSTREAM, attempt.target())
         .with(EventFields.STATUS, (long) status)
         .with(EventFields.ATTEMPTS, (long) sends)
         .with(EventFields.TOOK_MS, tookMs)
@@ -459,7 +459,7 @@
     if (!activeAttempts.isEmpty()) {
       fingerprint(); // the body is released with the exchange, and an attempt may go on
     }
-    for (UpstreamAttempt attempt : List.copyOf(activeAttempts)) {
+    for (Attempt attempt : List.copyOf(activeAttempts)) {
       if (route.kind().isIdempotent() || !attempt.isSent()) {
         attempt.abandon();
       } else {
