--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -20,6 +20,7 @@
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.route.RoutingConfiguration;
+import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
@@ -93,11 +94,19 @@
 
   /** Creates an entry VM that is not started. */
   public EntryVm(EntrySettings settings) {
+    this(settings, new JsonPlatformRows());
+  }
+
+  /**
+   * Creates an entry VM that is not started.
+   *
+   * @param rows reads the rows of operators and upstreams
+   */
+  EntryVm(EntrySettings settings, PlatformRows rows) {
     this.settings = Assert.notNull(settings, "settings");
     long incarnation = System.currentTimeMillis();
     Random random = new Random(incarnation ^ settings.node().hashCode());
     ExchangeDialect dialect = new HeaderDialect();
-    JsonPlatformRows rows = new JsonPlatformRows();
     routingState = new EntryRoutingState(rows, clocks, settings.node());
     upstreamRegistry =
         new UpstreamRegistry(
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -17,11 +17,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.entry.settings.EntrySettings;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.platform.JsonPlatformRows;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.testkit.published.RowStoreStandIn;
 import org.foxtailford.testkit.published.UpstreamProcessStandIn;
@@ -97,6 +99,12 @@
 
   EntryVm addVm(String node, List<UpstreamAddress> seeds, UpstreamAddress storeAddress)
       throws IOException {
+    return addVm(node, seeds, storeAddress, new JsonPlatformRows());
+  }
+
+  EntryVm addVm(
+      String node, List<UpstreamAddress> seeds, UpstreamAddress storeAddress, PlatformRows rows)
+      throws IOException {
     EntrySettings vmSettings =
         new EntrySettings(
             node,
@@ -111,7 +119,7 @@
             100,
             true,
             new EntrySettings.Bounds(0.2, 50, 10_000, 1, 1, 10_000, 2000, 3000));
-    EntryVm vm = new EntryVm(vmSettings);
+    EntryVm vm = new EntryVm(vmSettings, rows);
     vm.start();
     vms.add(vm);
     settings.add(vmSettings);
@@ -180,6 +188,15 @@
         .status();
   }
 
+  String metrics(int vm) {
+    HttpExchange exchange =
+        new HttpExchange(HttpMethod.GET, "/metrics", new DefaultHttpHeaders(), new byte[0]);
+    return client
+        .send(endpoint(settings.get(vm).readiness()), exchange, CALL_TIMEOUT_MS)
+        .join()
+        .bodyText();
+  }
+
   private static Endpoint endpoint(UpstreamAddress address) {
     return Endpoint.newBuilder().setHost(address.host()).setPort(address.port()).build();
   }
