Serve callers of a VM that is cut off from the upstreams through other VMs

Cause: one VM's path to the upstreams was taken for the state of the upstreams. It suspended them one by one, sent on over silent connections, and had no other way for a request, though its peers had room. A round of probes in all data centres settles the doubt that failed connects, or the silence of several upstreams, raise (UpstreamPath, UpstreamPathMonitor). While no connection can be opened, what finds no idle one goes to one other VM, over its port for callers and at most one hop (RequestRelay, PeerAttempt); one that refuses says that the request has not run, so another may be asked; after a loss on the way nothing is sent again. Upstreams that a peer may have tried are counted against the route's attempts. A cut VM takes refused connections for no losses. Ruled out: not to be ready, since open connections stay and the VMs of a zone may all be cut; resets of single connections as the sign, which full upstreams send too.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamLoad.java
@@ -168,6 +168,17 @@
     return failureRate * Math.pow(0.5, (nowMs - failureAtMs) / FAILURE_HALF_LIFE_MS);
   }
 
+  /** Ends a suspension whose reason was this VM's own path to the upstream. */
+  public void endSuspension() {
+    consecutiveFailures = 0;
+    suspendedUntilMs = 0;
+  }
+
+  /** Returns the time for which the upstream owes an answer, in milliseconds; 0 if it owes none. */
+  public long silentMs(long nowMs) {
+    return inFlight == 0 ? 0 : nowMs - lastResponseAtMs;
+  }
+
   /** Returns whether the upstream is suspended or paused, so that it should get no requests. */
   public boolean isSuspended(long nowMs) {
     return nowMs < suspendedUntilMs();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -24,6 +24,7 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.upstream.UpstreamPath;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.entry.control.ControlClocks;
 import org.foxtailford.entry.control.EntryControl;
@@ -34,6 +35,7 @@
 import org.foxtailford.entry.request.PoisonGuard;
 import org.foxtailford.entry.request.RequestDispatcher;
 import org.foxtailford.entry.request.RequestScheduler;
+import org.foxtailford.entry.request.UpstreamPathMonitor;
 import org.foxtailford.entry.request.UpstreamRegistry;
 import org.foxtailford.entry.settings.EntrySettings;
 import org.foxtailford.net.exchange.ExchangeDialect;
@@ -88,6 +90,8 @@
   private final EntryRoutingState routingState;
   private final UpstreamRegistry upstreamRegistry;
   private final RequestScheduler scheduler;
+  private final UpstreamPath path = new UpstreamPath(clock);
+  private final UpstreamPathMonitor pathMonitor;
   private final EntryControl control;
   private final CallerServer callers;
   private final GracefulShutdown shutdown;
@@ -122,13 +126,18 @@
             upstreamRegistry,
             dialect,
             new MicrometerRequestMetrics(registry),
-            new PoisonGuard(poisonTracker, loop, this::onUpstreamLost),
+            new PoisonGuard(poisonTracker, loop, this::onUpstreamLost, path::isCutOff),
+            path,
+            address -> new UpstreamPool(loops, address, dialect, clock),
             retryBudget(settings),
             random::nextDouble,
             settings.node(),
             settings.dataCentre(),
             settings.bounds().drainMs());
     routingState.setListener(new RoutingStateListener());
+    pathMonitor =
+        new UpstreamPathMonitor(
+            path, routingState, upstreamRegistry, scheduler::onPathChanged, clock, loop, random);
     control =
         new EntryControl(
             new EntryIdentity(
@@ -136,6 +145,7 @@
                 incarnation,
                 settings.dataCentre(),
                 settings.peers(),
+                settings.callers().port(),
                 settings.processorShare(),
                 settings.linkMbps(),
                 settings.firstStart()),
@@ -234,6 +244,7 @@
     loop.execute(
         () -> {
           control.start();
+          pathMonitor.start();
         });
     logger
         .atInfo()
@@ -251,6 +262,7 @@
     gauge("foxtailford.upstreams", () -> routingState.upstreams().size());
     gauge("foxtailford.rows.unreadable", () -> routingState.unreadableRows());
     gauge("foxtailford.configuration.age", () -> routingState.configurationAgeMs() / 1000.0);
+    gauge("foxtailford.upstreams.cut.off", () -> path.isCutOff() ? 1 : 0);
     gauge("foxtailford.leads", () -> control.isLeading() ? 1 : 0);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -48,6 +48,7 @@
   private final long incarnation;
   private final String dataCentre;
   private final UpstreamAddress address;
+  private final int callersPort;
   private final RowStore store;
   private final RangeCommandClient commandClient;
   private final EntryRoutingState state;
@@ -103,6 +104,7 @@
     this.incarnation = self.incarnation();
     this.dataCentre = self.dataCentre();
     this.address = self.address();
+    this.callersPort = self.callersPort();
     this.clock = clocks.steady();
     this.pauseAwareClock = clocks.pauseAware();
     this.store = Assert.notNull(store, "store");
@@ -269,6 +271,7 @@
             .setLife(incarnation)
             .setHost(address.host())
             .setPort(address.port())
+            .setCallersPort(callersPort)
             .setDataCentre(dataCentre)
             .build()
             .toByteArray();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryIdentity.java
@@ -10,6 +10,7 @@
  * @param incarnation start time of the process, in Unix milliseconds; differs after a restart
  * @param dataCentre name of the data centre
  * @param address address at which the VM listens for peers
+ * @param callersPort port at which the VM serves callers, on the same host
  * @param processorShare available processor capacity, in cores
  * @param linkMbps bandwidth of the network link, in Mbit/s
  * @param firstStart whether the whole system starts for the first time
@@ -19,6 +20,7 @@
     long incarnation,
     String dataCentre,
     UpstreamAddress address,
+    int callersPort,
     double processorShare,
     double linkMbps,
     boolean firstStart) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -31,6 +31,7 @@
 import org.foxtailford.core.upstream.UpstreamDirectory;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.entry.request.EntryPeer;
 import org.foxtailford.entry.request.RoutingView;
 import org.foxtailford.schema.entry.LossRecord;
 import org.foxtailford.schema.entry.WorkTime;
@@ -96,6 +97,7 @@
   private final Set<String> evacuatedDataCentres = new HashSet<>();
   private Set<String> liveNodes = Set.of();
   private @Nullable Collection<String> entryVms;
+  private @Nullable List<EntryPeer> peers;
   private @Nullable RoutingConfiguration configuration;
   private @Nullable Listener listener;
   private long unreadableRows;
@@ -201,6 +203,7 @@
     }
     if (table.equals(SystemTables.MEMBERS)) {
       entryVms = null;
+      peers = null;
     }
     if (affectsRequests && listener != null) {
       listener.onChange();
@@ -438,6 +441,7 @@
     if (!live.equals(liveNodes)) {
       liveNodes = live;
       entryVms = null;
+      peers = null;
     }
   }
 
@@ -535,6 +539,26 @@
     return Set.copyOf(all);
   }
 
+  @Override
+  public List<EntryPeer> peers() {
+    List<EntryPeer> cached = peers;
+    if (cached == null) {
+      cached = collectPeers();
+      peers = cached;
+    }
+    return cached;
+  }
+
+  private List<EntryPeer> collectPeers() {
+    List<EntryPeer> others = new ArrayList<>();
+    for (Row row : mirror(SystemTables.MEMBERS).all()) {
+      if (!row.deleted() && !row.key().equals(node) && entryVms().contains(row.key())) {
+        RecordCodec.toPeer(row).ifPresent(others::add);
+      }
+    }
+    return List.copyOf(others);
+  }
+
   @Override
   public void countKey(String service, int key) {
     keyCounts.computeIfAbsent(service, name -> new HashMap<>()).merge(key, 1, Integer::sum);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.range.RangeAssignment;
@@ -16,6 +17,7 @@
 import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.entry.request.EntryPeer;
 import org.foxtailford.schema.entry.LeaderRecord;
 import org.foxtailford.schema.entry.LossRecord;
 import org.foxtailford.schema.entry.MemberRecord;
@@ -59,6 +61,17 @@
     }
   }
 
+  /** Returns a member as another VM that serves callers; empty if its row doesn't say where. */
+  static Optional<EntryPeer> toPeer(Row row) {
+    try {
+      MemberRecord member = parseMember(row);
+      UpstreamAddress callers = new UpstreamAddress(member.getHost(), member.getCallersPort());
+      return Optional.of(new EntryPeer(member.getNode(), member.getDataCentre(), callers));
+    } catch (UnreadableRowException | IllegalArgumentException e) {
+      return Optional.empty(); // skipped, so that the other members stay usable
+    }
+  }
+
   static LossRecord parseLoss(Row row) {
     try {
       LossRecord loss = LossRecord.parseFrom(row.value());
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -88,6 +88,12 @@
   /** Called when the request is about to be sent. */
   abstract void onStart();
 
+  /** Called when the request may have reached the target. */
+  abstract void onDelivered();
+
+  /** Returns whether an answer states that the request has not run and will not run. */
+  abstract boolean isNotRun(HttpResponse answer);
+
   /** Called with the head of the answer. */
   abstract void onAnswerHead(HttpResponse answer);
 
@@ -124,6 +130,7 @@
     CallerExchange exchange = call.exchange();
     HttpHeaders headers = exchange.headers().copy();
     RequestHeaders.prepare(headers);
+    RelayHeaders.removeFrom(headers);
     long leftMs = Math.max(1, call.terms().deadlineMs() - scheduler.nowMs());
     address(headers, leftMs);
     onStart();
@@ -148,7 +155,7 @@
 
   @Override
   public final void onSent() {
-    call.recordDelivery();
+    onDelivered();
     call.exchange().pauseBody(false);
   }
 
@@ -171,7 +178,7 @@
   @Override
   public final void onHead(HttpResponse newHead) {
     head = newHead;
-    refused = scheduler.dialect().isNotRun(newHead.status().code(), newHead.headers());
+    refused = isNotRun(newHead);
     onAnswerHead(newHead);
   }
 
@@ -288,7 +295,7 @@
     close();
     onUnusable(answer);
     int status = answer.status().code();
-    String reason = refused ? "upstream refused with " + status : "unusable answer " + status;
+    String reason = refused ? "refused with " + status : "unusable answer " + status;
     logFailure(reason, tookMs);
     call.onAttemptFailed(this, refused, reason);
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PoisonGuard.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.PoisonTracker;
@@ -37,6 +38,7 @@
   private final PoisonTracker tracker;
   private final ScheduledExecutorService loop;
   private final Consumer<PoisonReport> reportSender;
+  private final BooleanSupplier cutOff;
   private final Map<UpstreamHandle, List<Runnable>> judgements = new HashMap<>();
 
   /**
@@ -44,11 +46,16 @@
    *
    * @param tracker counts the losses of each request, by incarnations of upstreams
    * @param reportSender receives the losses that this VM has seen
+   * @param cutOff whether this VM reaches no upstream, so that a refused connection says nothing
    */
   public PoisonGuard(
-      PoisonTracker tracker, ScheduledExecutorService loop, Consumer<PoisonReport> reportSender) {
+      PoisonTracker tracker,
+      ScheduledExecutorService loop,
+      Consumer<PoisonReport> reportSender,
+      BooleanSupplier cutOff) {
     this.tracker = Assert.notNull(tracker, "tracker");
     this.loop = Assert.notNull(loop, "loop");
+    this.cutOff = Assert.notNull(cutOff, "cutOff");
     this.reportSender = Assert.notNull(reportSender, "reportSender");
   }
 
@@ -140,6 +147,13 @@
 
   /** Records that an upstream refused a connection, so that its process has probably ended. */
   void onRefused(UpstreamHandle upstream) {
+    if (cutOff.getAsBoolean()) {
+      return;
+    }
+    recordEnd(upstream);
+  }
+
+  private void recordEnd(UpstreamHandle upstream) {
     for (int number = 1; number <= upstream.processes(); number++) {
       report(upstream, tracker.recordUpstreamLoss(upstream.processName(number)));
     }
@@ -150,7 +164,7 @@
     for (RequestCall call : upstream.running()) {
       tracker.recordConnectionLoss(upstream.processName(upstream.processes()), call.fingerprint());
     }
-    onRefused(upstream);
+    recordEnd(upstream);
   }
 
   private void report(UpstreamHandle upstream, Optional<PoisonReport> report) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -52,6 +52,8 @@
   private final long configurationAgeMs;
   private final List<Attempt> activeAttempts = new ArrayList<>();
   private final Set<String> triedUpstreams = new HashSet<>();
+  private final Set<String> triedPeers = new HashSet<>();
+  private final boolean relayed;
   private OptionalLong fingerprint = OptionalLong.empty();
   private boolean bodyBuffered;
   private int sends;
@@ -90,6 +92,9 @@
     this.configurationVersion = configurationVersion;
     this.configurationAgeMs = configurationAgeMs;
     this.waitsUntilMs = terms.arrivedMs();
+    OptionalInt relayedAfter = RelayHeaders.attempts(exchange.headers());
+    this.relayed = relayedAfter.isPresent();
+    this.deliveries = relayedAfter.orElse(0);
   }
 
   CallerExchange exchange() {
@@ -143,6 +148,16 @@
     return triedUpstreams;
   }
 
+  /** Returns the names of the peers that this VM has asked to serve the request. */
+  Set<String> triedPeers() {
+    return triedPeers;
+  }
+
+  /** Returns whether another entry VM has passed the request on, so that this one must not. */
+  boolean isRelayed() {
+    return relayed;
+  }
+
   int sends() {
     return sends;
   }
@@ -156,6 +171,11 @@
     deliveries++;
   }
 
+  /** Allows no more attempts, since it is unknown how many of them a peer has used. */
+  void exhaustAttempts() {
+    deliveries = Math.max(deliveries, route.maxAttempts());
+  }
+
   /** Returns the time until the caller's own deadline, in milliseconds; 0 if it has passed. */
   long callerRemainingMs(long nowMs) {
     return Math.max(0, callerDeadlineMs - nowMs);
@@ -228,6 +248,31 @@
     }
   }
 
+  /** Starts an attempt at another entry VM. */
+  void relayTo(PeerHandle peer) {
+    sends++;
+    waitingSinceMs = 0;
+    triedPeers.add(peer.peer().node());
+    Attempt attempt = new PeerAttempt(this, peer, scheduler);
+    activeAttempts.add(attempt);
+    attempt.start();
+  }
+
+  /**
+   * Ends the attempts at upstreams that this VM no longer reaches, unless the request may have run
+   * and must not run again.
+   */
+  void abandonUnreachable() {
+    for (Attempt attempt : List.copyOf(activeAttempts)) {
+      boolean notSent = !attempt.isSent();
+      boolean endable = winner != attempt && (notSent || route.kind().isIdempotent());
+      if (endable && attempt instanceof UpstreamAttempt) {
+        attempt.abandon();
+        onAttemptFailed(attempt, notSent, "cut off from upstreams");
+      }
+    }
+  }
+
   private void scheduleHedge(UpstreamAttempt attempt) {
     cancel(hedgeTimer);
     if (route.kind().isIdempotent() && !service.keyed()) {
@@ -348,6 +393,9 @@
     HttpHeaders headers = new DefaultHttpHeaders();
     long delayMs = scheduler.retryAfterMs(this);
     scheduler.dialect().setRetryAfter(headers, delayMs);
+    if (relayed) {
+      RelayHeaders.setNotRun(headers);
+    }
     scheduler.metrics().recordRefusal(reason);
     logger
         .atInfo()
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -119,6 +119,9 @@
       CallerExchange exchange, int status, HttpHeaders headers, String reason, long version) {
     Optional<String> requestId = scheduler.dialect().requestId(exchange.headers());
     requestId.ifPresent(id -> scheduler.dialect().setRequestId(headers, id));
+    if (RelayHeaders.attempts(exchange.headers()).isPresent()) {
+      RelayHeaders.setNotRun(headers);
+    }
     scheduler.metrics().recordRefusal(reason);
     logger
         .atInfo()
--- /dev/null
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
@@ -0,0 +1,104 @@
+package org.foxtailford.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.proxy.UpstreamPool;
+
+/**
+ * Chooses other entry VMs that serve requests for which this VM reaches no upstream. Confined to
+ * the event loop.
+ */
+final class RequestRelay {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Load of a peer in another data centre, relative to one here; bytes between them are billed. */
+  private static final double REMOTE_FACTOR = 2;
+
+  private final RoutingView view;
+  private final Function<UpstreamAddress, UpstreamPool> poolFactory;
+  private final MillisClock clock;
+  private final DoubleSupplier random;
+  private final String dataCentre;
+  private final Map<String, PeerHandle> handles = new HashMap<>();
+
+  /**
+   * Creates a relay without connections.
+   *
+   * @param poolFactory creates the connection pool of an address
+   * @param random source of numbers from 0 to 1, for the choice among equals
+   * @param dataCentre data centre of this VM
+   */
+  RequestRelay(
+      RoutingView view,
+      Function<UpstreamAddress, UpstreamPool> poolFactory,
+      MillisClock clock,
+      DoubleSupplier random,
+      String dataCentre) {
+    this.view = Assert.notNull(view, "view");
+    this.poolFactory = Assert.notNull(poolFactory, "poolFactory");
+    this.clock = Assert.notNull(clock, "clock");
+    this.random = Assert.notNull(random, "random");
+    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
+  }
+
+  /**
+   * Sends a request to a peer that was not tried yet.
+   *
+   * @return whether there was one; false for a request that came from a peer
+   */
+  boolean tryRelay(RequestCall call) {
+    Optional<PeerHandle> peer = call.isRelayed() ? Optional.empty() : choose(call);
+    peer.ifPresent(
+        handle -> {
+          logger
+              .atInfo()
+              .with(EventFields.REQUEST, call.requestId())
+              .with(EventFields.SERVICE, call.service().name())
+              .with(EventFields.NODE, handle.peer().node())
+              .with(EventFields.ATTEMPTS, (long) call.deliveries())
+              .with(EventFields.LEFT_MS, call.terms().deadlineMs() - clock.nowMs())
+              .log("request relayed");
+          call.relayTo(handle);
+        });
+    return peer.isPresent();
+  }
+
+  private Optional<PeerHandle> choose(RequestCall call) {
+    long nowMs = clock.nowMs();
+    PeerHandle best = null;
+    double bestLoad = Double.MAX_VALUE;
+    for (EntryPeer peer : view.peers()) {
+      PeerHandle handle = handle(peer);
+      if (!call.triedPeers().contains(peer.node()) && !handle.isAvoided(nowMs)) {
+        double factor = peer.dataCentre().equals(dataCentre) ? 1 : REMOTE_FACTOR;
+        double load = factor * (handle.inFlight() + 1) + random.getAsDouble() / 2;
+        if (load < bestLoad) {
+          best = handle;
+          bestLoad = load;
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private PeerHandle handle(EntryPeer peer) {
+    PeerHandle known = handles.get(peer.node());
+    if (known == null || !known.peer().equals(peer)) {
+      if (known != null) {
+        known.pool().close();
+      }
+      known = new PeerHandle(peer, poolFactory.apply(peer.callers()));
+      handles.put(peer.node(), known);
+    }
+    return known;
+  }
+}
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.QueueAdmissionPolicy;
 import org.foxtailford.core.overload.WaitingRequest;
@@ -24,9 +25,12 @@
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
+import org.foxtailford.core.upstream.UpstreamPath;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
+import org.foxtailford.net.proxy.UpstreamPool;
 
 /**
  * Sends requests to upstreams, queues, retries or refuses them, by the policies of {@code
@@ -73,6 +77,9 @@
   /** Fraction of the latency target that a request may wait before a retry. */
   private static final double RETRY_WAIT_SHARE = 0.25;
 
+  /** Reason for the refusal of a request for which neither upstream nor peer is in reach. */
+  private static final String CUT_OFF = "cut off from upstreams";
+
   /** Reason for the refusal of a request under which upstreams have ended. */
   private static final String STOPPED = "upstreams ended under it";
 
@@ -87,6 +94,8 @@
   private final ExchangeDialect dialect;
   private final RequestMetrics metrics;
   private final PoisonGuard poison;
+  private final UpstreamPath path;
+  private final RequestRelay relay;
   private final DoubleSupplier random;
   private final QueueAdmissionPolicy admission = new QueueAdmissionPolicy(MAX_WAITING);
   private final Map<String, List<RequestCall>> waitingByService = new HashMap<>();
@@ -98,6 +107,8 @@
   /**
    * Creates a scheduler.
    *
+   * @param path whether this VM reaches upstreams
+   * @param peerPoolFactory creates the connection pool of another entry VM's address
    * @param drainMs time after an upstream's leaving is known in which the last request must reach
    *     it, in milliseconds
    */
@@ -109,6 +120,8 @@
       ExchangeDialect dialect,
       RequestMetrics metrics,
       PoisonGuard poison,
+      UpstreamPath path,
+      Function<UpstreamAddress, UpstreamPool> peerPoolFactory,
       WindowedRetryBudget retryBudget,
       DoubleSupplier random,
       String node,
@@ -123,7 +136,10 @@
     this.retryBudget = Assert.notNull(retryBudget, "retryBudget");
     this.random = Assert.notNull(random, "random");
     this.registry = Assert.notNull(registry, "registry");
-    this.upstreams = new UpstreamSelector(clock, view, registry, random, node, dataCentre, drainMs);
+    this.path = Assert.notNull(path, "path");
+    this.relay = new RequestRelay(view, peerPoolFactory, clock, random, dataCentre);
+    this.upstreams =
+        new UpstreamSelector(path, clock, view, registry, random, node, dataCentre, drainMs);
   }
 
   /** Replaces the retry budget after a change of the settings. */
@@ -157,6 +173,10 @@
     return poison;
   }
 
+  UpstreamPath path() {
+    return path;
+  }
+
   OwnerSendPacing ownerPacing() {
     return upstreams.ownerPacing();
   }
@@ -172,8 +192,10 @@
   /** Records a new request. */
   void register(RequestCall call) {
     activeRequests++;
-    retryBudget.recordRequest(call.service().name(), nowMs());
-    call.key().ifPresent(key -> view.countKey(call.service().name(), key));
+    if (!call.isRelayed()) { // the VM that it comes from counts it
+      retryBudget.recordRequest(call.service().name(), nowMs());
+      call.key().ifPresent(key -> view.countKey(call.service().name(), key));
+    }
   }
 
   void unregister(RequestCall call) {
@@ -189,8 +211,32 @@
     if (poison.isStopped(call)) {
       call.refuse(STOPPED, RequestCall.BAD_GATEWAY);
     } else if (!trySend(call)) {
-      enqueue(call);
+      if (path.isCutOff()) {
+        relay(call);
+      } else {
+        enqueue(call);
+      }
+    }
+  }
+
+  /** Has another entry VM serve a request for which this one reaches no upstream. */
+  private void relay(RequestCall call) {
+    if (!relay.tryRelay(call)) {
+      call.refuse(CUT_OFF, RequestCall.BAD_GATEWAY);
+    }
+  }
+
+  /** Handles that this VM is cut off from all upstreams, or no longer. */
+  public void onPathChanged() {
+    if (!path.isCutOff()) {
+      registry.all().forEach(upstream -> upstream.load().endSuspension());
+    } else if (path.isSilent()) {
+      for (UpstreamHandle upstream : registry.all()) {
+        upstream.pool().abandonIdle();
+        List.copyOf(upstream.running()).forEach(RequestCall::abandonUnreachable);
+      }
     }
+    tick();
   }
 
   private void enqueue(RequestCall call) {
@@ -469,6 +515,8 @@
     scan.recordNoCapacity(call);
     if (poison.isStopped(call)) {
       call.refuse(STOPPED, RequestCall.BAD_GATEWAY);
+    } else if (path.isCutOff()) {
+      relay(call);
     } else if (nowMs >= call.waitsUntilMs()) {
       call.refuse("waited in vain", RequestCall.BAD_GATEWAY);
     } else if (scan.suspendedUntilMs(call) > call.waitsUntilMs()) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -1,6 +1,7 @@
 package org.foxtailford.entry.request;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.foxtailford.core.range.RangeMap;
@@ -37,6 +38,9 @@
   /** Returns the names of the entry VMs that share rate limits, including this one. */
   Collection<String> entryVms();
 
+  /** Returns the other entry VMs that are live as far as is known. */
+  List<EntryPeer> peers();
+
   /** Records a request for a key, as a measure of the key's load. */
   void countKey(String service, int key);
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -44,8 +44,19 @@
     }
   }
 
+  @Override
+  void onDelivered() {
+    call().recordDelivery();
+  }
+
+  @Override
+  boolean isNotRun(HttpResponse answer) {
+    return scheduler().dialect().isNotRun(answer.status().code(), answer.headers());
+  }
+
   @Override
   void onAnswerHead(HttpResponse answer) {
+    scheduler().path().recordAnswer();
     ExchangeDialect dialect = scheduler().dialect();
     HttpHeaders headers = answer.headers();
     dialect
@@ -105,6 +116,9 @@
   @Override
   void onConnectionFailure(UpstreamFailure failure, long tookMs) {
     long nowMs = scheduler().nowMs();
+    if (failure.isNotRun()) {
+      scheduler().path().recordFailure(target());
+    }
     if (failure == UpstreamFailure.REFUSED) {
       upstream.load().recordUnreachable(nowMs);
       scheduler().poison().onRefused(upstream);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamRegistry.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamRegistry.java
@@ -1,6 +1,7 @@
 package org.foxtailford.entry.request;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
@@ -69,6 +70,17 @@
     handle.pool().close();
   }
 
+  /** Returns the number of upstreams that have owed an answer for a time, in milliseconds. */
+  int silentUpstreams(long silentMs, long nowMs) {
+    return (int)
+        handles.values().stream().filter(h -> h.load().silentMs(nowMs) >= silentMs).count();
+  }
+
+  /** Returns the handles of all upstreams that this VM has used. */
+  List<UpstreamHandle> all() {
+    return List.copyOf(handles.values());
+  }
+
   /** Returns the number of connections opened since the start, including those of past handles. */
   public long connects() {
     return closedPoolConnects
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
@@ -15,6 +15,7 @@
 import org.foxtailford.core.upstream.UpstreamChooser;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamLoad;
+import org.foxtailford.core.upstream.UpstreamPath;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -57,6 +58,7 @@
   private final UpstreamChooser chooser;
   private final ColdUpstreamRateLimiter coldRateLimiter;
   private final OwnerSendPacing ownerPacing;
+  private final UpstreamPath path;
   private final MisdirectionPauses misdirections = new MisdirectionPauses();
   private final Map<String, Double> averageMsByService = new HashMap<>();
 
@@ -67,6 +69,7 @@
    *     it, in milliseconds
    */
   UpstreamSelector(
+      UpstreamPath path,
       MillisClock clock,
       RoutingView view,
       UpstreamRegistry registry,
@@ -74,6 +77,7 @@
       String node,
       String dataCentre,
       long drainMs) {
+    this.path = Assert.notNull(path, "path");
     this.clock = Assert.notNull(clock, "clock");
     this.view = Assert.notNull(view, "view");
     this.registry = Assert.notNull(registry, "registry");
@@ -289,7 +293,7 @@
         !handle.load().isSuspended(nowMs)
             && handle.pacer().nextSendMs(nowMs) <= nowMs
             && limitedUntilMs(handle, nowMs) <= nowMs
-            && handle.pool().hasRoom()
+            && hasConnection(handle)
             && handle.load().occupied(nowMs) + 1 <= MAX_OWNER_OCCUPANCY * handle.load().slots()
             && isWithinColdRate(call.service(), entry.get(), nowMs);
     return available ? Optional.of(handle) : Optional.empty();
@@ -325,6 +329,11 @@
     return chosen.map(registry::getOrCreate);
   }
 
+  /** Returns whether a connection is idle, or may be opened. */
+  private boolean hasConnection(UpstreamHandle handle) {
+    return path.isCutOff() ? handle.pool().hasIdle() : handle.pool().hasRoom();
+  }
+
   /** Returns this VM's share of the connections that an upstream accepts from all VMs. */
   private int connectionShare(ServicePolicy service) {
     return (int) (CONNECTION_SHARE * service.maxConnections() / view.entryVms().size());
@@ -333,7 +342,7 @@
   private boolean hasRoom(
       UpstreamHandle handle, int connectionShare, boolean idleOnly, long nowMs) {
     handle.pool().setMaxConnections(connectionShare);
-    if (!handle.pool().hasRoom() || limitedUntilMs(handle, nowMs) > nowMs) {
+    if (!hasConnection(handle) || limitedUntilMs(handle, nowMs) > nowMs) {
       return false;
     }
     double occupied = handle.load().occupied(nowMs);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -128,7 +128,7 @@
       tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, loop.steadyClock());
       control =
           new EntryControl(
-              new EntryIdentity(node, incarnation, "dc", address(number), 1, 100, true),
+              new EntryIdentity(node, incarnation, "dc", address(number), 999, 1, 100, true),
               List.of(address(0), address(1)),
               link,
               new NumberRows(),
--- a/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
@@ -22,6 +22,9 @@
   /** Sets the id of the target upstream and the time left for the request, in milliseconds. */
   void setTarget(HttpHeaders headers, String upstream, long timeLeftMs);
 
+  /** Sets the time left for a request that goes to no particular upstream, in milliseconds. */
+  void setTimeLeft(HttpHeaders headers, long timeLeftMs);
+
   /** Returns whether an answer states that the upstream did not run the request. */
   boolean isNotRun(int status, HttpHeaders headers);
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -97,6 +97,17 @@
     return !idle.isEmpty() || open.size() + connecting < maxConnections;
   }
 
+  /** Returns whether there is an idle connection that was open when it was last used. */
+  public boolean hasIdle() {
+    return idle.stream().anyMatch(UpstreamConnection::isActive);
+  }
+
+  /** Resets the idle connections, which may be silent for good. */
+  public void abandonIdle() {
+    List.copyOf(idle).forEach(UpstreamConnection::abandon);
+    idle.clear();
+  }
+
   /** Sends a request on an idle or a new connection, and notifies the listener of its events. */
   public UpstreamSend send(UpstreamRequest request, UpstreamListener listener) {
     UpstreamSend send = new UpstreamSend(request, listener);
