A leader that is cut off from the upstreams leaves the lead to a VM that is not

Cause: the leader alone grants keys, and stays the leader as long as the store and its members hear it; what it could not do was nobody's business. One VM's path, taken for the system's. A leader that is cut off (UpstreamPath), while a member reports that it is not, stops, marks its record as resigned, and tells all; the next one needs no time-out. VMs that are cut off stand for election only after 4 s without a leader. Ruled out: grants sent through another VM, since a grant's answer must come over the connection of its owner's process.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -159,6 +159,7 @@
             routingState,
             losses,
             new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_MESSAGE_BYTES),
+            path::isCutOff,
             rangeTiming(settings),
             clocks,
             loop,
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
@@ -92,6 +92,12 @@
    */
   static final int CANDIDATE_JITTER_MS = 250;
 
+  /**
+   * Time without a leader after which a VM that reaches no upstream may lead too, in milliseconds;
+   * one that does is faster, unless there is none.
+   */
+  static final long CUT_OFF_CANDIDACY_MS = 4000;
+
   /** Increase of the clocks' offset from which the process counts as paused, in milliseconds. */
   static final long PAUSE_THRESHOLD_MS = 700;
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.range.LeaderFitness;
@@ -57,6 +58,7 @@
   private final PeerBroadcaster broadcaster;
   private final PeerMessages messages;
   private final LossExchange losses;
+  private final BooleanSupplier cutOff;
   private final LossTable lossTable;
   private final RangeTiming timing;
   private final MillisClock clock;
@@ -86,7 +88,11 @@
   private long knownPauseMs;
   private long knownEra;
 
-  /** Creates the control of an entry VM, without starting it. */
+  /**
+   * Creates the control of an entry VM, without starting it.
+   *
+   * @param cutOff whether this VM reaches no upstream, so that it can't grant keys
+   */
   public EntryControl(
       EntryIdentity self,
       List<UpstreamAddress> seeds,
@@ -96,6 +102,7 @@
       EntryRoutingState state,
       LossExchange losses,
       HttpClient peerCalls,
+      BooleanSupplier cutOff,
       RangeTiming timing,
       ControlClocks clocks,
       ScheduledExecutorService loop,
@@ -112,10 +119,11 @@
     this.state = Assert.notNull(state, "state");
     this.ages = state.ages();
     this.peers = new PeerClient(peerCalls);
+    this.cutOff = Assert.notNull(cutOff, "cutOff");
     this.losses = Assert.notNull(losses, "losses");
     this.lossTable = new LossTable(store, PoisonLimits.BY_INCARNATION, clocks, loop);
     state.setLossListener(loss -> pushLosses(losses.addTold(List.of(lossTable.toMessage(loss)))));
-    this.messages = new PeerMessages(self, state, losses, clock);
+    this.messages = new PeerMessages(self, state, losses, cutOff, clock);
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
     this.loop = Assert.notNull(loop, "loop");
@@ -162,6 +170,7 @@
     checkForPause(nowMs);
     checkForRestoredStore(nowMs);
     join(nowMs);
+    resignIfCutOff(nowMs);
     boolean leads = tasks != null;
     lossTable.writeAsNeeded();
     takeBackLosses(nowMs);
@@ -182,7 +191,8 @@
           nowMs - leaderContactMs > reportIntervalMs() + LeadershipTiming.SUSPICION_DELAY_MS
               || connectionRefused;
       if (suspect && !stopping) {
-        election.poll(connectionRefused);
+        boolean nobodyElse = nowMs - leaderContactMs > ControlTiming.CUT_OFF_CANDIDACY_MS;
+        election.poll(connectionRefused, nobodyElse || !cutOff.getAsBoolean());
       }
     }
     if (needsPeers()) {
@@ -191,6 +201,24 @@
     updateStoreState(nowMs);
   }
 
+  /** Leaves the leadership to a VM that reaches the upstreams, to which the leader grants keys. */
+  private void resignIfCutOff(long nowMs) {
+    LeaderTasks current = tasks;
+    if (current != null && cutOff.getAsBoolean() && registry.hasPeerInReachOfUpstreams(nowMs)) {
+      current.resign("cut off from upstreams");
+      broadcaster.send(messages.resignation(current.leader()));
+    }
+  }
+
+  private void onResigned(long term) {
+    if (leader.map(KnownLeader::term).filter(known -> known == term).isPresent()) {
+      leaderContactMs =
+          Math.min(
+              leaderContactMs,
+              clock.nowMs() - reportIntervalMs() - LeadershipTiming.SUSPICION_DELAY_MS - 1);
+    }
+  }
+
   private void takeBackLosses(long nowMs) {
     boolean upstreamsKnown = !ages.isOlderThan(upstreamTable, ControlTiming.STORE_LOST_MS);
     if (upstreamsKnown && nowMs >= nextTakeBackMs) {
@@ -525,7 +553,13 @@
     long nowMs = clock.nowMs();
     checkForPause(nowMs); // a leader that wakes up must not confirm what it knew before
     registry.recordReport(
-        report.getNode(), new UpstreamAddress(report.getHost(), report.getPort()), nowMs);
+        report.getNode(),
+        new UpstreamAddress(report.getHost(), report.getPort()),
+        report.getCutOff(),
+        nowMs);
+    if (report.getResignedTerm() > 0) {
+      onResigned(report.getResignedTerm());
+    }
     if (report.getLeads()) {
       onLeaderObserved(
           new KnownLeader(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
@@ -98,8 +98,9 @@
    * Reads the leader record if a read is due, and tries to acquire leadership if it is vacant.
    *
    * @param connectionRefused whether a connection to the leader's address was refused
+   * @param eligible whether this VM may lead
    */
-  void poll(boolean connectionRefused) {
+  void poll(boolean connectionRefused, boolean eligible) {
     long nowMs = clock.nowMs();
     if (callInFlight || nowMs < nextPollMs) {
       return;
@@ -108,10 +109,12 @@
     nextPollMs = nowMs + LeadershipTiming.POLL_INTERVAL_MS;
     store
         .readAll(SystemTables.LEADER, TablePoller.TIMEOUT_MS)
-        .whenCompleteAsync((page, failure) -> onRead(page, failure, connectionRefused), loop);
+        .whenCompleteAsync(
+            (page, failure) -> onRead(page, failure, connectionRefused, eligible), loop);
   }
 
-  private void onRead(RowPage page, Throwable failure, boolean connectionRefused) {
+  private void onRead(
+      RowPage page, Throwable failure, boolean connectionRefused, boolean eligible) {
     callInFlight = false;
     if (failure != null) {
       logger
@@ -132,14 +135,16 @@
       return;
     }
     long nowMs = clock.nowMs();
+    boolean noHolder = connectionRefused || record.getResigned();
     if (vacancyDetector.observe(
-        record.getTerm(), renewal, heldByPreviousIncarnation, connectionRefused, nowMs)) {
+            record.getTerm(), renewal, heldByPreviousIncarnation, noHolder, nowMs)
+        && eligible) {
       boolean recordComplete = LeadershipTerms.era(record.getTerm()) == era || firstStart;
       boolean holderEnded = recordComplete && (record.getTerm() == 0 || heldByPreviousIncarnation);
       StoreVersion expected = holder.map(Row::version).orElse(new StoreVersion(era, 0));
       long term = LeadershipTerms.next(era, record.getTerm(), highestKnownTerm.getAsLong());
       tryAcquire(term, expected, holderEnded);
-    } else if (record.getTerm() > 0) {
+    } else if (record.getTerm() > 0 && !record.getResigned()) {
       onLeaderObserved.accept(
           new KnownLeader(
               record.getNode(),
@@ -183,7 +188,8 @@
 
   private void tryAcquire(long term, StoreVersion expected, boolean holderEnded) {
     callInFlight = true;
-    byte[] value = RecordCodec.serializeLeader(node, incarnation, term, address);
+    KnownLeader self = new KnownLeader(node, incarnation, term, address, StoreVersion.NONE);
+    byte[] value = RecordCodec.serializeLeader(self, false);
     store
         .write(
             List.of(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -290,6 +290,28 @@
     }
   }
 
+  /** Stops leading and tells the store, so that another VM can take over at once. */
+  void resign(String reason) {
+    end(reason);
+    byte[] value = RecordCodec.serializeLeader(leader, true);
+    RowWrite record =
+        RowWrite.put(
+            SystemTables.LEADER, SystemTables.LEADER_KEY, leader.rowVersion().number(), value);
+    store
+        .write(List.of(record), leader.rowVersion().era(), TablePoller.TIMEOUT_MS)
+        .whenCompleteAsync(
+            (version, failure) -> {
+              if (failure != null) { // the record then shows no renewals, which takes longer
+                logger
+                    .atInfo()
+                    .with(EventFields.FENCE, leader.term())
+                    .with(EventFields.REASON, String.valueOf(failure))
+                    .log("resignation not written");
+              }
+            },
+            loop);
+  }
+
   @Override
   public void onWritten(String service, byte[] value, StoreVersion version) {
     Row row = new Row(service, value, version, false);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeadershipKeeper.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeadershipKeeper.java
@@ -115,7 +115,10 @@
     long sentMs = clock.nowMs();
     long term = LeadershipTerms.next(era, storedTerm, leader.term());
     byte[] value =
-        RecordCodec.serializeLeader(leader.node(), leader.incarnation(), term, leader.address());
+        RecordCodec.serializeLeader(
+            new KnownLeader(
+                leader.node(), leader.incarnation(), term, leader.address(), leader.rowVersion()),
+            false);
     long expected = storedVersion.map(StoreVersion::number).orElse(0L);
     store
         .write(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.StoreVersion;
@@ -32,12 +33,18 @@
   private final EntryRoutingState state;
   private final MillisClock clock;
   private final LossExchange losses;
+  private final BooleanSupplier cutOff;
   private final RowPacker packer = new RowPacker();
 
   PeerMessages(
-      EntryIdentity self, EntryRoutingState state, LossExchange losses, MillisClock clock) {
+      EntryIdentity self,
+      EntryRoutingState state,
+      LossExchange losses,
+      BooleanSupplier cutOff,
+      MillisClock clock) {
     this.self = Assert.notNull(self, "self");
     this.state = Assert.notNull(state, "state");
+    this.cutOff = Assert.notNull(cutOff, "cutOff");
     this.losses = Assert.notNull(losses, "losses");
     this.clock = Assert.notNull(clock, "clock");
   }
@@ -84,6 +91,11 @@
     return newReport().setLeaderTerm(leader.term()).setLeads(true).addAllLosses(losses).build();
   }
 
+  /** Returns a report by which this VM tells that it has stopped leading. */
+  PeerReport resignation(KnownLeader leader) {
+    return newReport().setResignedTerm(leader.term()).build();
+  }
+
   /** Returns a report by which the leader tells which ranges it takes away from their owners. */
   PeerReport moves(KnownLeader leader, String service, Collection<RangeAssignment> ranges) {
     PeerReport.Builder report = newReport().setLeaderTerm(leader.term()).setLeads(true);
@@ -99,7 +111,8 @@
         .setNode(self.node())
         .setLife(self.incarnation())
         .setHost(self.address().host())
-        .setPort(self.address().port());
+        .setPort(self.address().port())
+        .setCutOff(cutOff.getAsBoolean());
   }
 
   /** Returns a message with some rows of a table, all of the era of this VM's copy. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerRegistry.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,7 @@
   private List<UpstreamAddress> seeds;
   private final Map<String, UpstreamAddress> addresses = new HashMap<>();
   private final Map<String, Long> lastReportMs = new HashMap<>();
+  private final Set<String> cutOff = new HashSet<>();
 
   PeerRegistry(String node, TableMirror members, List<UpstreamAddress> seeds, Random random) {
     this.node = Assert.hasLength(node, "node");
@@ -39,8 +41,17 @@
     seeds = List.copyOf(newSeeds);
   }
 
-  /** Records the time of an entry VM's report and the address that it states. */
-  void recordReport(String peer, UpstreamAddress address, long nowMs) {
+  /**
+   * Records the time of an entry VM's report and what it states.
+   *
+   * @param isCutOff whether it reaches no upstream
+   */
+  void recordReport(String peer, UpstreamAddress address, boolean isCutOff, long nowMs) {
+    if (isCutOff) {
+      cutOff.add(peer);
+    } else {
+      cutOff.remove(peer);
+    }
     addresses.put(peer, address);
     lastReportMs.put(peer, nowMs);
   }
@@ -57,6 +68,11 @@
     return livePeers;
   }
 
+  /** Returns whether another live entry VM reaches upstreams. */
+  boolean hasPeerInReachOfUpstreams(long nowMs) {
+    return livePeers(nowMs).keySet().stream().anyMatch(peer -> !cutOff.contains(peer));
+  }
+
   /** Returns the address of a random other entry VM, live or not; empty if none is known. */
   Optional<UpstreamAddress> pickRandom(UpstreamAddress self) {
     List<UpstreamAddress> known = new ArrayList<>(allAddresses(self));
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
@@ -41,13 +41,14 @@
     }
   }
 
-  static byte[] serializeLeader(String node, long incarnation, long term, UpstreamAddress address) {
+  static byte[] serializeLeader(KnownLeader leader, boolean resigned) {
     return LeaderRecord.newBuilder()
-        .setNode(node)
-        .setLife(incarnation)
-        .setTerm(term)
-        .setHost(address.host())
-        .setPort(address.port())
+        .setNode(leader.node())
+        .setLife(leader.incarnation())
+        .setTerm(leader.term())
+        .setHost(leader.address().host())
+        .setPort(leader.address().port())
+        .setResigned(resigned)
         .build()
         .toByteArray();
   }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -118,6 +118,7 @@
     private final EntryControl control;
     private final PoisonTracker tracker;
     private boolean cutOff;
+    private boolean cutOffFromUpstreams;
 
     Vm(int number, long incarnation) {
       this.number = number;
@@ -139,6 +140,7 @@
                   tracker,
                   loop.steadyClock()),
               this::send,
+              () -> cutOffFromUpstreams,
               new RangeTiming(3000, 800, 300, 700, 3000, 100),
               clocks,
               loop,
@@ -164,6 +166,15 @@
       cutOff = newCutOff;
     }
 
+    /** Makes the VM believe that it reaches no upstream, or ends it. */
+    void setCutOffFromUpstreams(boolean newCutOff) {
+      cutOffFromUpstreams = newCutOff;
+    }
+
+    boolean isCutOffFromUpstreams() {
+      return cutOffFromUpstreams;
+    }
+
     void pause(long durationMs) {
       loop.pause(durationMs);
     }
