--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/CutOffFromUpstreamsTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/CutOffFromUpstreamsTests.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,8 +21,6 @@
 
   private static final int TIMEOUT_MS = 60_000;
   private static final int VMS = 3;
-  private static final List<String> PLAIN = List.of("p1", "p2", "p3", "p4", "p5", "p6");
-  private static final List<String> KEYED = List.of("k1", "k2", "k3");
 
   /** Documented time after the beginning of a cut from which callers have to be served again. */
   private static final long CONTACT_MS = 3000;
@@ -34,52 +31,17 @@
   private static final long WATCHED_MS = 4000;
   private static final long INTERVAL_MS = 50;
 
-  private EntryTestCluster cluster;
-  private final Map<Integer, List<TcpLinkStandIn>> links = new HashMap<>();
+  private LinkedTestCluster cluster;
 
   @BeforeMethod
   public void begin() throws Exception {
-    cluster = new EntryTestCluster();
-    cluster.configure(4);
-    for (String id : PLAIN) {
-      cluster.addUpstream(id, "plain");
-    }
-    for (String id : KEYED) {
-      cluster.addUpstream(id, "keyed");
-    }
-    for (int vm = 0; vm < VMS; vm++) {
-      addLinkedVm(vm);
-    }
-    EntryTestCluster.await("ready", () -> cluster.readiness(2) == 200);
-    EntryTestCluster.await("owners", () -> cluster.get(0, "/keyed/x", id()).status() == 200);
+    cluster = new LinkedTestCluster(VMS);
     runFor(1500); // until all VMs report to the leader and have connections
   }
 
-  private void addLinkedVm(int vm) throws IOException {
-    Map<Integer, Integer> portByTarget = new HashMap<>();
-    links.put(vm, new ArrayList<>());
-    cluster.addVm(
-        "vm-" + (vm + 1),
-        vm == 0 ? List.of() : List.of(cluster.settings(0).peers()),
-        cluster.storeAddress(),
-        new LinkedRows(target -> portByTarget.computeIfAbsent(target, t -> link(vm, t))));
-  }
-
-  private int link(int vm, int targetPort) {
-    try {
-      TcpLinkStandIn link = new TcpLinkStandIn(targetPort);
-      links.get(vm).add(link);
-      return link.port();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   @AfterMethod(alwaysRun = true)
   public void end() {
     cluster.close();
-    links.values().forEach(all -> all.forEach(TcpLinkStandIn::close));
-    links.clear();
   }
 
   @DataProvider
@@ -91,27 +53,27 @@
   @Test(dataProvider = "cuts", timeOut = TIMEOUT_MS)
   public void callersOfACutOffMemberAreServedThroughOthers(TcpLinkStandIn.State cut)
       throws Exception {
-    checkServed((leader() + 1) % VMS, cut);
+    checkServed((cluster.leader() + 1) % VMS, cut);
   }
 
   // RECOVER: a leader that reached no upstream kept the lead, and all keys were lost.
   @Test(dataProvider = "cuts", timeOut = TIMEOUT_MS)
   public void keysAreServedThoughTheLeaderIsCutOff(TcpLinkStandIn.State cut) throws Exception {
-    checkServed(leader(), cut);
+    checkServed(cluster.leader(), cut);
   }
 
   @Test(timeOut = TIMEOUT_MS)
   public void callersAreServedOverConnectionsThatLiveOn() throws Exception {
-    checkServed((leader() + 1) % VMS, TcpLinkStandIn.State.REFUSING);
+    checkServed((cluster.leader() + 1) % VMS, TcpLinkStandIn.State.REFUSING);
   }
 
   @Test(timeOut = TIMEOUT_MS)
   public void keysAreServedThoughTheLeaderCanOpenNoConnection() throws Exception {
-    checkServed(leader(), TcpLinkStandIn.State.REFUSING);
+    checkServed(cluster.leader(), TcpLinkStandIn.State.REFUSING);
   }
 
   private void checkServed(int cutVm, TcpLinkStandIn.State cut) throws Exception {
-    links.get(cutVm).forEach(link -> link.setState(cut));
+    cluster.setLinks(cutVm, cut);
     runFor(CONTACT_MS);
     Map<Integer, List<CompletableFuture<HttpAnswer>>> answers = runFor(WATCHED_MS);
     double servedThere = servedShare(answers.get(cutVm));
@@ -120,20 +82,14 @@
     assertThat(servedThere)
         .as("served at the cut VM")
         .isGreaterThanOrEqualTo(SERVED_SHARE * servedElsewhere);
-    links.get(cutVm).forEach(link -> link.setState(TcpLinkStandIn.State.SOUND));
+    cluster.setLinks(cutVm, TcpLinkStandIn.State.SOUND);
     runFor(CONTACT_MS);
     assertThat(servedShare(runFor(1000).get(cutVm))).as("after the cut").isGreaterThan(0.9);
     assertRunOnce();
   }
 
   private void assertRunOnce() {
-    Map<String, Integer> runs = new HashMap<>();
-    for (String id : PLAIN) {
-      cluster
-          .upstream(id)
-          .runCounts()
-          .forEach((request, count) -> runs.merge(request, count, Integer::sum));
-    }
+    Map<String, Integer> runs = cluster.runCounts();
     runs.keySet().removeIf(request -> !request.startsWith("once"));
     assertThat(runs.values()).isNotEmpty().allMatch(count -> count == 1);
   }
@@ -147,9 +103,9 @@
       for (int vm = 0; vm < VMS; vm++) {
         List<CompletableFuture<HttpAnswer>> sent =
             answers.computeIfAbsent(vm, number -> new ArrayList<>());
-        sent.add(cluster.send(vm, HttpMethod.GET, "/safe/x", id(), ""));
-        sent.add(cluster.send(vm, HttpMethod.POST, "/once/x", "once" + id(), "body"));
-        sent.add(cluster.send(vm, HttpMethod.GET, "/keyed/x", id(), ""));
+        sent.add(cluster.send(vm, HttpMethod.GET, "/safe/x", id()));
+        sent.add(cluster.send(vm, HttpMethod.POST, "/once/x", "once" + id()));
+        sent.add(cluster.send(vm, HttpMethod.GET, "/keyed/x", id()));
       }
       TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
     }
@@ -165,21 +121,6 @@
     return (double) served / answers.size();
   }
 
-  private int leader() throws InterruptedException {
-    EntryTestCluster.await("one leader", () -> leaders().size() == 1);
-    return leaders().get(0);
-  }
-
-  private List<Integer> leaders() {
-    List<Integer> leaders = new ArrayList<>();
-    for (int vm = 0; vm < VMS; vm++) {
-      if (cluster.metrics(vm).contains("foxtailford_leads 1")) {
-        leaders.add(vm);
-      }
-    }
-    return leaders;
-  }
-
   private static String id() {
     return "r" + System.nanoTime();
   }
