--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.StopPlan;
@@ -31,12 +32,15 @@
 import org.foxtailford.entry.control.EntryIdentity;
 import org.foxtailford.entry.control.EntryRoutingState;
 import org.foxtailford.entry.control.LossExchange;
+import org.foxtailford.entry.control.UpstreamLinks;
 import org.foxtailford.entry.metrics.MicrometerRequestMetrics;
 import org.foxtailford.entry.request.PoisonGuard;
 import org.foxtailford.entry.request.RequestDispatcher;
+import org.foxtailford.entry.request.RequestRelay;
 import org.foxtailford.entry.request.RequestScheduler;
 import org.foxtailford.entry.request.UpstreamPathMonitor;
 import org.foxtailford.entry.request.UpstreamRegistry;
+import org.foxtailford.entry.request.VmLocation;
 import org.foxtailford.entry.settings.EntrySettings;
 import org.foxtailford.net.exchange.ExchangeDialect;
 import org.foxtailford.net.http.HttpLimits;
@@ -112,9 +116,9 @@
     Random random = new Random(incarnation ^ settings.node().hashCode());
     ExchangeDialect dialect = new HeaderDialect();
     routingState = new EntryRoutingState(rows, clocks, settings.node());
-    upstreamRegistry =
-        new UpstreamRegistry(
-            address -> new UpstreamPool(loops, address, dialect, clock), random::nextDouble);
+    Function<UpstreamAddress, UpstreamPool> newPool =
+        address -> new UpstreamPool(loops, address, dialect, clock);
+    upstreamRegistry = new UpstreamRegistry(newPool, random::nextDouble);
     PoisonTracker poisonTracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, clock);
     LossExchange losses =
         new LossExchange(new LossLog(PoisonLimits.BY_INCARNATION, clock), poisonTracker, clock);
@@ -127,12 +131,11 @@
             dialect,
             new MicrometerRequestMetrics(registry),
             new PoisonGuard(poisonTracker, loop, this::onUpstreamLost, path::isCutOff),
-            path,
-            address -> new UpstreamPool(loops, address, dialect, clock),
+            new RequestRelay(
+                path, routingState, newPool, clock, random::nextDouble, settings.dataCentre()),
             retryBudget(settings),
             random::nextDouble,
-            settings.node(),
-            settings.dataCentre(),
+            new VmLocation(settings.node(), settings.dataCentre()),
             settings.bounds().drainMs());
     routingState.setListener(new RoutingStateListener());
     pathMonitor =
@@ -153,13 +156,14 @@
             new HttpRowStore(
                 new PooledHttpClient(loops, STORE_CONNECTIONS, MAX_ANSWER_BYTES), settings.store()),
             rows,
-            new HttpRangeCommandClient(
-                new SessionClient(loops, MAX_HEAD_BYTES),
-                new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
+            new UpstreamLinks(
+                new HttpRangeCommandClient(
+                    new SessionClient(loops, MAX_HEAD_BYTES),
+                    new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
+                path::isCutOff),
             routingState,
             losses,
             new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_MESSAGE_BYTES),
-            path::isCutOff,
             rangeTiming(settings),
             clocks,
             loop,
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -8,20 +8,17 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.range.LeaderFitness;
 import org.foxtailford.core.range.LeaderVacancyDetector;
 import org.foxtailford.core.range.LeadershipTiming;
 import org.foxtailford.core.range.RangeAssignment;
-import org.foxtailford.core.range.RangeCommandClient;
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.store.CopyAges;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
-import org.foxtailford.core.store.RowWrite;
 import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.PauseAwareClock;
@@ -29,7 +26,6 @@
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpClient;
 import org.foxtailford.schema.PoisonReport;
-import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.PeerReply;
 import org.foxtailford.schema.entry.PeerReport;
 import org.foxtailford.schema.entry.TableRows;
@@ -47,19 +43,17 @@
 
   private final String node;
   private final long incarnation;
-  private final String dataCentre;
   private final UpstreamAddress address;
-  private final int callersPort;
   private final RowStore store;
-  private final RangeCommandClient commandClient;
+  private final UpstreamLinks links;
   private final EntryRoutingState state;
   private final PeerClient peers;
   private final PeerRegistry registry;
   private final PeerBroadcaster broadcaster;
   private final PeerMessages messages;
   private final LossExchange losses;
-  private final BooleanSupplier cutOff;
-  private final LossTable lossTable;
+  private final LossKeeper lossKeeper;
+  private final MemberRegistration registration;
   private final RangeTiming timing;
   private final MillisClock clock;
   private final PauseAwareClock pauseAwareClock;
@@ -75,55 +69,49 @@
   private boolean reportInFlight;
   private boolean connectionRefused;
   private boolean queryInFlight;
-  private boolean joinInFlight;
-  private boolean joined;
   private boolean stopping;
   private boolean storeReached = true;
   private long nextReportMs;
   private long nextRefreshMs;
   private long nextQueryMs;
-  private long nextJoinMs;
-  private long nextTakeBackMs;
   private long leaderContactMs;
   private long knownPauseMs;
   private long knownEra;
 
-  /**
-   * Creates the control of an entry VM, without starting it.
-   *
-   * @param cutOff whether this VM reaches no upstream, so that it can't grant keys
-   */
+  /** Creates the control of an entry VM, without starting it. */
   public EntryControl(
       EntryIdentity self,
       List<UpstreamAddress> seeds,
       RowStore store,
       PlatformRows platform,
-      RangeCommandClient commandClient,
+      UpstreamLinks links,
       EntryRoutingState state,
       LossExchange losses,
       HttpClient peerCalls,
-      BooleanSupplier cutOff,
       RangeTiming timing,
       ControlClocks clocks,
       ScheduledExecutorService loop,
       Random random) {
     this.node = self.node();
     this.incarnation = self.incarnation();
-    this.dataCentre = self.dataCentre();
     this.address = self.address();
-    this.callersPort = self.callersPort();
     this.clock = clocks.steady();
     this.pauseAwareClock = clocks.pauseAware();
     this.store = Assert.notNull(store, "store");
-    this.commandClient = Assert.notNull(commandClient, "commandClient");
+    this.links = Assert.notNull(links, "links");
     this.state = Assert.notNull(state, "state");
     this.ages = state.ages();
     this.peers = new PeerClient(peerCalls);
-    this.cutOff = Assert.notNull(cutOff, "cutOff");
     this.losses = Assert.notNull(losses, "losses");
-    this.lossTable = new LossTable(store, PoisonLimits.BY_INCARNATION, clocks, loop);
-    state.setLossListener(loss -> pushLosses(losses.addTold(List.of(lossTable.toMessage(loss)))));
-    this.messages = new PeerMessages(self, state, losses, cutOff, clock);
+    this.lossKeeper =
+        new LossKeeper(
+            losses,
+            new LossTable(store, PoisonLimits.BY_INCARNATION, clocks, loop),
+            state,
+            this::pushLosses,
+            clock);
+    this.registration = new MemberRegistration(self, store, clock, loop);
+    this.messages = new PeerMessages(self, state, losses, links, clock);
     this.registry = new PeerRegistry(node, state.mirror(SystemTables.MEMBERS), seeds, random);
     this.timing = Assert.notNull(timing, "timing");
     this.loop = Assert.notNull(loop, "loop");
@@ -169,21 +157,19 @@
     long nowMs = clock.nowMs();
     checkForPause(nowMs);
     checkForRestoredStore(nowMs);
-    join(nowMs);
+    registration.writeAsNeeded();
     resignIfCutOff(nowMs);
     boolean leads = tasks != null;
-    lossTable.writeAsNeeded();
-    takeBackLosses(nowMs);
+    lossKeeper.tick(leads, !ages.isOlderThan(upstreamTable, ControlTiming.STORE_LOST_MS));
     if (leads) {
       readers.readAsLeader();
-      lossTable.removeExpired(state.mirror(SystemTables.LOSSES));
     } else {
       readers.readOutdated(reportIntervalMs());
     }
     if (leads) {
       tasks.tick();
-      loads.add(state.drainKeyCounts(), nowMs);
-      loads.addWorkTimes(state.drainWorkTimes(), nowMs);
+      loads.add(state.counters().drainKeyCounts(), nowMs);
+      loads.addWorkTimes(state.counters().drainWorkTimes(), nowMs);
       state.setLiveNodes(registry.livePeers(nowMs).keySet());
     } else {
       report(nowMs);
@@ -192,7 +178,7 @@
               || connectionRefused;
       if (suspect && !stopping) {
         boolean nobodyElse = nowMs - leaderContactMs > ControlTiming.CUT_OFF_CANDIDACY_MS;
-        election.poll(connectionRefused, nobodyElse || !cutOff.getAsBoolean());
+        election.poll(connectionRefused, nobodyElse || !links.isCutOff());
       }
     }
     if (needsPeers()) {
@@ -204,7 +190,7 @@
   /** Leaves the leadership to a VM that reaches the upstreams, to which the leader grants keys. */
   private void resignIfCutOff(long nowMs) {
     LeaderTasks current = tasks;
-    if (current != null && cutOff.getAsBoolean() && registry.hasPeerInReachOfUpstreams(nowMs)) {
+    if (current != null && links.isCutOff() && registry.hasPeerInReachOfUpstreams(nowMs)) {
       current.resign("cut off from upstreams");
       broadcaster.send(messages.resignation(current.leader()));
     }
@@ -219,14 +205,6 @@
     }
   }
 
-  private void takeBackLosses(long nowMs) {
-    boolean upstreamsKnown = !ages.isOlderThan(upstreamTable, ControlTiming.STORE_LOST_MS);
-    if (upstreamsKnown && nowMs >= nextTakeBackMs) {
-      nextTakeBackMs = nowMs + ControlTiming.LOSS_TAKE_BACK_MS;
-      losses.takeBackAsNeeded(state::isProcessRegistered);
-    }
-  }
-
   private long reportIntervalMs() {
     long scaledMs = 1000L * state.entryVms().size() / ControlTiming.TARGET_REPORTS_PER_SECOND;
     return Math.max(ControlTiming.MIN_REPORT_MS, Math.min(ControlTiming.MAX_REPORT_MS, scaledMs));
@@ -268,7 +246,7 @@
         logger.atWarning().with(EventFields.ERA, era).log("store was restored from an older copy");
       }
       knownEra = era;
-      joined = false;
+      registration.repeat();
     }
     state.dropCarriedRows(nowMs);
   }
@@ -288,35 +266,6 @@
     }
   }
 
-  private void join(long nowMs) {
-    if (joined || joinInFlight || nowMs < nextJoinMs) {
-      return;
-    }
-    joinInFlight = true;
-    byte[] value =
-        MemberRecord.newBuilder()
-            .setNode(node)
-            .setLife(incarnation)
-            .setHost(address.host())
-            .setPort(address.port())
-            .setCallersPort(callersPort)
-            .setDataCentre(dataCentre)
-            .build()
-            .toByteArray();
-    store
-        .write(
-            List.of(RowWrite.put(SystemTables.MEMBERS, node, -1, value)),
-            store.era(),
-            TablePoller.TIMEOUT_MS)
-        .whenCompleteAsync(
-            (version, failure) -> {
-              joinInFlight = false;
-              joined = failure == null;
-              nextJoinMs = clock.nowMs() + ControlTiming.SYSTEM_POLL_MS;
-            },
-            loop);
-  }
-
   private long upstreamsAgeMs() {
     return ages.ageMs(upstreamTable).orElse(Long.MAX_VALUE);
   }
@@ -499,7 +448,7 @@
         new LeaderTasks(
             acquired.leader(),
             store,
-            commandClient,
+            links.commands(),
             state,
             loads,
             timing,
@@ -570,7 +519,7 @@
               StoreVersion.NONE));
     }
     messages.apply(report, nowMs);
-    pushLosses(losses.addTold(report.getLossesList()));
+    lossKeeper.addTold(report.getLossesList());
     loads.add(report.getKeyLoadsList(), nowMs);
     loads.addWorkTimes(report.getWorkTimesList(), nowMs);
     return reply(report, nowMs);
@@ -599,11 +548,8 @@
 
   /** Tells the other VMs at once of upstreams that this VM lost while they ran requests. */
   public void onUpstreamLost(PoisonReport report) {
-    List<UpstreamLoss> added = losses.addOwn(report);
-    if (!added.isEmpty()) {
+    if (lossKeeper.addOwn(report)) {
       reportEarly();
-      pushLosses(added);
-      lossTable.add(added);
     }
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -34,7 +34,6 @@
 import org.foxtailford.entry.request.EntryPeer;
 import org.foxtailford.entry.request.RoutingView;
 import org.foxtailford.schema.entry.LossRecord;
-import org.foxtailford.schema.entry.WorkTime;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -79,9 +78,6 @@
    */
   private static final long MAX_MOVE_MS = 1200;
 
-  /** Limit that stands for none at all in a report, where 0 means that it is not known. */
-  private static final double MIN_LIMIT = 1e-6;
-
   /** Range that the leader takes away from its owner; later assignments have a higher fence. */
   private record Move(KeyRange range, long fence, long untilMs) {}
 
@@ -92,8 +88,7 @@
   private final CopyAges ages;
   private final UpstreamDirectory upstreams = new UpstreamDirectory();
   private final Map<String, RangeMap> owners = new HashMap<>();
-  private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
-  private final Map<String, WorkTime.Builder> workTimes = new HashMap<>();
+  private final LoadCounters counters = new LoadCounters();
   private final Set<String> evacuatedDataCentres = new HashSet<>();
   private Set<String> liveNodes = Set.of();
   private @Nullable Collection<String> entryVms;
@@ -445,19 +440,9 @@
     }
   }
 
-  /** Returns the request counts by service and key, and resets them. */
-  Map<String, Map<Integer, Integer>> drainKeyCounts() {
-    Map<String, Map<Integer, Integer>> drained = new HashMap<>(keyCounts);
-    keyCounts.clear();
-    return drained;
-  }
-
-  /** Returns the work times of upstreams, and resets them. */
-  List<WorkTime> drainWorkTimes() {
-    List<WorkTime> drained = new ArrayList<>();
-    workTimes.values().forEach(workTime -> drained.add(workTime.build()));
-    workTimes.clear();
-    return drained;
+  /** Returns what was counted for the leader since the last report. */
+  LoadCounters counters() {
+    return counters;
   }
 
   /** Returns whether configuration and upstreams are known, so that callers can be served. */
@@ -561,34 +546,27 @@
 
   @Override
   public void countKey(String service, int key) {
-    keyCounts.computeIfAbsent(service, name -> new HashMap<>()).merge(key, 1, Integer::sum);
+    counters.countKey(service, key);
   }
 
   @Override
   public void countSlowness(UpstreamEntry upstream, double slowness) {
     if (isKeyed(upstream)) {
-      WorkTime.Builder workTime = workTime(upstream);
-      workTime
-          .setLoadReports(workTime.getLoadReports() + 1)
-          .setSlownessPercent(workTime.getSlownessPercent() + Math.round(100 * slowness));
+      counters.countSlowness(upstream, slowness);
     }
   }
 
   @Override
   public void countWork(UpstreamEntry upstream, double tookMs) {
     if (isKeyed(upstream)) {
-      WorkTime.Builder workTime = workTime(upstream);
-      workTime
-          .setAnswers(workTime.getAnswers() + 1)
-          .setTotalMs(workTime.getTotalMs() + Math.round(tookMs));
+      counters.countWork(upstream, tookMs);
     }
   }
 
   @Override
   public void countLimit(UpstreamEntry upstream, OptionalDouble perSecond) {
     if (isKeyed(upstream)) {
-      double known = perSecond.isPresent() ? Math.max(MIN_LIMIT, perSecond.getAsDouble()) : -1;
-      workTime(upstream).setLimitPerSecond(known);
+      counters.countLimit(upstream, perSecond);
     }
   }
 
@@ -597,11 +575,6 @@
         && configuration.findService(upstream.service()).map(ServicePolicy::keyed).orElse(false);
   }
 
-  private WorkTime.Builder workTime(UpstreamEntry upstream) {
-    return workTimes.computeIfAbsent(
-        upstream.id(), id -> WorkTime.newBuilder().setUpstream(id).setService(upstream.service()));
-  }
-
   @Override
   public void onLeaving(UpstreamEntry upstream) {
     markLeaving(upstream.id(), upstream.bornMs(), clock.nowMs());
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.BooleanSupplier;
 import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.StoreVersion;
@@ -33,18 +32,18 @@
   private final EntryRoutingState state;
   private final MillisClock clock;
   private final LossExchange losses;
-  private final BooleanSupplier cutOff;
+  private final UpstreamLinks links;
   private final RowPacker packer = new RowPacker();
 
   PeerMessages(
       EntryIdentity self,
       EntryRoutingState state,
       LossExchange losses,
-      BooleanSupplier cutOff,
+      UpstreamLinks links,
       MillisClock clock) {
     this.self = Assert.notNull(self, "self");
     this.state = Assert.notNull(state, "state");
-    this.cutOff = Assert.notNull(cutOff, "cutOff");
+    this.links = Assert.notNull(links, "links");
     this.losses = Assert.notNull(losses, "losses");
     this.clock = Assert.notNull(clock, "clock");
   }
@@ -66,8 +65,9 @@
 
   /** Returns a report to the leader that also contains the loads since the last one. */
   PeerReport loadReport(Optional<KnownLeader> leader) {
-    PeerReport.Builder report = report(leader).addAllWorkTimes(state.drainWorkTimes());
+    PeerReport.Builder report = report(leader).addAllWorkTimes(state.counters().drainWorkTimes());
     state
+        .counters()
         .drainKeyCounts()
         .forEach(
             (service, keys) ->
@@ -112,7 +112,7 @@
         .setLife(self.incarnation())
         .setHost(self.address().host())
         .setPort(self.address().port())
-        .setCutOff(cutOff.getAsBoolean());
+        .setCutOff(links.isCutOff());
   }
 
   /** Returns a message with some rows of a table, all of the era of this VM's copy. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
@@ -9,6 +9,7 @@
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.core.upstream.UpstreamPath;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.proxy.UpstreamPool;
 
@@ -16,13 +17,14 @@
  * Chooses other entry VMs that serve requests for which this VM reaches no upstream. Confined to
  * the event loop.
  */
-final class RequestRelay {
+public final class RequestRelay {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Load of a peer in another data centre, relative to one here; bytes between them are billed. */
   private static final double REMOTE_FACTOR = 2;
 
+  private final UpstreamPath path;
   private final RoutingView view;
   private final Function<UpstreamAddress, UpstreamPool> poolFactory;
   private final MillisClock clock;
@@ -33,16 +35,19 @@
   /**
    * Creates a relay without connections.
    *
+   * @param path whether this VM reaches upstreams
    * @param poolFactory creates the connection pool of an address
    * @param random source of numbers from 0 to 1, for the choice among equals
    * @param dataCentre data centre of this VM
    */
-  RequestRelay(
+  public RequestRelay(
+      UpstreamPath path,
       RoutingView view,
       Function<UpstreamAddress, UpstreamPool> poolFactory,
       MillisClock clock,
       DoubleSupplier random,
       String dataCentre) {
+    this.path = Assert.notNull(path, "path");
     this.view = Assert.notNull(view, "view");
     this.poolFactory = Assert.notNull(poolFactory, "poolFactory");
     this.clock = Assert.notNull(clock, "clock");
@@ -50,6 +55,10 @@
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
   }
 
+  UpstreamPath path() {
+    return path;
+  }
+
   /**
    * Sends a request to a peer that was not tried yet.
    *
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import java.util.function.Function;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.QueueAdmissionPolicy;
 import org.foxtailford.core.overload.WaitingRequest;
@@ -25,12 +24,10 @@
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.time.MillisClock;
-import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamPath;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
-import org.foxtailford.net.proxy.UpstreamPool;
 
 /**
  * Sends requests to upstreams, queues, retries or refuses them, by the policies of {@code
@@ -107,8 +104,7 @@
   /**
    * Creates a scheduler.
    *
-   * @param path whether this VM reaches upstreams
-   * @param peerPoolFactory creates the connection pool of another entry VM's address
+   * @param relay sends requests to other entry VMs while this one reaches no upstream
    * @param drainMs time after an upstream's leaving is known in which the last request must reach
    *     it, in milliseconds
    */
@@ -120,12 +116,10 @@
       ExchangeDialect dialect,
       RequestMetrics metrics,
       PoisonGuard poison,
-      UpstreamPath path,
-      Function<UpstreamAddress, UpstreamPool> peerPoolFactory,
+      RequestRelay relay,
       WindowedRetryBudget retryBudget,
       DoubleSupplier random,
-      String node,
-      String dataCentre,
+      VmLocation location,
       long drainMs) {
     this.loop = Assert.notNull(loop, "loop");
     this.clock = Assert.notNull(clock, "clock");
@@ -136,10 +130,9 @@
     this.retryBudget = Assert.notNull(retryBudget, "retryBudget");
     this.random = Assert.notNull(random, "random");
     this.registry = Assert.notNull(registry, "registry");
-    this.path = Assert.notNull(path, "path");
-    this.relay = new RequestRelay(view, peerPoolFactory, clock, random, dataCentre);
-    this.upstreams =
-        new UpstreamSelector(path, clock, view, registry, random, node, dataCentre, drainMs);
+    this.relay = Assert.notNull(relay, "relay");
+    this.path = relay.path();
+    this.upstreams = new UpstreamSelector(path, clock, view, registry, random, location, drainMs);
   }
 
   /** Replaces the retry budget after a change of the settings. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamSelector.java
@@ -74,17 +74,16 @@
       RoutingView view,
       UpstreamRegistry registry,
       DoubleSupplier random,
-      String node,
-      String dataCentre,
+      VmLocation location,
       long drainMs) {
     this.path = Assert.notNull(path, "path");
     this.clock = Assert.notNull(clock, "clock");
     this.view = Assert.notNull(view, "view");
     this.registry = Assert.notNull(registry, "registry");
-    this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
+    this.dataCentre = location.dataCentre();
     this.leavingOwnerMs = (long) (LEAVING_OWNER_SHARE * drainMs);
     this.chooser = new UpstreamChooser(random);
-    this.coldRateLimiter = new ColdUpstreamRateLimiter(node);
+    this.coldRateLimiter = new ColdUpstreamRateLimiter(location.node());
     this.ownerPacing = new OwnerSendPacing(view, clock, this::averageMs);
   }
 
