Stand-in of a link: a link that refuses may fall silent

In the series of cuts a link that went from refusing to silent found its listener closed; its thread ended, and it refused for good, also when it was to be sound again. The link listens again now. One more test: connections that live on while new ones are refused fall silent later; it holds with the code as it is. A change that resets such connections at each failed round of probes made no difference to it and was dropped.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/CutOffFromUpstreamsTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/CutOffFromUpstreamsTests.java
@@ -30,6 +30,7 @@
 
   private static final long WATCHED_MS = 4000;
   private static final long INTERVAL_MS = 50;
+  private static final int BURST = 60;
 
   private LinkedTestCluster cluster;
 
@@ -72,6 +73,24 @@
     checkServed(cluster.leader(), TcpLinkStandIn.State.REFUSING);
   }
 
+  // Connections that had lived on at first were used on and on after they had fallen silent.
+  @Test(timeOut = TIMEOUT_MS)
+  public void callersAreServedIfConnectionsThatLivedOnFallSilent() throws Exception {
+    int cutVm = (cluster.leader() + 1) % VMS;
+    cluster.setLinks(cutVm, TcpLinkStandIn.State.REFUSING);
+    EntryTestCluster.await("noticed", () -> isNoticedAfterBurst(cutVm));
+    checkServed(cutVm, TcpLinkStandIn.State.SILENT);
+  }
+
+  /** Sends more requests at once than there are connections. */
+  private boolean isNoticedAfterBurst(int vm) {
+    for (int i = 0; i < BURST; i++) {
+      cluster.send(vm, HttpMethod.GET, "/safe/x", id());
+    }
+    LinkedTestCluster.sleep(200);
+    return cluster.isCutOff(vm);
+  }
+
   private void checkServed(int cutVm, TcpLinkStandIn.State cut) throws Exception {
     cluster.setLinks(cutVm, cut);
     runFor(CONTACT_MS);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedTestCluster.java
@@ -94,6 +94,11 @@
     return leaders;
   }
 
+  /** Returns whether a VM takes itself for cut off from the upstreams. */
+  boolean isCutOff(int vm) {
+    return cluster.metrics(vm).contains("foxtailford_upstreams_cut_off 1");
+  }
+
   /** Returns how many times all upstreams without keys have run each request. */
   Map<String, Integer> runCounts() {
     Map<String, Integer> runs = new HashMap<>();
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
@@ -75,14 +75,17 @@
     ServerSocket listener = first;
     try {
       while (open) {
-        if (state == State.SOUND) {
+        State current = state;
+        if (current == State.SOUND || current == State.SILENT) {
           listener = listener.isClosed() ? listen(port) : listener;
+        }
+        if (current == State.SOUND) {
           accept(listener);
-        } else if (state == State.SILENT) {
+        } else if (current == State.SILENT) {
           hang(listener);
         } else {
           listener.close();
-          if (state == State.RESET) {
+          if (current == State.RESET) {
             closeSockets();
           }
           Thread.sleep(POLL_MS);
