--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
@@ -85,10 +85,7 @@
           hang(listener);
         } else {
           listener.close();
-          if (current == State.RESET) {
-            closeSockets();
-          }
-          Thread.sleep(POLL_MS);
+          refuse(current);
         }
       }
       listener.close();
@@ -132,6 +129,20 @@
     }
   }
 
+  /** Refuses connections, and keeps others from taking the port meanwhile. */
+  private void refuse(State refusing) throws IOException, InterruptedException {
+    try (Socket holder = new Socket()) {
+      holder.setReuseAddress(true);
+      holder.bind(new InetSocketAddress(loopback, port));
+      while (open && state == refusing) {
+        if (refusing == State.RESET) {
+          closeSockets();
+        }
+        Thread.sleep(POLL_MS);
+      }
+    }
+  }
+
   private void pump(Socket from, Socket to) {
     byte[] buffer = new byte[8 << 10];
     try {
