A cut-off VM probes the only upstream that is left

Read in the diff: a VM that was cut off and then knew one upstream, since the registrations of all others had lapsed, probed no more and stayed cut off for good (cutOffVmProbesTheOnlyUpstreamThatIsLeft failed). That one is not enough for a doubt is right, since it may have ended; it must be enough to end one. After: the seven tests of the path hold.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamPath.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamPath.java
@@ -79,12 +79,13 @@
    */
   public boolean isRoundDue(int silentUpstreams, int knownUpstreams) {
     long nowMs = clock.nowMs();
-    if (!probed.isEmpty() || nowMs < nextRoundMs || knownUpstreams < 2) {
-      return false; // one that can't be reached may have ended
+    if (!probed.isEmpty() || nowMs < nextRoundMs || knownUpstreams == 0) {
+      return false;
     }
     failedAtMs.values().removeIf(failedMs -> nowMs - failedMs > FAILURE_MEMORY_MS);
     int required = Math.min(MIN_UPSTREAMS, knownUpstreams);
-    return cutOff || failedAtMs.size() >= required || isSilent() && silentUpstreams >= required;
+    boolean doubtful = failedAtMs.size() >= required || isSilent() && silentUpstreams >= required;
+    return cutOff || doubtful && knownUpstreams > 1; // a single one may have ended
   }
 
   /** Begins a round of probes, each of which is to be recorded by {@link #recordProbe}. */
--- a/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamPathTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamPathTests.java
@@ -76,6 +76,17 @@
     assertThat(path.isRoundDue(1, 1)).isFalse();
   }
 
+  // A cut-off VM that knew one upstream at last probed no more, and stayed cut off for good.
+  @Test
+  public void cutOffVmProbesTheOnlyUpstreamThatIsLeft() {
+    fail("u1", "u2", "u3");
+    path.beginRound(List.of("u1"));
+    path.recordProbe("u1", false);
+    nowMs += 200;
+    assertThat(path.isRoundDue(0, 0)).isFalse();
+    assertThat(path.isRoundDue(0, 1)).isTrue();
+  }
+
   @Test
   public void oldFailuresRaiseNoDoubt() {
     fail("u1", "u2");
