--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -143,24 +143,12 @@
             path, routingState, upstreamRegistry, scheduler::onPathChanged, clock, loop, random);
     control =
         new EntryControl(
-            new EntryIdentity(
-                settings.node(),
-                incarnation,
-                settings.dataCentre(),
-                settings.peers(),
-                settings.callers().port(),
-                settings.processorShare(),
-                settings.linkMbps(),
-                settings.firstStart()),
+            identity(settings, incarnation),
             settings.seeds(),
             new HttpRowStore(
                 new PooledHttpClient(loops, STORE_CONNECTIONS, MAX_ANSWER_BYTES), settings.store()),
             rows,
-            new UpstreamLinks(
-                new HttpRangeCommandClient(
-                    new SessionClient(loops, MAX_HEAD_BYTES),
-                    new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
-                path::isCutOff),
+            upstreamLinks(),
             routingState,
             losses,
             new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_MESSAGE_BYTES),
@@ -177,6 +165,26 @@
     shutdown = new GracefulShutdown(callers, scheduler, clock, loop);
   }
 
+  private static EntryIdentity identity(EntrySettings settings, long incarnation) {
+    return new EntryIdentity(
+        settings.node(),
+        incarnation,
+        settings.dataCentre(),
+        settings.peers(),
+        settings.callers().port(),
+        settings.processorShare(),
+        settings.linkMbps(),
+        settings.firstStart());
+  }
+
+  private UpstreamLinks upstreamLinks() {
+    return new UpstreamLinks(
+        new HttpRangeCommandClient(
+            new SessionClient(loops, MAX_HEAD_BYTES),
+            new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
+        path::isCutOff);
+  }
+
   private void onUpstreamLost(PoisonReport report) {
     control.onUpstreamLost(report);
   }
