Logs and metrics that tell the hypotheses on CONFIG and GONE apart

GONE: H1 (the end isn't noticed) shows as unread connections, 'connection of a caller was not read', and no 'caller gone'; H2 (the event loop is behind) as 'event loop delayed' and its histogram; H3 (passed on late) as a count in 'caller gone' and the histogram of the work after it. CONFIG: H1 (a peer decides again) shows as the version in 'request relayed' against that of the peer's line; H2 (a slow VM) as ageMs and tookMs of 'configuration in force'. None of these lines existed; no decision changes.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -320,6 +320,7 @@
           pathMonitor.start();
           quotas.start();
           scheduler.start();
+          new EventLoopMonitor(loop, clock, registry).start();
         });
     logger
         .atInfo()
@@ -333,6 +334,7 @@
     gauge("foxtailford.calls", () -> scheduler.activeRequests());
     gauge("foxtailford.waiting", () -> scheduler.waitingRequests());
     gauge("foxtailford.connections.callers", () -> callers.connections());
+    gauge("foxtailford.connections.callers.unread", () -> callers.unreadConnections());
     gauge("foxtailford.connections.begun", () -> upstreamRegistry.connects());
     gauge("foxtailford.upstreams", () -> routingState.upstreams().size());
     gauge("foxtailford.rows.unreadable", () -> routingState.unreadableRows());
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -314,6 +314,7 @@
   }
 
   private boolean applyConfiguration(Row row) {
+    long beganMs = clock.nowMs();
     RoutingConfiguration candidate = platform.readConfiguration(row);
     RoutingConfiguration current = configuration;
     if (current != null && candidate.version() <= current.version()) {
@@ -324,6 +325,8 @@
         .atInfo()
         .with(EventFields.VERSION, candidate.version())
         .with(EventFields.COUNT, (long) candidate.services().size())
+        .with(EventFields.AGE_MS, configurationAgeMs())
+        .with(EventFields.TOOK_MS, clock.nowMs() - beganMs)
         .log("configuration in force");
     return true;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/metrics/MicrometerRequestMetrics.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/metrics/MicrometerRequestMetrics.java
@@ -43,6 +43,7 @@
   private final MeterRegistry registry;
   private final Map<String, Timer> answers = new HashMap<>();
   private final Map<String, Timer> waits = new HashMap<>();
+  private final Map<String, Timer> abandonedWork = new HashMap<>();
   private final Map<String, Counter> counters = new HashMap<>();
   private final Map<String, DistributionSummary> costs = new HashMap<>();
   private final Map<String, Counter> quotas = new HashMap<>();
@@ -142,6 +143,19 @@
     timer.record(waitedMs, TimeUnit.MILLISECONDS);
   }
 
+  @Override
+  public void recordWorkAfterCaller(String outcome, long tookMs) {
+    getOrCreate(
+            abandonedWork,
+            outcome,
+            label ->
+                Timer.builder("foxtailford.callers.gone.work")
+                    .tag("outcome", label)
+                    .serviceLevelObjectives(LATENCY_BUCKETS)
+                    .register(registry))
+        .record(tookMs, TimeUnit.MILLISECONDS);
+  }
+
   @Override
   public void recordCost(String service, double expectedMs, double actualMs) {
     costSummary("foxtailford.cost.expected", service).record(expectedMs);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -47,6 +47,7 @@
   private boolean refused;
   private boolean accepted;
   private boolean closed;
+  private boolean abandoned;
   private int droppedBytes;
 
   /**
@@ -351,6 +352,7 @@
 
   final void abandon() {
     if (!closed) {
+      abandoned = true;
       close();
       if (send != null) {
         send.abandon();
@@ -364,6 +366,7 @@
     if (!closed) {
       closed = true;
       onClosed();
+      call.onAttemptClosed(abandoned);
     }
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -62,6 +62,7 @@
   private long disownedFence;
   private boolean finished;
   private boolean settled;
+  private OptionalLong callerGoneMs = OptionalLong.empty();
   private long waitsUntilMs;
   private long waitingSinceMs;
   private @Nullable RequestCost cost;
@@ -475,8 +476,17 @@
   @Override
   public void onCallerGone() {
     if (!finished) {
-      scheduler.log().callerGone(this);
+      callerGoneMs = OptionalLong.of(scheduler.nowMs());
       finish();
+      scheduler.log().callerGone(this, activeAttempts.size());
+    }
+  }
+
+  /** Records the end of an attempt, for whatever reason. */
+  void onAttemptClosed(boolean abandoned) {
+    if (callerGoneMs.isPresent()) {
+      long tookMs = scheduler.nowMs() - callerGoneMs.getAsLong();
+      scheduler.metrics().recordWorkAfterCaller(abandoned ? "abandoned" : "left to run", tookMs);
     }
   }
 
@@ -537,6 +547,7 @@
     for (Attempt attempt : List.copyOf(activeAttempts)) {
       if (route.kind().isIdempotent() || !attempt.isSent() || !exchange.isBodyComplete()) {
         attempt.abandon();
+        activeAttempts.remove(attempt);
       } else {
         scheduler.schedule(overdueDelayMs(), attempt::abandonOverdue);
       }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestLog.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestLog.java
@@ -63,9 +63,13 @@
         .log("answer aborted");
   }
 
-  /** Logs that the caller closed its connection before the answer. */
-  void callerGone(RequestCall call) {
-    describe(logger.atInfo(), call).log("caller gone");
+  /**
+   * Logs that the caller closed its connection before the answer.
+   *
+   * @param leftToRun number of attempts that go on, since they must not be ended
+   */
+  void callerGone(RequestCall call, int leftToRun) {
+    describe(logger.atInfo(), call).with(EventFields.COUNT, (long) leftToRun).log("caller gone");
   }
 
   private FluentLogger.Api describe(FluentLogger.Api line, RequestCall call) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestMetrics.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestMetrics.java
@@ -24,6 +24,13 @@
   /** Records the decision on a request of a tenant with a limit. */
   void recordQuota(String tenant, String outcome);
 
+  /**
+   * Records how long an attempt went on after its caller was known to have left, in milliseconds.
+   *
+   * @param outcome {@code abandoned}, or {@code left to run} if it must not be ended
+   */
+  void recordWorkAfterCaller(String outcome, long tookMs);
+
   /** Records how long a queued request waited before it was sent, in milliseconds. */
   void recordWait(String service, long waitedMs);
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
@@ -82,6 +82,7 @@
               .atInfo()
               .with(EventFields.REQUEST, call.requestId())
               .with(EventFields.SERVICE, call.service().name())
+              .with(EventFields.VERSION, call.configurationVersion())
               .with(EventFields.NODE, handle.peer().node())
               .with(EventFields.ATTEMPTS, (long) call.deliveries())
               .with(EventFields.LEFT_MS, call.terms().deadlineMs() - clock.nowMs())
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -73,6 +73,8 @@
   private final ByteBudget.Share unsent;
   private long bodyBytes;
   private boolean bodyPaused;
+  private boolean unread;
+  private long unreadSinceMs;
   private boolean closing;
   private boolean draining;
   private long idleSinceMs;
@@ -229,10 +231,25 @@
         exchange == null
             ? unsent.heldBytes() >= MAX_QUEUED_ANSWER_BYTES
             : exchange.isBodyBufferFull() || bodyPaused || !exchange.isStarted();
-    context()
-        .channel()
-        .config()
-        .setAutoRead(!paused && exchanges.size() < MAX_CONCURRENT_EXCHANGES);
+    setUnread(paused || exchanges.size() >= MAX_CONCURRENT_EXCHANGES);
+  }
+
+  private void setUnread(boolean newUnread) {
+    if (newUnread == unread) {
+      return;
+    }
+    unread = newUnread;
+    context().channel().config().setAutoRead(!unread);
+    if (unread) {
+      unreadSinceMs = clock.nowMs();
+    } else {
+      server.onReadAgain(clock.nowMs() - unreadSinceMs);
+    }
+  }
+
+  /** Returns whether reading is paused. */
+  boolean isUnread() {
+    return unread;
   }
 
   boolean isFirst(CallerExchange exchange) {
@@ -326,7 +343,7 @@
       return;
     }
     SocketChannel channel = (SocketChannel) context().channel();
-    channel.config().setAutoRead(true);
+    setUnread(false);
     flushed.addListener(
         ignored -> {
           channel.shutdownOutput();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpLimits;
@@ -35,6 +36,9 @@
 
   private static final long TIMEOUT_CHECK_INTERVAL_MS = 500;
 
+  /** Time without reading from a connection from which a line is logged, in milliseconds. */
+  private static final long LOGGED_UNREAD_MS = 500;
+
   private final EventLoopGroup loop;
   private final CallerHandler handler;
   private final CallerLimitsSource limits;
@@ -186,6 +190,25 @@
     }
   }
 
+  /**
+   * Returns the number of connections that are not read until earlier requests are answered, or
+   * until there is room; the end of such a connection is not noticed.
+   */
+  public int unreadConnections() {
+    return (int) connections.stream().filter(CallerConnection::isUnread).count();
+  }
+
+  /** Reports that a connection is read again after a time, in milliseconds. */
+  void onReadAgain(long unreadMs) {
+    if (unreadMs >= LOGGED_UNREAD_MS) {
+      logger
+          .atInfo()
+          .atMostEvery(1, TimeUnit.SECONDS)
+          .with(EventFields.TOOK_MS, unreadMs)
+          .log("connection of a caller was not read");
+    }
+  }
+
   /** Returns the number of open connections. */
   public int connections() {
     return connections.size();
