Callers' connections are read on while their requests wait

Callers saw nothing; upstreams worked on, and were sent requests, for callers that had closed their connection (GONE).

Cause: the end of a connection is found only by reading up to it, and a caller's connection was not read while 16 of its requests were unanswered, or while a body waited for earlier answers. Its requests ran until their time limit, waiting ones were sent, and what was relayed went on too. Ruled out: a path that hears of the end and doesn't pass it on (queue, relay, half body: all hold once the end is noticed); an event loop that is behind (the tests run on idle ones).

A held request counts from the time at which it was received, not from its turn. What remains: the end of a caller that has sent more than 64 KB behind its unanswered requests is noticed when reading goes on.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/overload/ByteBudget.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/ByteBudget.java
@@ -67,6 +67,11 @@
     return heldBytes;
   }
 
+  /** Returns whether more bytes fit. */
+  public boolean hasRoom() {
+    return heldBytes < maxBytes;
+  }
+
   /** Returns the number of holders that wait for room. */
   public int waiting() {
     return waitingBelowShare.size() + waitingAboveShare.size();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -43,7 +43,7 @@
   /** Queued bytes from which an answer behind earlier ones is no longer writable. */
   static final int MAX_QUEUED_ANSWER_BYTES = 128 << 10;
 
-  /** Maximum number of unanswered requests per connection; reading is paused at this number. */
+  /** Maximum number of unanswered requests per connection; further ones are held unread. */
   private static final int MAX_CONCURRENT_EXCHANGES = 16;
 
   /**
@@ -67,14 +67,13 @@
   private final CallerLimitsSource limits;
   private final MillisClock clock;
   private final CallerServer server;
+  private final ReadAhead readAhead;
   private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
   private @Nullable ChannelHandlerContext context;
   private @Nullable CallerExchange incoming;
   private final ByteBudget.Share unsent;
   private long bodyBytes;
   private boolean bodyPaused;
-  private boolean unread;
-  private long unreadSinceMs;
   private boolean closing;
   private boolean draining;
   private long idleSinceMs;
@@ -82,8 +81,13 @@
   private long lastSentMs;
 
   CallerConnection(
-      CallerServer server, CallerHandler handler, CallerLimitsSource limits, MillisClock clock) {
+      CallerServer server,
+      ReadAhead readAhead,
+      CallerHandler handler,
+      CallerLimitsSource limits,
+      MillisClock clock) {
     this.server = server;
+    this.readAhead = readAhead;
     this.handler = handler;
     this.limits = limits;
     this.clock = clock;
@@ -125,7 +129,7 @@
 
   private CallerExchange newExchange(HttpRequest request) {
     RequestBody body = new RequestBody(server.buffers().bodies());
-    return new CallerExchange(this, request, body, clock.nowMs());
+    return new CallerExchange(this, request, body, readAhead.receivedMs());
   }
 
   private void onHead(HttpRequest request) {
@@ -152,7 +156,7 @@
       }
       startReadyRequests();
     }
-    updateAutoRead();
+    updateReading();
   }
 
   private void reject(CallerExchange exchange, int status, String reason) {
@@ -213,43 +217,30 @@
     if (!ready && exchange.isBodyReady() && exchange.isStarted() && exchange.isOpen()) {
       exchange.fireBodyReady();
     }
-    updateAutoRead();
+    updateReading();
   }
 
   void pauseBody(boolean pause) {
     bodyPaused = pause;
-    updateAutoRead();
+    updateReading();
   }
 
   /**
-   * Enables reading unless the body is paused, has to wait for earlier answers, or too much is
+   * Takes further bytes unless the body is paused, has to wait for earlier answers, or too much is
    * unanswered or unsent.
    */
-  void updateAutoRead() {
+  void updateReading() {
     CallerExchange exchange = incoming;
     boolean paused =
         exchange == null
             ? unsent.heldBytes() >= MAX_QUEUED_ANSWER_BYTES
             : exchange.isBodyBufferFull() || bodyPaused || !exchange.isStarted();
-    setUnread(paused || exchanges.size() >= MAX_CONCURRENT_EXCHANGES);
+    readAhead.setPaused(paused || exchanges.size() >= MAX_CONCURRENT_EXCHANGES);
   }
 
-  private void setUnread(boolean newUnread) {
-    if (newUnread == unread) {
-      return;
-    }
-    unread = newUnread;
-    context().channel().config().setAutoRead(!unread);
-    if (unread) {
-      unreadSinceMs = clock.nowMs();
-    } else {
-      server.onReadAgain(clock.nowMs() - unreadSinceMs);
-    }
-  }
-
-  /** Returns whether reading is paused. */
+  /** Returns whether the connection is not read, so that its end is not noticed. */
   boolean isUnread() {
-    return unread;
+    return readAhead.isUnread();
   }
 
   boolean isFirst(CallerExchange exchange) {
@@ -295,7 +286,7 @@
     boolean paused = unsent.heldBytes() >= MAX_QUEUED_ANSWER_BYTES;
     unsent.release(bytes);
     if (paused && unsent.heldBytes() < MAX_QUEUED_ANSWER_BYTES) {
-      updateAutoRead();
+      updateReading();
     }
   }
 
@@ -328,7 +319,7 @@
     }
     idleSinceMs = clock.nowMs();
     startReadyRequests();
-    updateAutoRead();
+    updateReading();
   }
 
   /**
@@ -343,7 +334,7 @@
       return;
     }
     SocketChannel channel = (SocketChannel) context().channel();
-    setUnread(false);
+    readAhead.discard();
     flushed.addListener(
         ignored -> {
           channel.shutdownOutput();
@@ -390,7 +381,7 @@
   }
 
   boolean isIdle() {
-    return exchanges.isEmpty() && headStartedMs == 0;
+    return exchanges.isEmpty() && headStartedMs == 0 && readAhead.isEmpty();
   }
 
   /** Closes an idle connection once its last answer is flushed. */
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -138,7 +138,7 @@
   /** Stops buffering: passes the rest of the body to the listener, and resumes reading. */
   public void streamBody() {
     bodyStreaming = true;
-    connection.updateAutoRead();
+    connection.updateReading();
   }
 
   /** Pauses or resumes the reading of a streamed body. */
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
@@ -92,10 +92,12 @@
   }
 
   private void addHandlers(SocketChannel channel) {
-    CallerConnection connection = new CallerConnection(this, handler, limits, clock);
+    ReadAhead readAhead = new ReadAhead(this, clock);
+    CallerConnection connection = new CallerConnection(this, readAhead, handler, limits, clock);
     int maxHead = limits.get().maxHeaderBytes();
     channel
         .pipeline()
+        .addLast(readAhead)
         .addLast(new ReceiveNotifier(connection))
         .addLast(new RequestDecoder(new HttpLimits(maxHead, Integer.MAX_VALUE)))
         .addLast(new HttpResponseEncoder())
@@ -158,6 +160,12 @@
         "connection of a slow caller cut off, unsent answers are over twice their budget");
   }
 
+  /** Reports a connection that is cut off because the budget of held requests is overdrawn. */
+  void onReadAheadCut() {
+    logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+        "connection of a caller cut off, requests read ahead are over twice their budget");
+  }
+
   void onConnectionFailure(Throwable cause) {
     if (cause instanceof IOException) {
       logger.atFine().log("caller connection lost: %s", cause);
@@ -191,8 +199,8 @@
   }
 
   /**
-   * Returns the number of connections that are not read until earlier requests are answered, or
-   * until there is room; the end of such a connection is not noticed.
+   * Returns the number of connections that are not read, since as much was read ahead as may be
+   * held; the end of such a connection is not noticed.
    */
   public int unreadConnections() {
     return (int) connections.stream().filter(CallerConnection::isUnread).count();
--- /dev/null
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
@@ -0,0 +1,162 @@
+package org.foxtailford.net.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.foxtailford.core.overload.ByteBudget;
+import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.util.Assert;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads on, up to a limit, while the requests of a caller's connection are not taken, and holds
+ * what it has read.
+ *
+ * <p>The end of a connection is found only by reading up to it. A connection that was not read
+ * while its requests wait would keep upstreams at work for a caller that has left. Confined to the
+ * connection's event loop.
+ */
+final class ReadAhead extends ChannelInboundHandlerAdapter {
+
+  /** Bytes held from which a connection is not read; some two hundred pipelined requests. */
+  static final int MAX_HELD_BYTES = 64 << 10;
+
+  private final CallerServer server;
+  private final MillisClock clock;
+  private final ByteBudget budget;
+  private final ByteBudget.Share share;
+  private final Deque<HeldBytes> held = new ArrayDeque<>();
+  private @Nullable ChannelHandlerContext context;
+  private boolean paused;
+  private boolean discarding;
+  private boolean passScheduled;
+  private boolean unread;
+  private long unreadSinceMs;
+  private long receivedMs;
+
+  /** Bytes of one read, with the time at which they were received. */
+  private record HeldBytes(ByteBuf bytes, long receivedMs) {
+
+    int size() {
+      return bytes.readableBytes() + CallerBuffers.PART_OVERHEAD_BYTES;
+    }
+  }
+
+  ReadAhead(CallerServer server, MillisClock clock) {
+    this.server = Assert.notNull(server, "server");
+    this.clock = Assert.notNull(clock, "clock");
+    this.budget = server.buffers().readAhead();
+    this.share = budget.open(() -> {}, this::onCut);
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
+
+  private ChannelHandlerContext context() {
+    return Assert.notNull(context, "context");
+  }
+
+  /** Returns when the bytes that are being passed on were received, in milliseconds. */
+  long receivedMs() {
+    return receivedMs;
+  }
+
+  /** Returns whether nothing is held. */
+  boolean isEmpty() {
+    return held.isEmpty();
+  }
+
+  /** Returns whether the connection is not read, so that its end is not noticed. */
+  boolean isUnread() {
+    return unread;
+  }
+
+  /** Holds what is read from now on, or passes it on, the held bytes first. */
+  void setPaused(boolean newPaused) {
+    paused = newPaused;
+    if (!paused && !held.isEmpty() && !passScheduled) {
+      passScheduled = true;
+      context().executor().execute(this::passHeld); // the connection may be amid a change
+    }
+    updateReading();
+  }
+
+  /** Drops what is held, and all that is still read. */
+  void discard() {
+    discarding = true;
+    releaseHeld();
+    updateReading();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (discarding && message instanceof ByteBuf) {
+      ((ByteBuf) message).release();
+    } else if (message instanceof ByteBuf && (paused || !held.isEmpty())) {
+      hold((ByteBuf) message);
+    } else {
+      receivedMs = clock.nowMs();
+      ctx.fireChannelRead(message);
+    }
+  }
+
+  /** Copies bytes, since read buffers may be many times larger than what they contain. */
+  private void hold(ByteBuf bytes) {
+    HeldBytes copy = new HeldBytes(Unpooled.copiedBuffer(bytes), clock.nowMs());
+    bytes.release();
+    held.add(copy);
+    share.add(copy.size());
+    updateReading();
+  }
+
+  private void passHeld() {
+    passScheduled = false;
+    while (!paused && !held.isEmpty()) {
+      HeldBytes next = held.poll();
+      share.release(next.size());
+      receivedMs = next.receivedMs();
+      context().fireChannelRead(next.bytes());
+    }
+    updateReading();
+  }
+
+  private void updateReading() {
+    boolean full =
+        share.heldBytes() >= MAX_HELD_BYTES || paused && !budget.hasRoom() && !held.isEmpty();
+    boolean stop = full && !discarding;
+    if (stop == unread) {
+      return;
+    }
+    unread = stop;
+    context().channel().config().setAutoRead(!stop);
+    if (stop) {
+      unreadSinceMs = clock.nowMs();
+    } else {
+      server.onReadAgain(clock.nowMs() - unreadSinceMs);
+    }
+  }
+
+  private void onCut() {
+    server.onReadAheadCut();
+    context().close();
+  }
+
+  private void releaseHeld() {
+    held.forEach(part -> part.bytes().release());
+    held.clear();
+    share.release(share.heldBytes());
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    discarding = true;
+    releaseHeld();
+    share.close();
+    ctx.fireChannelInactive();
+  }
+}
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
@@ -69,9 +69,10 @@
     rejections.clear();
     nowMs = 0;
     writes = new DeferredWrites();
+    ReadAhead readAhead = new ReadAhead(server, () -> nowMs);
     CallerConnection connection =
-        new CallerConnection(server, handler, () -> CallerLimits.DEFAULT, () -> nowMs);
-    return new EmbeddedChannel(writes, connection);
+        new CallerConnection(server, readAhead, handler, () -> CallerLimits.DEFAULT, () -> nowMs);
+    return new EmbeddedChannel(readAhead, writes, connection);
   }
 
   private static DefaultFullHttpRequest request(HttpMethod method, String path) {
