Failing test: a relayed request is run as an older configuration says

Reports come 0.4 to 0.9 s apart, so a VM in touch may be that far behind another one, and one that lost touch for longer.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedRows.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedRows.java
@@ -2,9 +2,11 @@
 
 import java.util.Optional;
 import java.util.function.IntUnaryOperator;
+import java.util.function.LongSupplier;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.Row;
+import org.foxtailford.core.store.UnreadableRowException;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.platform.JsonPlatformRows;
@@ -14,14 +16,17 @@
 
   private final PlatformRows rows = new JsonPlatformRows();
   private final IntUnaryOperator linkPort;
+  private final LongSupplier lastVersion;
 
   /**
    * Creates the rows.
    *
    * @param linkPort port of the link to an upstream, by the upstream's port
+   * @param lastVersion last version of the configuration that the VM takes in
    */
-  LinkedRows(IntUnaryOperator linkPort) {
+  LinkedRows(IntUnaryOperator linkPort, LongSupplier lastVersion) {
     this.linkPort = linkPort;
+    this.lastVersion = lastVersion;
   }
 
   @Override
@@ -57,7 +62,11 @@
 
   @Override
   public RoutingConfiguration readConfiguration(Row row) {
-    return rows.readConfiguration(row);
+    RoutingConfiguration configuration = rows.readConfiguration(row);
+    if (configuration.version() > lastVersion.getAsLong()) {
+      throw new UnreadableRowException("this VM is kept behind");
+    }
+    return configuration;
   }
 
   @Override
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedTestCluster.java
@@ -22,6 +22,7 @@
   private final Map<Integer, List<TcpLinkStandIn>> links = new ConcurrentHashMap<>();
   private final Map<Integer, Map<Integer, TcpLinkStandIn>> linksByTarget =
       new ConcurrentHashMap<>();
+  private final Map<Integer, Long> lastVersions = new ConcurrentHashMap<>();
   private final List<EntryVm> vms = new ArrayList<>();
 
   /** Starts VMs and waits until they serve requests of all kinds. */
@@ -54,7 +55,9 @@
             "vm-" + (vm + 1),
             vm == 0 ? List.of() : List.of(cluster.settings(0).peers()),
             cluster.storeAddress(),
-            new LinkedRows(target -> portByTarget.computeIfAbsent(target, t -> link(vm, t)))));
+            new LinkedRows(
+                target -> portByTarget.computeIfAbsent(target, t -> link(vm, t)),
+                () -> lastVersions.getOrDefault(vm, Long.MAX_VALUE))));
   }
 
   private int link(int vm, int targetPort) {
@@ -78,6 +81,11 @@
     linksByTarget.get(vm).get(cluster.upstream(upstream).port()).setState(state);
   }
 
+  /** Keeps a VM from taking in configurations after a version. */
+  void keepBehind(int vm, long lastVersion) {
+    lastVersions.put(vm, lastVersion);
+  }
+
   /** Returns the cluster without its links. */
   EntryTestCluster cluster() {
     return cluster;
