A relayed request is not run by an older configuration than it was taken under

Callers of a VM that reaches few or no upstreams saw a confirmed change undone: their requests, relayed, were run by the service of an older version (CONFIG, older again).

Cause: a relayed request is matched anew at the second VM, by that VM's own version, and neither VM knew the other's. Class: two VMs that decide about the same request by different copies. Ruled out by reading: queued, retried and hedged requests (decided once, at the first VM, after they were sent); a VM's own version (never goes back).

A relay states the version under which the request was taken. A VM with an older one refuses, which is truthful: the request has not run, another VM is tried, and this one asks for the newer version at once. A VM with a newer one serves the request and states its version, so that the first VM asks for it at once: else its own next requests would go back. VMs of earlier builds ignore the field and get none in answers.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -282,6 +282,11 @@
       control.refreshOwners();
     }
 
+    @Override
+    public void onNewerConfiguration() {
+      control.refreshConfiguration();
+    }
+
     @Override
     public void onLeaving() {
       control.reportEarly();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlTiming.java
@@ -83,8 +83,11 @@
    */
   static final long LEADER_MEMBER_POLL_MS = 3000;
 
-  /** Interval between early reports after an owner has rejected a key, in milliseconds. */
-  static final long OWNER_REFRESH_MS = 120;
+  /**
+   * Interval between early reports, after an owner has rejected a key or another VM had a newer
+   * configuration, in milliseconds.
+   */
+  static final long REFRESH_MS = 120;
 
   /**
    * Upper bound of the random delay of a candidate for leadership, in milliseconds; it keeps
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -62,18 +62,17 @@
   private final LeaderElection election;
   private final KeyLoads loads = new KeyLoads();
   private final TableReaders readers;
+  private final PeerQueries queries;
   private final String upstreamTable;
   private Optional<KnownLeader> leader = Optional.empty();
   private @Nullable LeaderTasks tasks;
   private boolean started;
   private boolean reportInFlight;
   private boolean connectionRefused;
-  private boolean queryInFlight;
   private boolean stopping;
   private boolean storeReached = true;
   private long nextReportMs;
   private long nextRefreshMs;
-  private long nextQueryMs;
   private long leaderContactMs;
   private long knownPauseMs;
   private long knownEra;
@@ -132,6 +131,8 @@
             self.firstStart(),
             this::onLeaderObserved,
             this::onLeadershipAcquired);
+    this.queries =
+        new PeerQueries(peers, registry, messages, losses, address, ages, loop, this::onPeerReply);
     readers = new TableReaders(platform, store, state, clock, loop, () -> started = true);
   }
 
@@ -184,7 +185,7 @@
       }
     }
     if (needsPeers()) {
-      queryAnyPeer(nowMs);
+      queries.query(leader, nowMs);
     }
     updateStoreState(nowMs);
   }
@@ -348,36 +349,9 @@
     }
   }
 
-  private void queryAnyPeer(long nowMs) {
-    if (queryInFlight || nowMs < nextQueryMs) {
-      return;
-    }
-    Optional<UpstreamAddress> peer = registry.pickRandom(address);
-    if (peer.isEmpty()) {
-      return;
-    }
-    queryInFlight = true;
-    long lossesNumber = losses.lastNumber();
-    long asOfMs = ages.nowMs();
-    nextQueryMs = nowMs + ControlTiming.PEER_QUERY_MS;
-    peers
-        .send(peer.get(), messages.report(leader).build(), ControlTiming.PEER_TIMEOUT_MS)
-        .whenCompleteAsync(
-            (reply, failure) -> {
-              queryInFlight = false;
-              if (failure == null) {
-                applyReply(reply, asOfMs);
-                losses.onReply(reply, lossesNumber);
-              } else {
-                logger
-                    .atInfo()
-                    .atMostEvery(1, TimeUnit.SECONDS)
-                    .with(EventFields.NODE, peer.get().toString())
-                    .with(EventFields.REASON, String.valueOf(failure))
-                    .log("peer did not answer");
-              }
-            },
-            loop);
+  private void onPeerReply(PeerReply reply, long asOfMs, long lossesNumber) {
+    applyReply(reply, asOfMs);
+    losses.onReply(reply, lossesNumber);
   }
 
   private void onLeaderObserved(KnownLeader observed) {
@@ -566,12 +540,21 @@
 
   /** Requests the owners of keys early, because an owner has rejected a key. */
   public void refreshOwners() {
+    refresh(readers::readOwners);
+  }
+
+  /** Requests the configuration early, because another VM has a newer one. */
+  public void refreshConfiguration() {
+    refresh(readers::readOperators);
+  }
+
+  private void refresh(Runnable read) {
     long nowMs = clock.nowMs();
     if (tasks == null && nowMs >= nextRefreshMs) {
-      nextRefreshMs = nowMs + ControlTiming.OWNER_REFRESH_MS;
+      nextRefreshMs = nowMs + ControlTiming.REFRESH_MS;
       nextReportMs = Math.min(nextReportMs, nowMs);
       if (nowMs - leaderContactMs > reportIntervalMs() + ControlTiming.PEER_TIMEOUT_MS) {
-        readers.readOwners();
+        read.run();
       }
     }
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryRoutingState.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.foxtailford.core.event.EventFields;
-import org.foxtailford.core.range.KeyRange;
 import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.range.RangeMap;
@@ -59,6 +58,9 @@
     /** Called when the registered owner of a key has rejected it. */
     void onWrongOwner();
 
+    /** Called when another VM has a newer configuration than this one. */
+    void onNewerConfiguration();
+
     /** Called when an upstream has said for the first time that it is leaving. */
     void onLeaving();
 
@@ -72,15 +74,6 @@
    */
   static final long ERA_GRACE_MS = 5000;
 
-  /**
-   * Time for which a move is believed to go on if no newer map comes, in milliseconds; requests do
-   * not wait for longer.
-   */
-  private static final long MAX_MOVE_MS = 1200;
-
-  /** Range that the leader takes away from its owner; later assignments have a higher fence. */
-  private record Move(KeyRange range, long fence, long untilMs) {}
-
   private final PlatformRows platform;
   private final MillisClock clock;
   private final String node;
@@ -97,7 +90,7 @@
   private @Nullable Listener listener;
   private long unreadableRows;
   private final Map<String, Long> eraBeganMs = new HashMap<>();
-  private final Map<String, List<Move>> moves = new HashMap<>();
+  private final RangeMoves moves = new RangeMoves();
   private boolean upstreamsKnown;
   private Consumer<LossRecord> lossListener = loss -> {};
 
@@ -486,24 +479,12 @@
 
   /** Records that the leader has begun to take ranges away from their owners. */
   void recordMoves(String service, List<RangeAssignment> ranges, long nowMs) {
-    List<Move> current = moves.computeIfAbsent(service, name -> new ArrayList<>());
-    current.removeIf(move -> nowMs >= move.untilMs());
-    ranges.forEach(
-        range -> current.add(new Move(range.range(), range.fence(), nowMs + MAX_MOVE_MS)));
+    moves.record(service, ranges, nowMs);
   }
 
   @Override
   public boolean isBeingMoved(String service, int key, long fence) {
-    long nowMs = clock.nowMs();
-    for (Move move : moves.getOrDefault(service, List.of())) {
-      if (move.range().first() <= key
-          && key <= move.range().last()
-          && nowMs < move.untilMs()
-          && fence < move.fence()) {
-        return true;
-      }
-    }
-    return false;
+    return moves.contains(service, key, fence, clock.nowMs());
   }
 
   @Override
@@ -583,6 +564,19 @@
     markLeaving(upstream.id(), upstream.bornMs(), clock.nowMs());
   }
 
+  @Override
+  public void onConfigurationHeardOf(long version) {
+    if (listener != null && configuration != null && version > configuration.version()) {
+      logger
+          .atInfo()
+          .atMostEvery(1, TimeUnit.SECONDS)
+          .with(EventFields.VERSION, version)
+          .with(EventFields.AGE_MS, configurationAgeMs())
+          .log("newer configuration heard of");
+      listener.onNewerConfiguration();
+    }
+  }
+
   @Override
   public void onWrongOwner(String service, int key) {
     logger
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TableReaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TableReaders.java
@@ -129,6 +129,11 @@
     owners.poll();
   }
 
+  /** Reads what operators wrote at once. */
+  void readOperators() {
+    operators.poll();
+  }
+
   /** Returns the time since a read of any table that succeeded was sent, in milliseconds. */
   long lastSuccessAgeMs() {
     return ages.nowMs() - lastSuccessMs;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -245,6 +245,9 @@
   }
 
   private void beginAnswer(HttpResponse answer, Optional<Long> contentLength) {
+    if (RelayHeaders.version(call.exchange().headers()).isPresent()) {
+      RelayHeaders.setVersion(answer.headers(), call.configurationVersion());
+    }
     call.exchange().begin(answer.status().code(), answer.headers(), contentLength);
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
@@ -69,6 +69,7 @@
       scheduler().dialect().setTenant(headers, Optional.empty());
     }
     scheduler().dialect().setTimeLeft(headers, leftMs);
+    RelayHeaders.setVersion(headers, call().configurationVersion());
     int left = call().route().maxAttempts() - call().deliveries();
     reserved = call().route().kind().isIdempotent() && left > 1; // in case the peer is lost
     allowance = Math.max(0, reserved ? left - 1 : left);
@@ -98,6 +99,10 @@
   void onAnswerHead(HttpResponse answer) {
     answered = true;
     peer.recordAnswer(scheduler().nowMs());
+    RelayHeaders.version(answer.headers()).ifPresent(scheduler()::recordConfigurationHeardOf);
+    if (!isRefused()) {
+      RelayHeaders.removeFrom(answer.headers());
+    }
   }
 
   /**
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * Header fields between entry VMs, of a request that one of them has another one serve. They reach
@@ -15,8 +16,27 @@
   /** States in an answer that the request has not run and will not run. */
   private static final String NOT_RUN = "Foxtailford-Not-Run";
 
+  /** Version of the configuration that decided a request, or its answer. */
+  private static final String VERSION = "Foxtailford-Configuration";
+
   private RelayHeaders() {}
 
+  /** States the version of the configuration that decided a request, or its answer. */
+  static void setVersion(HttpHeaders headers, long version) {
+    headers.set(VERSION, version);
+  }
+
+  /** Returns the stated version; empty if there is none, as from a VM of an earlier build. */
+  static OptionalLong version(HttpHeaders headers) {
+    try {
+      return headers.contains(VERSION)
+          ? OptionalLong.of(Long.parseLong(headers.get(VERSION)))
+          : OptionalLong.empty();
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   /** Marks a request as relayed. */
   static void setAttempts(HttpHeaders headers, int attempts) {
     headers.set(ATTEMPTS, attempts);
@@ -39,6 +59,6 @@
   }
 
   static void removeFrom(HttpHeaders headers) {
-    headers.remove(ATTEMPTS).remove(NOT_RUN);
+    headers.remove(ATTEMPTS).remove(NOT_RUN).remove(VERSION);
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -71,6 +71,12 @@
       refuse(exchange, "no configuration is known");
       return;
     }
+    OptionalLong relayedUnder = RelayHeaders.version(exchange.headers());
+    if (relayedUnder.orElse(0) > configuration.get().version()) {
+      view.onConfigurationHeardOf(relayedUnder.getAsLong());
+      refuse(exchange, "configuration is older than that of the relaying VM");
+      return;
+    }
     String host = exchange.headers().get(HttpHeaderNames.HOST, "");
     Optional<RouteRule> route = configuration.get().findRoute(host, exchange.path());
     if (route.isEmpty()) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -206,6 +206,11 @@
     return loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
   }
 
+  /** Records that another VM has decided a request by a version of the configuration. */
+  void recordConfigurationHeardOf(long version) {
+    view.onConfigurationHeardOf(version);
+  }
+
   long maxIdleMs(RequestKind kind) {
     return kind.isIdempotent() ? Long.MAX_VALUE : MAX_NON_IDEMPOTENT_IDLE_MS;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RoutingView.java
@@ -12,6 +12,9 @@
 /** Routing state that is used to schedule requests. Called on the event loop. */
 public interface RoutingView {
 
+  /** Records that another entry VM has a version of the configuration, perhaps a newer one. */
+  void onConfigurationHeardOf(long version);
+
   /** Returns the active configuration; empty until one has been received. */
   Optional<RoutingConfiguration> configuration();
 
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RelayedConfigurationTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RelayedConfigurationTests.java
@@ -49,6 +49,9 @@
         TimeUnit.MILLISECONDS.sleep(20);
       }
       long served = answers.stream().filter(answer -> answer.join().status() == 200).count();
+      assertThat(answers)
+          .as("headers between VMs stay there")
+          .noneMatch(answer -> answer.join().headers().contains("Foxtailford-Configuration"));
       assertThat(linked.runCounts()).as("runs by the service of before").isEqualTo(before);
       assertThat(served).as("served through the VM that is not behind").isGreaterThan(REQUESTS / 2);
     }
