--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ConfigurationInTimeTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ConfigurationInTimeTests.java
@@ -40,6 +40,31 @@
     assertThat(world.vms()).allSatisfy(vm -> assertThat(vm.version()).isEqualTo(2));
   }
 
+  @DataProvider
+  public Object[][] sizes() {
+    return new Object[][] {{VMS, APPLY_MS}, {59, 2500L}, {85, 2500L}};
+  }
+
+  // A member's first read of its own was waited for as long as one that the store may hold open.
+  @Test(dataProvider = "sizes")
+  public void changeIsInForceInTimeThoughTheReadsOfLeaderAndMembersGetNoAnswer(
+      int vms, long applyMs) {
+    for (int afterMs = 0; afterMs < 1500; afterMs += 100) {
+      ControlWorld world = new ControlWorld(vms, 6);
+      ControlWorld.Vm leader = world.leader();
+      leader.setOperatorReadsSilent(true);
+      world.vms().forEach(ControlWorld.Vm::loseNextOperatorRead);
+      world.runFor(afterMs);
+      world.put(2);
+      world.runFor(applyMs);
+      for (ControlWorld.Vm vm : world.vms()) {
+        if (vm != leader) {
+          assertThat(vm.version()).as("%s of %d, %d ms", vm.name(), vms, afterMs).isEqualTo(2);
+        }
+      }
+    }
+  }
+
   // A read that gets no answer cost 2.4 s until the next one was sent.
   @Test
   public void readWhoseAnswerIsOverdueIsNotWaitedFor() {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -183,6 +183,11 @@
       link.setSilent(OPERATORS, silent);
     }
 
+    /** Makes the next read of the operators' table stay without an answer. */
+    void loseNextOperatorRead() {
+      link.loseNextRead(OPERATORS);
+    }
+
     /** Cuts the VM off from its peers, silently, or ends the cut. */
     void setCutOff(boolean newCutOff) {
       cutOff = newCutOff;
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
@@ -72,6 +72,7 @@
   final class Link implements RowStore {
 
     private final Set<String> silentTables = new HashSet<>();
+    private final Set<String> lostReads = new HashSet<>();
     private boolean silent;
     private boolean refused;
     private int reads;
@@ -85,6 +86,11 @@
       }
     }
 
+    /** Makes the next read of a table stay without an answer. */
+    void loseNextRead(String table) {
+      lostReads.add(table);
+    }
+
     /** Makes all calls that are sent from now on stay without an answer, or ends it. */
     void setSilent(boolean newSilent) {
       silent = newSilent;
@@ -172,7 +178,7 @@
     }
 
     private boolean isAnswered(String table) {
-      return !silent && !silentTables.contains(table);
+      return !lostReads.remove(table) && !silent && !silentTables.contains(table);
     }
 
     private <T> CompletableFuture<T> begin(long timeoutMs) {
