The first read of a copy that is not current does not wait at the store

Callers saw a confirmed change late if two things went wrong at once: the leader's read of the operators' table, and a VM's own first read beside it.

Cause: a VM that reads because its copy is too old let the store hold that read open like any other, so that a lost answer was missed only after the wait and the margin, 1.0 s, on top of the age at which it began. Class: the time limit of a read in calm applied to a read in need. The leader in calm reads as before, and members read nothing (membersReadNothingWhileTheLeaderReadsInTime).

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TablePoller.java
@@ -119,12 +119,20 @@
     boolean latestAnswered = answeredCall == latest.number();
     boolean overdue = !latestAnswered && nowMs >= latest.overdueMs();
     if (latestAnswered && nowMs >= nextCallMs) {
-      send(waitMs, nowMs);
+      send(isCopyCurrent() ? waitMs : 0, nowMs);
     } else if (overdue && callsInFlight < MAX_CALLS_IN_FLIGHT) {
       send(0, nowMs);
     }
   }
 
+  /**
+   * Returns whether the copy is no older than one read makes it. What has changed since is wanted
+   * at once, and an answer that is lost must be missed at once.
+   */
+  private boolean isCopyCurrent() {
+    return !ages.isOlderThan(table, waitMs + OVERDUE_MS);
+  }
+
   private void send(long storeWaitMs, long nowMs) {
     StoreVersion version = state.mirror(table).version();
     Call call =
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ConfigurationInTimeTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ConfigurationInTimeTests.java
@@ -42,7 +42,7 @@
 
   @DataProvider
   public Object[][] sizes() {
-    return new Object[][] {{VMS, APPLY_MS}, {59, 2500L}, {85, 2500L}};
+    return new Object[][] {{VMS, APPLY_MS}, {59, 2500L}, {85, 2500L}, {95, 3000L}};
   }
 
   // A member's first read of its own was waited for as long as one that the store may hold open.
