QuotaTests checks rejections during its warm-up again

The warm-up discarded what was answered, so that the rejection out of range, seen once before the test's commit, could not be seen again. Still listed, since it is not traced.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/QuotaTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/QuotaTests.java
@@ -127,15 +127,20 @@
   public void quotaHoldsOverAllVms() throws Exception {
     awaitShares();
     load(8000, 0, 1, 2); // the demand from before the holder was chosen decays by half in 2 s
+    assertRejectionsTruthful();
     servedMs.clear();
     refused.clear();
     load(8000, 0, 1, 2);
     assertBound();
     assertThat(servedMs.size()).isGreaterThan((int) (0.95 * LIMIT.ratePerSecond() * 8));
+    assertRejectionsTruthful();
+    assertThat(send(1, "free").join().status()).isEqualTo(200);
+  }
+
+  private void assertRejectionsTruthful() {
     assertThat(refused).isNotEmpty();
     assertThat(refused).allMatch(answer -> answer.status() == 429);
     assertThat(refused).allMatch(answer -> retryAfter(answer) > 0 && retryAfter(answer) < 1);
-    assertThat(send(1, "free").join().status()).isEqualTo(200);
   }
 
   private static double retryAfter(HttpAnswer answer) {
