--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ConfigurationInTimeTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ConfigurationInTimeTests.java
@@ -24,7 +24,7 @@
 
   @DataProvider
   public Object[][] systems() {
-    return new Object[][] {{VMS, APPLY_MS, 150}, {85, 2500L, 6}, {95, 3000L, 6}};
+    return new Object[][] {{VMS, APPLY_MS, 150}, {59, 2500L, 6}, {85, 2500L, 6}, {95, 3000L, 6}};
   }
 
   // CONFIG on langar-andino: version 76 was not in force 2.4 s after it was acknowledged.
