--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EventLoopMonitor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EventLoopMonitor.java
@@ -18,7 +18,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final long INTERVAL_MS = 200;
+  /** No delay that is longer than what callers' leaving may take is missed. */
+  private static final long INTERVAL_MS = 500;
 
   /** Delay from which a line is logged, in milliseconds; half of what callers' leaving may take. */
   private static final long LOGGED_DELAY_MS = 250;
