Held requests of a caller are taken a few at a time

A caller that sends many small requests in one piece behind 16 unanswered ones had all of them taken when one was answered: 1,000 in a test that failed first. What is held is now passed on in pieces of 1 KB, so that pipelining more gains nothing.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
@@ -24,6 +24,12 @@
   /** Bytes held from which a connection is not read; some two hundred pipelined requests. */
   static final int MAX_HELD_BYTES = 64 << 10;
 
+  /**
+   * Bytes that are passed on at a time; all requests that are in them are taken, though one had
+   * room.
+   */
+  private static final int PASSED_BYTES = 1 << 10;
+
   private final CallerServer server;
   private final MillisClock clock;
   private final ByteBudget budget;
@@ -117,10 +123,17 @@
   private void passHeld() {
     passScheduled = false;
     while (!paused && !held.isEmpty()) {
-      HeldBytes next = held.poll();
-      share.release(next.size());
+      HeldBytes next = held.peek();
       receivedMs = next.receivedMs();
-      context().fireChannelRead(next.bytes());
+      ByteBuf bytes = next.bytes();
+      if (bytes.readableBytes() > PASSED_BYTES) {
+        share.release(PASSED_BYTES);
+        context().fireChannelRead(bytes.readRetainedSlice(PASSED_BYTES));
+      } else {
+        held.remove();
+        share.release(next.size());
+        context().fireChannelRead(bytes);
+      }
     }
     updateReading();
   }
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
@@ -78,7 +78,9 @@
 
   private void answerAll() {
     for (int next = 0; next < exchanges.size(); next++) {
-      exchanges.get(next).answer(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+      if (exchanges.get(next).isOpen()) {
+        exchanges.get(next).answer(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+      }
       channel.runPendingTasks();
       channel.releaseOutbound();
     }
@@ -107,6 +109,20 @@
     assertThat(exchanges).hasSize(TAKEN + 40);
   }
 
+  // A caller that sends many small requests in one piece would have them all taken at once.
+  @Test
+  public void manyRequestsOfOneReadAreTakenAFewAtATime() {
+    receive(TAKEN, 0);
+    String requests = "GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(1000);
+    channel.writeInbound(Unpooled.copiedBuffer(requests, StandardCharsets.ISO_8859_1));
+    exchanges.get(0).answer(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+    channel.runPendingTasks();
+    assertThat(exchanges.size()).isBetween(TAKEN + 1, 4 * TAKEN);
+    answerAll();
+    assertThat(exchanges).hasSize(TAKEN + 1000);
+    assertThat(buffers.readAhead().heldBytes()).isZero();
+  }
+
   // Each byte that a caller sends by itself must not cost a buffer that nobody counts.
   @Test
   public void smallReadsCountMoreThanTheirBytes() {
