The link stand-in takes more than one connection at a time while it is sound

Its queue for new connections had room for one also while it was sound, since a silent link has to fill it.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
@@ -31,6 +31,9 @@
 
   private static final int POLL_MS = 10;
 
+  /** Connections that may wait for a sound link; a VM opens dozens at once after a cut. */
+  private static final int SOUND_BACKLOG = 128;
+
   /** Connections that fill the queue of a listener with a backlog of one, and some more. */
   private static final int FILLERS = 4;
 
@@ -48,7 +51,7 @@
    */
   public TcpLinkStandIn(int targetPort) throws IOException {
     this.targetPort = targetPort;
-    ServerSocket first = listen(0);
+    ServerSocket first = listen(0, SOUND_BACKLOG);
     this.port = first.getLocalPort();
     new Thread(() -> run(first), "link to " + targetPort).start();
   }
@@ -63,11 +66,11 @@
     state = Assert.notNull(newState, "newState");
   }
 
-  private ServerSocket listen(int wantedPort) throws IOException {
+  private ServerSocket listen(int wantedPort, int backlog) throws IOException {
     ServerSocket listener = new ServerSocket();
     listener.setReuseAddress(true);
     listener.setSoTimeout(POLL_MS);
-    listener.bind(new InetSocketAddress(loopback, wantedPort), 1);
+    listener.bind(new InetSocketAddress(loopback, wantedPort), backlog);
     return listener;
   }
 
@@ -76,15 +79,17 @@
     try {
       while (open) {
         State current = state;
-        if (current == State.SOUND || current == State.SILENT) {
-          listener = listener.isClosed() ? listen(port) : listener;
-        }
         if (current == State.SOUND) {
+          listener = listener.isClosed() ? listen(port, SOUND_BACKLOG) : listener;
           accept(listener);
-        } else if (current == State.SILENT) {
-          hang(listener);
+          continue;
+        }
+        listener.close();
+        if (current == State.SILENT) {
+          try (ServerSocket full = listen(port, 1)) {
+            hang();
+          }
         } else {
-          listener.close();
           refuse(current);
         }
       }
@@ -110,7 +115,7 @@
   }
 
   /** Fills the listener's queue, so that the kernel ignores further connections. */
-  private void hang(ServerSocket listener) throws IOException, InterruptedException {
+  private void hang() throws IOException, InterruptedException {
     List<Socket> fillers = new ArrayList<>();
     for (int i = 0; i < FILLERS; i++) {
       Socket filler = new Socket();
