--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EventLoopMonitor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EventLoopMonitor.java
@@ -18,10 +18,10 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** No delay that is longer than what callers' leaving may take is missed. */
+  /** Interval between measurements, in milliseconds; a delay that is longer is never missed. */
   private static final long INTERVAL_MS = 500;
 
-  /** Delay from which a line is logged, in milliseconds; half of what callers' leaving may take. */
+  /** Delay from which a line is logged, in milliseconds. */
   private static final long LOGGED_DELAY_MS = 250;
 
   private final ScheduledExecutorService loop;
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
@@ -24,10 +24,7 @@
   /** Bytes held from which a connection is not read; some two hundred pipelined requests. */
   static final int MAX_HELD_BYTES = 64 << 10;
 
-  /**
-   * Bytes that are passed on at a time; all requests that are in them are taken, though one had
-   * room.
-   */
+  /** Bytes that are passed on at a time. All requests in them are taken, also beyond the limit. */
   private static final int PASSED_BYTES = 1 << 10;
 
   private final CallerServer server;
