The kept log of tests and tests that check lines share one reader

KeptLog takes all lines, keeps them in target/entry-vms.log, and gives them to the two test classes that check some; their checks are unchanged.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -6,11 +6,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.FileNotFoundException;
-import java.io.FileOutputStream;
 import java.io.IOException;
-import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -25,8 +21,7 @@
 import java.util.function.BooleanSupplier;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.upstream.UpstreamAddress;
-import org.foxtailford.entry.log.JsonLog;
-import org.foxtailford.entry.log.LineWriter;
+import org.foxtailford.entry.log.KeptLog;
 import org.foxtailford.entry.settings.EntrySettings;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
@@ -67,12 +62,7 @@
   static final long RESTART_MS = 1000;
 
   static {
-    try {
-      OutputStream log = new FileOutputStream("target/entry-vms.log", true);
-      new LineWriter(JsonLog.lines(), log).start();
-    } catch (FileNotFoundException e) {
-      throw new UncheckedIOException(e);
-    }
+    KeptLog.start();
   }
 
   private final EventLoopGroup loops =
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/TenantTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/TenantTests.java
@@ -11,11 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.foxtailford.core.upstream.UpstreamAddress;
-import org.foxtailford.entry.log.JsonLog;
+import org.foxtailford.entry.log.KeptLog;
 import org.foxtailford.entry.settings.EntrySettings.TenantBounds;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.platform.JsonPlatformRows;
@@ -253,15 +252,8 @@
   }
 
   private static List<String> takeKeyLines() {
-    List<String> lines = new ArrayList<>();
-    Optional<byte[]> line = JsonLog.lines().poll();
-    while (line.isPresent()) {
-      String text = new String(line.get(), StandardCharsets.UTF_8);
-      if (text.contains("requests refused for their API key")) {
-        lines.add(text);
-      }
-      line = JsonLog.lines().poll();
-    }
-    return lines;
+    return KeptLog.take().stream()
+        .filter(line -> line.contains("requests refused for their API key"))
+        .toList();
   }
 }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/request/CallerAuthenticationTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/request/CallerAuthenticationTests.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -18,7 +17,7 @@
 import org.foxtailford.core.tenant.Tenant;
 import org.foxtailford.core.tenant.TenantDirectory;
 import org.foxtailford.core.tenant.TenantKeys;
-import org.foxtailford.entry.log.JsonLog;
+import org.foxtailford.entry.log.KeptLog;
 import org.foxtailford.entry.settings.EntrySettings.TenantBounds;
 import org.foxtailford.platform.HeaderDialect;
 import org.testng.annotations.DataProvider;
@@ -144,15 +143,8 @@
   }
 
   private static List<String> takeLines() {
-    List<String> lines = new ArrayList<>();
-    Optional<byte[]> line = JsonLog.lines().poll();
-    while (line.isPresent()) {
-      String text = new String(line.get(), StandardCharsets.UTF_8);
-      if (text.contains("requests refused for their API key")) {
-        lines.add(text);
-      }
-      line = JsonLog.lines().poll();
-    }
-    return lines;
+    return KeptLog.take().stream()
+        .filter(line -> line.contains("requests refused for their API key"))
+        .toList();
   }
 }
