--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/CallersThatLeaveTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/CallersThatLeaveTests.java
@@ -120,7 +120,7 @@
     assertThat(upstream.working()).isZero();
   }
 
-  // Not seen to fail: the second VM must hear that the caller of a relayed request has left.
+  // GONE: relayed requests went on at the second VM after their caller had left the first one.
   @Test(timeOut = TIMEOUT_MS)
   public void relayedRequestsOfCallerThatLeftAreEnded() throws Exception {
     try (LinkedTestCluster linked = new LinkedTestCluster(2)) {
