A long upload is not sent again with part of its body

Cause: isBodyComplete() meant that the last byte had come in, and was read as "the buffer has the whole body" by retry, hedge, the moves to another owner and the relays. A body over 256 KB is streamed past the buffer. Change: isBodyReceived() and isBodyWhole(); RequestCall.canRetry() asks the second, so that there is one owner of the question whether a request can be sent once more. An idempotent upload that can't be sent again now gets its upstream's own 500 in place of a 502. Ruled out: the pool and the connection, which send what they are given.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -138,7 +138,7 @@
     long leftMs = Math.max(1, call.terms().deadlineMs() - scheduler.nowMs());
     address(headers, leftMs);
     onStart();
-    boolean whole = exchange.isBodyComplete();
+    boolean whole = exchange.isBodyWhole();
     UpstreamRequest request =
         new UpstreamRequest(
             exchange.method(),
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/OwnerLossRetry.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/OwnerLossRetry.java
@@ -78,7 +78,6 @@
     return call.key().isPresent()
         && call.route().kind().isIdempotent()
         && call.canRetry()
-        && call.exchange().isBodyComplete()
         && call.terms().deadlineMs() - clock.nowMs()
             > MIN_TIME_SHARE * upstreams.averageMs(call.service().name())
         && (isGone(upstream.entry()) || hasOtherOwner(call, upstream.entry()))
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PartialReachRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PartialReachRelay.java
@@ -182,7 +182,6 @@
       boolean eligible =
           call.route().kind().isIdempotent()
               && call.canRetry()
-              && call.exchange().isBodyComplete()
               && !call.hasSeveralAttempts()
               && call.triedPeers().isEmpty()
               && !scheduler.poison().isStopped(call);
@@ -217,8 +216,7 @@
       return;
     }
     attempt.recordSilence();
-    boolean eligible = call.canRetry() && call.exchange().isBodyComplete();
-    if (eligible && scheduler.tryRetry(call, SILENT_PEER) && !scheduler.trySend(call)) {
+    if (call.canRetry() && scheduler.tryRetry(call, SILENT_PEER) && !scheduler.trySend(call)) {
       relay.tryRelay(call, attempt.subject());
     }
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -264,9 +264,15 @@
     return winner != attempt && canRetry() && route.kind().isIdempotent();
   }
 
-  /** Returns whether the route allows the request to reach one more upstream. */
+  /**
+   * Returns whether the request can be sent to one more upstream: its route allows that, and its
+   * body can be sent as a whole.
+   */
   boolean canRetry() {
-    return !finished && winner == null && deliveries < route.maxAttempts();
+    return !finished
+        && winner == null
+        && deliveries < route.maxAttempts()
+        && exchange.isBodyWhole();
   }
 
   void startDeadlineTimer() {
@@ -277,7 +283,7 @@
   @Override
   public void onBodyReady() {
     if (!finished && sends == 0) {
-      bodyBuffered = exchange.isBodyComplete();
+      bodyBuffered = exchange.isBodyWhole();
       scheduler.submit(this);
     }
   }
@@ -545,7 +551,7 @@
       fingerprint(); // the body is released with the exchange, and an attempt may go on
     }
     for (Attempt attempt : List.copyOf(activeAttempts)) {
-      if (route.kind().isIdempotent() || !attempt.isSent() || !exchange.isBodyComplete()) {
+      if (route.kind().isIdempotent() || !attempt.isSent() || !exchange.isBodyReceived()) {
         attempt.abandon();
         activeAttempts.remove(attempt);
       } else {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -361,7 +361,6 @@
   void hedge(RequestCall call) {
     boolean eligible =
         call.canRetry()
-            && call.exchange().isBodyComplete()
             && !hasWaiting(call.service())
             && !poison.isSuspect(call)
             && !poison.isStopped(call);
@@ -385,7 +384,6 @@
         allowedToRun
             && call.canRetry()
             && call.sends() < call.route().maxAttempts() + MAX_UNREACHED_SENDS
-            && call.exchange().isBodyComplete()
             && call.terms().deadlineMs() - nowMs() > upstreams.averageMs(call.service().name()) / 2;
     boolean reached = call.deliveries() > 0;
     if (poison.isStopped(call)) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -309,7 +309,7 @@
       finished.releaseBody();
       if (finished.closesConnection()) {
         closing = true;
-        closeAfterFlush(finished.isBodyComplete());
+        closeAfterFlush(finished.isBodyReceived());
         return;
       }
       CallerExchange next = exchanges.peekFirst();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -63,8 +63,9 @@
   private final Deque<QueuedPart> queued = new ArrayDeque<>();
   private final RequestBody body;
   private Listener listener = new Listener() {};
-  private boolean bodyComplete;
+  private boolean bodyReceived;
   private boolean bodyStreaming;
+  private boolean bodyPartial;
   private boolean answerStarted;
   private boolean answerEnded;
   private boolean closesConnection;
@@ -115,9 +116,17 @@
     listener = Assert.notNull(newListener, "newListener");
   }
 
-  /** Returns whether the request body has been received completely. */
-  public boolean isBodyComplete() {
-    return bodyComplete;
+  /** Returns whether the last byte of the request body has been received, buffered or not. */
+  public boolean isBodyReceived() {
+    return bodyReceived;
+  }
+
+  /**
+   * Returns whether the buffer has the whole body, so that the request can be sent any number of
+   * times. A body that was streamed is received at some time, but never whole in the buffer.
+   */
+  public boolean isBodyWhole() {
+    return bodyReceived && !bodyPartial;
   }
 
   /** Returns the buffered part of the body; the caller of this method must release it. */
@@ -196,7 +205,7 @@
         closesConnection = true;
       }
     }
-    closesConnection = closesConnection || !bodyComplete;
+    closesConnection = closesConnection || !bodyReceived;
     if (closesConnection || connection.isLastAnswerBeforeClose(this)) {
       closesConnection = true;
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -281,7 +290,7 @@
 
   /** Returns whether reading is paused until the listener streams the rest of the body. */
   boolean isBodyBufferFull() {
-    return !bodyComplete
+    return !bodyReceived
         && !bodyStreaming
         && body.readableBytes() >= CallerConnection.MAX_BUFFERED_BODY_BYTES;
   }
@@ -295,20 +304,25 @@
   /** Adds a part of the body; returns false if the budget of all bodies has no room. */
   boolean tryAddBody(ByteBuf part, boolean last) {
     boolean added = true;
+    bodyPartial = bodyPartial || !isBuffering() && part.isReadable();
     if (answerEnded || callerGone) {
       part.release();
     } else if (bodyStreaming) {
-      bodyComplete = bodyComplete || last;
+      bodyReceived = bodyReceived || last;
       listener.onBodyPart(part, last);
     } else {
       added = body.tryAdd(part);
     }
-    bodyComplete = bodyComplete || last && added;
+    bodyReceived = bodyReceived || last && added;
     return added;
   }
 
+  private boolean isBuffering() {
+    return !answerEnded && !callerGone && !bodyStreaming;
+  }
+
   boolean isBodyReady() {
-    return bodyComplete || bodyStreaming || isBodyBufferFull();
+    return bodyReceived || bodyStreaming || isBodyBufferFull();
   }
 
   void fireBodyReady() {
