Each pipelined request that was started is answered before its connection closes

Cause: whether an answer is the last one was decided when it began, while requests went on being started until it had been sent. The same for requests behind one whose caller asks for the close or speaks HTTP/1.0, and a caller that sends on without end kept a stopping VM's connection open until it was cut. Change: CallerConnection.mayStart owns the question whether a request may be started. None is behind another while the connection drains, or behind one that may end the connection; the last started request's answer closes. Ruled out: the shutdown (no request was active at its end) and the time limits (lost requests were 2 to 166 ms old).

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -388,7 +388,7 @@
 
   /**
    * Begins a graceful shutdown: the readiness check fails at once, and each caller's connection is
-   * closed after its next answer.
+   * closed after the answers to the requests that were started on it.
    *
    * @return completes when no request is left or the shutdown time has nearly elapsed
    */
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -33,7 +33,9 @@
  *
  * <p>Pipelined GET and HEAD requests are handled concurrently. A request with any other method is
  * started only once all earlier ones are answered, so that it is certain not to have run if the
- * connection closes before. Confined to the connection's event loop.
+ * connection closes before. No request is started behind one whose answer may end the connection,
+ * and the connection closes only when each started request is answered. Confined to the
+ * connection's event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -75,6 +77,7 @@
   private long bodyBytes;
   private boolean bodyPaused;
   private boolean closing;
+  private boolean aborted;
   private boolean draining;
   private long idleSinceMs;
   private long headStartedMs;
@@ -174,9 +177,7 @@
   /** Starts each request that need not wait for an earlier one. */
   private void startReadyRequests() {
     for (CallerExchange exchange : List.copyOf(exchanges)) {
-      boolean safeMethod =
-          exchange.method().equals(HttpMethod.GET) || exchange.method().equals(HttpMethod.HEAD);
-      if (!exchange.isStarted() && (safeMethod || isFirst(exchange))) {
+      if (!exchange.isStarted() && mayStart(exchange)) {
         exchange.markStarted();
         handler.onRequest(exchange);
         if (exchange.isOpen() && exchange.isBodyReady()) {
@@ -186,6 +187,24 @@
     }
   }
 
+  /**
+   * Returns whether a request may be started now. One behind others would lose its answer if the
+   * connection ends with an earlier one.
+   */
+  private boolean mayStart(CallerExchange exchange) {
+    if (isFirst(exchange)) {
+      return !aborted;
+    }
+    boolean safeMethod =
+        exchange.method().equals(HttpMethod.GET) || exchange.method().equals(HttpMethod.HEAD);
+    return safeMethod
+        && !draining
+        && !aborted
+        && exchanges.stream()
+            .takeWhile(earlier -> earlier != exchange)
+            .noneMatch(CallerExchange::mayEndConnection);
+  }
+
   private void onContent(HttpContent content) {
     CallerExchange exchange = incoming;
     ByteBuf part = content.content();
@@ -247,9 +266,13 @@
     return exchanges.peekFirst() == exchange;
   }
 
-  /** Returns whether the connection is draining and this answer is the last one on it. */
+  /** Returns whether the connection is draining and no request behind this one was started. */
   boolean isLastAnswerBeforeClose(CallerExchange exchange) {
-    return draining && exchanges.peekLast() == exchange;
+    return draining
+        && exchanges.stream()
+            .dropWhile(earlier -> earlier != exchange)
+            .skip(1)
+            .noneMatch(CallerExchange::isStarted);
   }
 
   /** Returns whether more of an answer may be read from its upstream. */
@@ -344,6 +367,7 @@
 
   void abort() {
     closing = true;
+    aborted = true;
     context().close();
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -264,6 +264,14 @@
     return closesConnection;
   }
 
+  /**
+   * Returns whether the connection closes with the answer, or may have to: an answer to HTTP/1.0
+   * without a known length ends with the connection.
+   */
+  boolean mayEndConnection() {
+    return closesConnection || !request.protocolVersion().isKeepAliveDefault();
+  }
+
   boolean isAnswerEnded() {
     return answerEnded;
   }
