An answer that breaks off takes no pipelined requests along

Cause: requests behind a long answer were started while it could still break off; and an answer that broke off behind earlier ones closed the connection before these were sent. Change: an answer of the kind BULK is answered alone, and nothing is started behind one that is being sent in parts. An answer of which nothing was sent is taken back, so that the request is tried again; an abort waits for earlier answers.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -396,7 +396,7 @@
     }
     if (winner == attempt) {
       winner = null;
-      if (exchange.isAnswerStarted()) {
+      if (exchange.isAnswerStarted() && !exchange.tryTakeBackAnswer()) {
         finish();
         scheduler.log().aborted(this, attempt.target(), reason);
         exchange.abort();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -12,6 +12,7 @@
 import org.foxtailford.core.overload.WaitingRequest;
 import org.foxtailford.core.overload.WeightedTenant;
 import org.foxtailford.core.quota.QuotaAdmission;
+import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.RouteRule;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.route.ServicePolicy;
@@ -104,6 +105,9 @@
       ServicePolicy service,
       CallerIdentity identity,
       RoutingConfiguration configuration) {
+    if (route.kind() == RequestKind.BULK) {
+      exchange.answerAlone();
+    }
     OptionalInt key =
         service.keyed() ? scheduler.dialect().key(exchange.headers()) : OptionalInt.empty();
     if (service.keyed() && key.isEmpty()) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -287,6 +287,11 @@
     return bytes;
   }
 
+  /** Forgets parts of an answer that will not be sent, by the bytes that they count for. */
+  void forgetUnsent(long bytes) {
+    unsent.release(bytes);
+  }
+
   /**
    * Writes a part of the first answer.
    *
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -69,6 +69,7 @@
   private boolean answerStarted;
   private boolean answerEnded;
   private boolean closesConnection;
+  private boolean answeredAlone;
   private boolean callerGone;
   private boolean started;
   private long queuedBytes;
@@ -176,6 +177,14 @@
     closesConnection = true;
   }
 
+  /**
+   * Keeps requests behind this one from being started until it is answered, since its answer is
+   * long: if that breaks off, the connection ends.
+   */
+  public void answerAlone() {
+    answeredAlone = true;
+  }
+
   /**
    * Starts the answer. Hop-by-hop header fields are removed, and set anew for this connection.
    *
@@ -239,14 +248,45 @@
     end();
   }
 
-  /** Closes the connection without completing the answer, so that the caller sees it cut off. */
+  /**
+   * Takes back an answer of which nothing has been written yet, since earlier ones are incomplete.
+   * Another answer may then be started.
+   *
+   * @return false if a part of the answer may have reached the caller
+   */
+  public boolean tryTakeBackAnswer() {
+    if (callerGone || answerEnded || isFirst()) {
+      return false;
+    }
+    answerStarted = false;
+    releaseQueued();
+    return true;
+  }
+
+  /**
+   * Closes the connection without completing the answer, so that the caller sees it cut off.
+   * Earlier answers are completed before.
+   */
   public void abort() {
-    if (!callerGone) {
-      answerEnded = true;
+    if (callerGone) {
+      return;
+    }
+    answerEnded = true;
+    if (isFirst()) {
       connection.abort();
+    } else {
+      closesConnection = true;
+      releaseQueued();
     }
   }
 
+  private void releaseQueued() {
+    queued.forEach(part -> ReferenceCountUtil.release(part.message()));
+    queued.clear();
+    connection.forgetUnsent(queuedBytes);
+    queuedBytes = 0;
+  }
+
   private void write(Object message, int bytes) {
     if (isFirst()) {
       connection.write(message, bytes);
@@ -266,10 +306,13 @@
 
   /**
    * Returns whether the connection closes with the answer, or may have to: an answer to HTTP/1.0
-   * without a known length ends with the connection.
+   * without a known length ends with the connection, and one that is being sent may break off.
    */
   boolean mayEndConnection() {
-    return closesConnection || !request.protocolVersion().isKeepAliveDefault();
+    return closesConnection
+        || answeredAlone
+        || answerStarted && !answerEnded
+        || !request.protocolVersion().isKeepAliveDefault();
   }
 
   boolean isAnswerEnded() {
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionCloseTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionCloseTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -28,6 +29,7 @@
 
   private static final int SEQUENCES = 3000;
   private static final int STEPS = 40;
+  private static final int PART_BYTES = 100;
 
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -37,6 +39,9 @@
         @Override
         public void onRequest(CallerExchange exchange) {
           started.add(exchange);
+          if (exchange.uri().equals("/long")) {
+            exchange.answerAlone();
+          }
         }
 
         @Override
@@ -74,6 +79,15 @@
     channel.runPendingTasks();
   }
 
+  private void beginLong(int index) {
+    started.get(index).begin(200, new DefaultHttpHeaders(), Optional.of(9L * PART_BYTES));
+    started.get(index).write(part());
+  }
+
+  private static ByteBuf part() {
+    return Unpooled.buffer(PART_BYTES).writeZero(PART_BYTES);
+  }
+
   private List<HttpResponse> written() {
     List<HttpResponse> heads = new ArrayList<>();
     for (Object message = channel.readOutbound();
@@ -154,6 +168,52 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  /** Guards against a download that breaks off and takes requests at sound upstreams along. */
+  @Test
+  public void requestBehindALongAnswerIsStartedWhenThatHasEnded() {
+    get("/long");
+    get("/b");
+    assertThat(started).hasSize(1);
+    answer(0);
+    assertThat(started).hasSize(2);
+  }
+
+  /** Guards against an answer that breaks off behind others and takes them along. */
+  @Test
+  public void answerThatBreaksOffBehindAnotherIsReplaced() {
+    get("/a");
+    get("/b");
+    beginLong(1);
+    assertThat(buffers.answers().heldBytes()).isPositive();
+    assertThat(started.get(1).tryTakeBackAnswer()).isTrue();
+    assertThat(buffers.answers().heldBytes()).isZero();
+    answer(1);
+    answer(0);
+    assertThat(channel.isOpen()).isTrue();
+    assertThat(written()).hasSize(2);
+  }
+
+  @Test
+  public void answerInSendingCannotBeTakenBack() {
+    get("/a");
+    beginLong(0);
+    assertThat(started.get(0).tryTakeBackAnswer()).isFalse();
+    started.get(0).abort();
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  @Test
+  public void abortBehindAnotherRequestWaitsForItsAnswer() {
+    get("/a");
+    get("/b");
+    beginLong(1);
+    started.get(1).abort();
+    assertThat(channel.isOpen()).isTrue();
+    answer(0);
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(written()).hasSize(1);
+  }
+
   /**
    * Draws sequences of arrivals, answers and a drain. The connection closes only when each started
    * request is answered, and it does close in the end.
@@ -199,7 +259,8 @@
     } else if (kind < 10 && channel.isOpen()) {
       HttpVersion version = kind == 1 ? HttpVersion.HTTP_1_0 : HttpVersion.HTTP_1_1;
       HttpMethod method = kind < 4 ? HttpMethod.POST : HttpMethod.GET;
-      DefaultFullHttpRequest request = new DefaultFullHttpRequest(version, method, "/any");
+      String uri = kind == 5 ? "/long" : "/any";
+      DefaultFullHttpRequest request = new DefaultFullHttpRequest(version, method, uri);
       if (kind == 1 || random.nextInt(10) == 0) {
         request.headers().set(HttpHeaderNames.CONNECTION, kind == 1 ? "keep-alive" : "close");
       }
