Attempts of one request never share a connection

Cause: answers are matched by connection and request id, and both attempts of a request have the same id. After a rejection the second attempt could get the connection of the first, so that a second, late rejection counted for it. Change: UsedConnections, shared by the attempts of a request; the pool leaves these connections out. An answer with an id doesn't count for a request without one. Ruled out: rejections of other requests, which are skipped by their id.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -147,6 +147,7 @@
             exchange.retainedBody(),
             whole,
             call.requestId(),
+            call.usedConnections(),
             scheduler.maxIdleMs(call.route().kind()));
     if (!whole) {
       exchange.streamBody(); // later parts of the body are not in the request above
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -20,6 +20,7 @@
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.tenant.Tenant;
 import org.foxtailford.net.proxy.CallerExchange;
+import org.foxtailford.net.proxy.UsedConnections;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -53,6 +54,7 @@
   private final List<Attempt> activeAttempts = new ArrayList<>();
   private final Set<String> triedUpstreams = new HashSet<>();
   private final Set<String> triedPeers = new HashSet<>();
+  private final UsedConnections usedConnections = new UsedConnections();
   private final boolean relayed;
   private OptionalLong fingerprint = OptionalLong.empty();
   private boolean bodyBuffered;
@@ -196,6 +198,10 @@
     return triedPeers;
   }
 
+  UsedConnections usedConnections() {
+    return usedConnections;
+  }
+
   /** Returns whether another entry VM has passed the request on, so that this one must not. */
   boolean isRelayed() {
     return relayed;
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -30,8 +30,10 @@
  * Connection to an upstream that carries at most one request at a time.
  *
  * <p>An answer whose request id belongs to another request is skipped, and the connection is closed
- * after the expected answer. It is also closed if more than one answer was received, or if the
- * request was not sent completely. Confined to the connection's event loop.
+ * after the expected answer. No request is sent twice on one connection, see {@link
+ * UsedConnections}, so that the id tells each answer apart. It is also closed if more than one
+ * answer was received, or if the request was not sent completely. Confined to the connection's
+ * event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -96,6 +98,7 @@
   void send(UpstreamRequest request, UpstreamListener newListener) {
     listener = newListener;
     requestId = request.requestId();
+    request.usedConnections().add(this);
     headReceived = false;
     answerEnded = false;
     skipping = false;
@@ -186,8 +189,7 @@
       return;
     }
     Optional<String> answeredId = dialect.requestId(head.headers());
-    boolean otherRequest =
-        !requestId.isEmpty() && answeredId.isPresent() && !answeredId.get().equals(requestId);
+    boolean otherRequest = answeredId.isPresent() && !answeredId.get().equals(requestId);
     boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     skipping = otherRequest || interim;
     if (skipping) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -123,7 +123,7 @@
   /** Sends a request on an idle or a new connection, and notifies the listener of its events. */
   public UpstreamSend send(UpstreamRequest request, UpstreamListener listener) {
     UpstreamSend send = new UpstreamSend(request, listener);
-    UpstreamConnection reused = pollFresh(request.maxIdleMs());
+    UpstreamConnection reused = pollFresh(request);
     if (reused != null) {
       send.start(reused);
     } else if (closed) {
@@ -178,11 +178,12 @@
     return refused ? UpstreamFailure.REFUSED : UpstreamFailure.NOT_CONNECTED;
   }
 
-  private @Nullable UpstreamConnection pollFresh(long maxIdleMs) {
+  private @Nullable UpstreamConnection pollFresh(UpstreamRequest request) {
     for (UpstreamConnection connection : List.copyOf(idle)) {
       if (!connection.isActive()) {
         idle.remove(connection);
-      } else if (connection.isFresh(maxIdleMs)) {
+      } else if (connection.isFresh(request.maxIdleMs())
+          && !request.usedConnections().contains(connection)) {
         idle.remove(connection);
         return connection;
       }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamRequest.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamRequest.java
@@ -13,7 +13,8 @@
  * @param headers end-to-end header fields
  * @param body body, or its first part; released when it is sent or the request is abandoned
  * @param bodyComplete whether {@code body} is the complete body
- * @param requestId id that an answer must have if it states one; empty for no such check
+ * @param requestId id that an answer must have if it states one; empty if the request has none
+ * @param usedConnections connections of earlier attempts, to which that of this one is added
  * @param maxIdleMs maximum idle time of a reused connection, in milliseconds
  */
 public record UpstreamRequest(
@@ -23,6 +24,7 @@
     ByteBuf body,
     boolean bodyComplete,
     String requestId,
+    UsedConnections usedConnections,
     long maxIdleMs) {
 
   /** Checks the fields. */
@@ -32,5 +34,6 @@
     Assert.notNull(headers, "headers");
     Assert.notNull(body, "body");
     Assert.notNull(requestId, "requestId");
+    Assert.notNull(usedConnections, "usedConnections");
   }
 }
