A second answer to a release of keys does not count for the next release

Cause: releases had no id, and were matched to their answers by the connection alone; a second answer to one, which may come when the next is due, ended that. Change: each command has an id, and the client skips an answer with another one. Grants keep their connection, which binds them to a process. Ruled out: to close the grants' connections too, since a renewal must reach the process that holds the keys.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -56,7 +56,6 @@
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.net.http.PooledHttpClient;
-import org.foxtailford.net.http.SessionClient;
 import org.foxtailford.net.proxy.CallerBuffers;
 import org.foxtailford.net.proxy.CallerServer;
 import org.foxtailford.net.proxy.UpstreamPool;
@@ -238,10 +237,7 @@
 
   private UpstreamLinks upstreamLinks() {
     return new UpstreamLinks(
-        new HttpRangeCommandClient(
-            new SessionClient(loops, MAX_HEAD_BYTES),
-            new PooledHttpClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES)),
-        path::isCutOff);
+        new HttpRangeCommandClient(loops, CONTROL_CONNECTIONS, MAX_HEAD_BYTES), path::isCutOff);
   }
 
   private void onUpstreamLost(PoisonReport report) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.result.ResultCode;
@@ -25,14 +27,23 @@
 final class HttpClientHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
   private final AnswerDecoder decoder;
+  private final Optional<EchoedId> echoedId;
   private @Nullable CompletableFuture<HttpAnswer> pending;
   private @Nullable HttpAnswer received;
   private @Nullable String attempt;
+  private @Nullable String id;
+  private boolean ambiguous;
   private boolean keepAlive;
   private boolean reused;
 
-  HttpClientHandler(AnswerDecoder decoder) {
+  /**
+   * Creates a handler.
+   *
+   * @param echoedId tells answers apart; empty if their order alone does
+   */
+  HttpClientHandler(AnswerDecoder decoder, Optional<EchoedId> echoedId) {
     this.decoder = decoder;
+    this.echoedId = echoedId;
   }
 
   /** Sends a request and releases its buffer; no other request may be in flight. */
@@ -59,6 +70,8 @@
     }
     pending = answer;
     attempt = request.headers().get(FoxtailHeaders.ATTEMPT);
+    id = idOf(request);
+    ambiguous = false;
     decoder.expect(request.method());
     var timer =
         channel
@@ -78,6 +91,10 @@
             });
   }
 
+  private @Nullable String idOf(HttpMessage message) {
+    return echoedId.map(EchoedId::field).map(message.headers()::get).orElse(null);
+  }
+
   /** Resets the connection if its request was cancelled before it was answered. */
   void cancelIfPending(Channel channel, CompletableFuture<HttpAnswer> exchangeResult) {
     if (!exchangeResult.isDone()) {
@@ -111,6 +128,12 @@
           "the answer belongs to attempt " + echoedAttempt);
       return;
     }
+    String answeredId = idOf(response);
+    if (id != null && answeredId != null && !answeredId.equals(id)) {
+      ambiguous = true; // a second answer to an earlier request; the one that is due follows
+      return;
+    }
+    ambiguous |= answeredId == null && echoedId.map(EchoedId::required).orElse(false);
     keepAlive = HttpUtil.isKeepAlive(response);
     received = HttpMessages.toAnswer(response);
   }
@@ -127,7 +150,7 @@
     if (answer == null || value == null) {
       return;
     }
-    boolean reusable = keepAlive && !decoder.hasUndecodedBytes();
+    boolean reusable = keepAlive && !ambiguous && !decoder.hasUndecodedBytes();
     pending = null;
     received = null;
     reused = true;
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,7 +25,8 @@
  *
  * <p>A connection whose request failed, timed out or was cancelled is closed, so that a late answer
  * is never taken for the answer to another request. An answer that echoes another attempt's number
- * in {@link FoxtailHeaders#ATTEMPT} fails with {@link ResultCode#CROSSED_ANSWER}. Thread-safe.
+ * in {@link FoxtailHeaders#ATTEMPT} fails with {@link ResultCode#CROSSED_ANSWER}; one that echoes
+ * another value of the client's {@link EchoedId} is skipped. Thread-safe.
  */
 public final class PooledHttpClient implements HttpClient, UpstreamClient, AutoCloseable {
 
@@ -46,7 +48,25 @@
    * @param maxAnswerBytes maximum size of an answer's body, in bytes
    */
   public PooledHttpClient(EventLoopGroup loops, int maxConnections, int maxAnswerBytes) {
-    this(loops, maxConnections, maxAnswerBytes, (endpoint, bootId) -> {});
+    this(loops, maxConnections, maxAnswerBytes, (endpoint, bootId) -> {}, Optional.empty());
+  }
+
+  /**
+   * Creates a client that tells the answers on a connection apart by a field that they echo.
+   *
+   * @param loops event loops of the connections
+   * @param maxConnections maximum number of connections to each address
+   * @param maxAnswerBytes maximum size of an answer's body, in bytes
+   * @param echoedId field that each request has
+   */
+  public PooledHttpClient(
+      EventLoopGroup loops, int maxConnections, int maxAnswerBytes, EchoedId echoedId) {
+    this(
+        loops,
+        maxConnections,
+        maxAnswerBytes,
+        (endpoint, bootId) -> {},
+        Optional.of(Assert.notNull(echoedId, "echoedId")));
   }
 
   /**
@@ -59,6 +79,15 @@
    */
   public PooledHttpClient(
       EventLoopGroup loops, int maxConnections, int maxAnswerBytes, BootIdListener bootIdListener) {
+    this(loops, maxConnections, maxAnswerBytes, bootIdListener, Optional.empty());
+  }
+
+  private PooledHttpClient(
+      EventLoopGroup loops,
+      int maxConnections,
+      int maxAnswerBytes,
+      BootIdListener bootIdListener,
+      Optional<EchoedId> echoedId) {
     this.loops = Assert.notNull(loops, "loops");
     this.bootIdListener = Assert.notNull(bootIdListener, "bootIdListener");
     this.maxConnections = maxConnections;
@@ -73,7 +102,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    addHandlers(channel, maxAnswerBytes);
+                    addHandlers(channel, maxAnswerBytes, echoedId);
                   }
                 });
   }
@@ -91,7 +120,7 @@
     return senders.computeIfAbsent(EndpointKey.of(endpoint), key -> newSender(endpoint));
   }
 
-  static void addHandlers(Channel channel, int maxAnswerBytes) {
+  static void addHandlers(Channel channel, int maxAnswerBytes, Optional<EchoedId> echoedId) {
     AnswerDecoder decoder = new AnswerDecoder();
     channel
         .pipeline()
@@ -99,7 +128,7 @@
         .addLast(new HttpRequestEncoder())
         .addLast(new AnswerFramingHandler(decoder))
         .addLast(new HttpObjectAggregator(maxAnswerBytes))
-        .addLast(new HttpClientHandler(decoder));
+        .addLast(new HttpClientHandler(decoder, echoedId));
   }
 
   /**
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/SessionClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/SessionClient.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.result.ResultCode;
@@ -73,8 +74,10 @@
    * Creates a client; connections are opened on demand.
    *
    * @param maxAnswerBytes maximum size of an answer's body, in bytes
+   * @param echoedId field that each request has, and that tells answers apart
    */
-  public SessionClient(EventLoopGroup loops, int maxAnswerBytes) {
+  public SessionClient(EventLoopGroup loops, int maxAnswerBytes, EchoedId echoedId) {
+    Assert.notNull(echoedId, "echoedId");
     this.maxAnswerBytes = maxAnswerBytes;
     this.bootstrap =
         new Bootstrap()
@@ -86,7 +89,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    PooledHttpClient.addHandlers(channel, maxAnswerBytes);
+                    PooledHttpClient.addHandlers(channel, maxAnswerBytes, Optional.of(echoedId));
                   }
                 });
   }
