An answer without length is complete only if its upstream has ended it in order

Cause: an answer that ends with its connection counted as complete after any end but a failed read. A reset that a write meets closes the channel without one, as does a close by the VM. Change: half-closure is allowed on connections to upstreams, so that an orderly end is an event; without it, or with an unsent rest of the request, the answer has broken off. Ruled out: the buffering of short answers, which only states what came.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamAnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamAnswerDecoder.java
@@ -1,10 +1,13 @@
 package org.foxtailford.net.proxy;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 
 /** Decodes an upstream's answers. Bytes received while no request is open close the connection. */
@@ -14,6 +17,7 @@
 
   private boolean answerExpected;
   private boolean headRequest;
+  private boolean inputEnded;
 
   UpstreamAnswerDecoder() {
     super(
@@ -47,6 +51,27 @@
     }
   }
 
+  /** Records an orderly end before the decoder ends an answer without length because of it. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    inputEnded |= event instanceof ChannelInputShutdownEvent;
+    super.userEventTriggered(ctx, event);
+  }
+
+  /** Returns whether the upstream has ended its output, in contrast to a reset or an own close. */
+  boolean isInputEnded() {
+    return inputEnded;
+  }
+
+  /** Returns whether an answer ends with its connection, since its head says nothing else. */
+  boolean endsWithConnection(HttpResponse head) {
+    return !isFramed(head) && !isContentAlwaysEmpty(head);
+  }
+
+  static boolean isFramed(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return headRequest || super.isContentAlwaysEmpty(message);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -31,9 +32,12 @@
  *
  * <p>An answer whose request id belongs to another request is skipped, and the connection is closed
  * after the expected answer. No request is sent twice on one connection, see {@link
- * UsedConnections}, so that the id tells each answer apart. It is also closed if more than one
- * answer was received, or if the request was not sent completely. Confined to the connection's
- * event loop.
+ * UsedConnections}, so that the id tells each answer apart.
+ *
+ * <p>An answer that ends with its connection is complete only if the upstream has ended its output
+ * in order and the whole request was sent: a reset may be met by a write, without a failed read. It
+ * is also closed if more than one answer was received, or if the request was not sent completely.
+ * Confined to the connection's event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -56,7 +60,7 @@
   private int skippedBytes;
   private boolean headReceived;
   private boolean answerEnded;
-  private boolean connectionReset;
+  private boolean endsWithConnection;
   private boolean reusable;
   private long idleSinceMs;
   private OptionalLong keepAliveMs = OptionalLong.empty();
@@ -198,7 +202,8 @@
       return;
     }
     headReceived = true;
-    reusable = reusable && HttpUtil.isKeepAlive(head) && isFramed(head);
+    endsWithConnection = decoder.endsWithConnection(head);
+    reusable = reusable && HttpUtil.isKeepAlive(head) && UpstreamAnswerDecoder.isFramed(head);
     keepAliveMs = dialect.keepAliveMs(head.headers());
     current.onHead(head);
   }
@@ -211,10 +216,6 @@
     }
   }
 
-  private static boolean isFramed(HttpResponse head) {
-    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-  }
-
   private void onContent(HttpContent content) {
     UpstreamListener current = listener;
     if (current == null || answerEnded) {
@@ -233,8 +234,8 @@
       fail(UpstreamFailure.BROKEN_OFF, "malformed answer body");
       return;
     }
-    if (last && connectionReset) {
-      fail(UpstreamFailure.BROKEN_OFF, "connection reset during the answer");
+    if (last && endsWithConnection && !(decoder.isInputEnded() && bodySent)) {
+      fail(UpstreamFailure.BROKEN_OFF, "connection lost during an answer without length");
       return;
     }
     if (content.content().isReadable()) {
@@ -280,6 +281,14 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      ctx.close();
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.onClosed(this);
@@ -292,8 +301,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    connectionReset = cause instanceof IOException;
-    if (connectionReset) {
+    if (cause instanceof IOException) {
       UpstreamFailure failure = headReceived ? UpstreamFailure.BROKEN_OFF : UpstreamFailure.LOST;
       fail(failure, String.valueOf(cause.getMessage()));
     } else {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -74,6 +74,7 @@
             .group(Assert.notNull(loop, "loop"))
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // tells an orderly end from a reset
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARKS)
             // A paused answer exceeds the budget of answers by one read.
--- /dev/null
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -0,0 +1,176 @@
+package org.foxtailford.net.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.net.exchange.ExchangeDialect;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of when an answer is complete. */
+public class UpstreamConnectionTests {
+
+  private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart of the answer";
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ExchangeDialect dialect =
+      (ExchangeDialect)
+          Proxy.newProxyInstance(
+              getClass().getClassLoader(),
+              new Class<?>[] {ExchangeDialect.class},
+              (proxy, method, arguments) -> absent(method));
+  private EmbeddedChannel channel;
+  private UpstreamConnection connection;
+  private Outcome outcome;
+  private boolean writesWait;
+
+  private static Object absent(Method method) {
+    return method.getReturnType() == OptionalLong.class ? OptionalLong.empty() : Optional.empty();
+  }
+
+  /** Keeps writes from being sent, as an upstream does that reads nothing. */
+  private final class Writes extends ChannelOutboundHandlerAdapter {
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      if (!writesWait) {
+        ctx.write(message, promise);
+      }
+    }
+  }
+
+  @BeforeMethod
+  public void connect() {
+    writesWait = false;
+    outcome = new Outcome();
+    UpstreamPool pool =
+        new UpstreamPool(loops, new UpstreamAddress("127.0.0.1", 1), dialect, () -> 0);
+    UpstreamAnswerDecoder decoder = new UpstreamAnswerDecoder();
+    connection = new UpstreamConnection(pool, decoder, dialect, () -> 0);
+    channel = new EmbeddedChannel(new Writes(), decoder, connection);
+  }
+
+  @AfterClass
+  public void end() {
+    loops.shutdownGracefully();
+  }
+
+  private void send(HttpMethod method, String answer) {
+    ByteBuf body = Unpooled.copiedBuffer("body", StandardCharsets.UTF_8);
+    UpstreamRequest request =
+        new UpstreamRequest(
+            method, "/a", new DefaultHttpHeaders(), body, true, "", new UsedConnections(), 0);
+    connection.send(request, outcome);
+    channel.runPendingTasks();
+    channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.UTF_8));
+  }
+
+  private void endInput() {
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    channel.pipeline().fireChannelReadComplete();
+    channel.runPendingTasks();
+  }
+
+  @Test
+  public void answerWithoutLengthIsCompleteWhenTheUpstreamEndsIt() {
+    send(HttpMethod.POST, UNFRAMED);
+    assertThat(outcome.text).isEmpty();
+    endInput();
+    assertThat(outcome.text).isEqualTo("complete");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Guards against an answer whose connection is reset while a write is due, and looks whole. */
+  @Test
+  public void answerWithoutLengthIsBrokenOffWhenTheConnectionIsLost() {
+    send(HttpMethod.POST, UNFRAMED);
+    channel.close();
+    assertThat(outcome.text).isEqualTo("BROKEN_OFF");
+  }
+
+  /** Guards against the answer to a part of a request, cut off by the close behind it. */
+  @Test
+  public void answerWithoutLengthIsBrokenOffIfTheRequestWasNotSent() {
+    writesWait = true;
+    send(HttpMethod.POST, UNFRAMED);
+    endInput();
+    assertThat(outcome.text).isEqualTo("BROKEN_OFF");
+  }
+
+  @Test
+  public void answerWithoutLengthIsBrokenOffByAReset() {
+    send(HttpMethod.POST, UNFRAMED);
+    channel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+    endInput();
+    assertThat(outcome.text).isEqualTo("BROKEN_OFF");
+  }
+
+  @Test
+  public void answersThatStateTheirEndNeedNone() {
+    send(HttpMethod.POST, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    assertThat(outcome.text).isEqualTo("complete");
+    connect();
+    send(HttpMethod.HEAD, "HTTP/1.1 200 OK\r\n\r\n");
+    assertThat(outcome.text).isEqualTo("complete");
+    connect();
+    send(HttpMethod.POST, "HTTP/1.1 204 No Content\r\n\r\n");
+    assertThat(outcome.text).isEqualTo("complete");
+  }
+
+  @Test
+  public void idleConnectionIsClosedWhenTheUpstreamEndsIt() {
+    endInput();
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Keeps how the answer ended. */
+  private static final class Outcome implements UpstreamListener {
+
+    private String text = "";
+
+    @Override
+    public void onSent() {}
+
+    @Override
+    public void onHead(HttpResponse head) {}
+
+    @Override
+    public void onContent(ByteBuf part) {
+      part.release();
+    }
+
+    @Override
+    public void onEnd() {
+      text += "complete";
+    }
+
+    @Override
+    public void onFailure(UpstreamFailure failure, String reason) {
+      text += failure;
+    }
+
+    @Override
+    public void onWritable() {}
+  }
+}
