Nothing follows the head of an answer to HEAD

Change: an answer to HEAD has no body and is not framed. Evidence: HeadAnswerTests on: 6 run, 2 failed; none now.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -203,7 +203,7 @@
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     head.headers().set(headers);
     HopByHopHeaders.removeFrom(head.headers());
-    boolean bodyless = status == 204 || status == 304;
+    boolean bodyless = status == 204 || status == 304 || request.method().equals(HttpMethod.HEAD);
     if (length.isPresent()) {
       head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length.get());
     } else if (!bodyless) {
