--- a/foxtailford-core/src/main/java/org/foxtailford/core/store/TableMirror.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/store/TableMirror.java
@@ -15,7 +15,8 @@
  *
  * <p>Within an era a row is never replaced by an older version, whatever the order of the pages.
  * Removed rows are kept as tombstones, so that removals can be forwarded and are not undone by
- * delayed pages.
+ * delayed pages. What was removed before a snapshot has no tombstone: rows up to its version that
+ * it lacks are not taken from an older copy, and a copy that is older than it is given all rows.
  *
  * <p>A later era begins with a snapshot, since changes of one era don't apply to the copy of
  * another. Rows that the snapshot lacks are carried over until {@link #dropCarried()}: the restored
@@ -27,6 +28,7 @@
   private final Map<String, Row> rows = new HashMap<>();
   private StoreVersion version = StoreVersion.NONE;
   private StoreVersion eraBegin = StoreVersion.NONE;
+  private StoreVersion snapshotVersion = StoreVersion.NONE;
 
   /** Creates an empty copy. */
   public TableMirror(String table) {
@@ -73,17 +75,18 @@
   }
 
   /**
-   * Returns the rows of this era that changed after a version, tombstones included; all of them if
-   * the version belongs to an earlier era.
+   * Returns a page that brings another copy from a version to this one's: the rows that changed
+   * after it, tombstones included, or a snapshot if not all removals since then are known.
    */
-  public List<Row> changedAfter(StoreVersion afterVersion) {
+  public RowPage changesAfter(StoreVersion afterVersion) {
+    boolean whole = snapshotVersion.isAheadOf(afterVersion);
     List<Row> changed = new ArrayList<>();
     for (Row row : rows.values()) {
-      if (!isCarried(row) && row.version().isAheadOf(afterVersion)) {
+      if (!isCarried(row) && (whole || row.version().isAheadOf(afterVersion))) {
         changed.add(row);
       }
     }
-    return changed;
+    return new RowPage(changed, version, whole);
   }
 
   private boolean isCarried(Row row) {
@@ -116,19 +119,27 @@
       version = page.version();
     }
     List<Row> changed = new ArrayList<>();
+    boolean latest = page.snapshot() && !snapshotVersion.isAheadOf(page.version());
+    StoreVersion missingUpTo = latest ? StoreVersion.NONE : snapshotVersion;
     for (Row row : page.rows()) {
-      update(row, changed);
+      update(row, missingUpTo, changed);
     }
     if (page.snapshot()) {
       removeMissing(page, changed);
+      snapshotVersion = latest ? page.version() : snapshotVersion;
     }
     version = page.version().isNewerThan(version) ? page.version() : version;
     return changed;
   }
 
-  private void update(Row row, List<Row> changed) {
+  /** Takes a row that is newer than its copy; one without a copy was removed up to a version. */
+  private void update(Row row, StoreVersion missingUpTo, List<Row> changed) {
     Row previous = rows.get(row.key());
-    if (previous == null || isCarried(previous) || row.version().isNewerThan(previous.version())) {
+    boolean newer =
+        previous == null || isCarried(previous)
+            ? row.version().isAheadOf(missingUpTo)
+            : row.version().isNewerThan(previous.version());
+    if (newer) {
       rows.put(row.key(), row);
       changed.add(row);
     }
--- a/foxtailford-core/src/test/java/org/foxtailford/core/store/TableMirrorTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/store/TableMirrorTests.java
@@ -58,13 +58,47 @@
     assertThat(mirror.find("b")).isPresent();
   }
 
+  /** Guards against an upstream that has left and comes back from the older copy of a peer. */
+  @Test
+  public void rowThatASnapshotLacksIsNotTakenFromAnOlderCopy() {
+    TableMirror mirror = mirror(new RowPage(List.of(row("a", "x", 3)), version(9), true));
+    RowPage older = new RowPage(List.of(row("a", "x", 3), row("b", "x", 5)), version(8), false);
+    assertThat(mirror.apply(older)).isEmpty();
+    assertThat(mirror.apply(new RowPage(older.rows(), version(8), true))).isEmpty();
+    assertThat(mirror.find("b")).isEmpty();
+    assertThat(mirror.apply(new RowPage(List.of(row("b", "y", 10)), version(10), false)))
+        .extracting(Row::key)
+        .containsExactly("b");
+  }
+
+  /** Guards against a removal that a copy never heard of, so that a peer keeps the row for good. */
+  @Test
+  public void copyThatBeganAfterARemovalGivesAllRows() {
+    TableMirror old =
+        mirror(new RowPage(List.of(row("a", "x", 3), row("b", "x", 5)), version(6), true));
+    TableMirror begun = mirror(new RowPage(List.of(row("a", "x", 3)), version(9), true));
+    assertThat(old.apply(begun.changesAfter(old.version())))
+        .extracting(Row::key)
+        .containsExactly("b");
+    assertThat(old.find("b")).isEmpty();
+    assertThat(old.find("a")).isPresent();
+    assertThat(begun.changesAfter(version(9)).snapshot()).isFalse();
+  }
+
+  @Test
+  public void latestSnapshotIsTakenAsItIs() {
+    TableMirror mirror = mirror(new RowPage(List.of(), version(9), true));
+    mirror.apply(new RowPage(List.of(row("a", "x", 3)), version(9), true));
+    assertThat(mirror.find("a")).isPresent();
+  }
+
   @Test
   public void changesIncludeRemovals() {
     TableMirror mirror =
         mirror(
             new RowPage(
                 List.of(row("a", "x", 3), row("b", "x", 4), removed("c", 5)), version(5), false));
-    assertThat(mirror.changedAfter(version(3)))
+    assertThat(mirror.changesAfter(version(3)).rows())
         .extracting(Row::key)
         .containsExactlyInAnyOrder("b", "c");
   }
@@ -108,7 +142,9 @@
         mirror(new RowPage(List.of(row("a", "x", 3), row("b", "x", 8)), version(8), true));
     mirror.apply(pageOfEra(1, 5, true, row("a", "x", 3)));
     assertThat(mirror.find("b")).isPresent();
-    assertThat(mirror.changedAfter(StoreVersion.NONE)).extracting(Row::key).containsExactly("a");
+    assertThat(mirror.changesAfter(StoreVersion.NONE).rows())
+        .extracting(Row::key)
+        .containsExactly("a");
     mirror.apply(pageOfEra(1, 6, true, row("a", "x", 3)));
     assertThat(mirror.find("b")).as("after another snapshot").isPresent();
     assertThat(mirror.dropCarried()).extracting(Row::key).containsExactly("b");
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/PeerMessages.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.store.Row;
+import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.store.TableMirror;
 import org.foxtailford.core.time.MillisClock;
@@ -133,9 +134,10 @@
       TableMirror mirror = state.mirrorOrNull(wanted.getTable());
       StoreVersion known = new StoreVersion(wanted.getEra(), wanted.getVersion());
       if (mirror != null && mirror.version().isAheadOf(known)) {
+        RowPage changes = mirror.changesAfter(known);
         reply.addTables(
-            RecordCodec.toMessage(mirror, mirror.changedAfter(known), packer).toBuilder()
-                .setSnapshot(mirror.version().era() > known.era()));
+            RecordCodec.toMessage(mirror, changes.rows(), packer).toBuilder()
+                .setSnapshot(changes.snapshot()));
       }
     }
     reply.addAllLeaving(leaving());
