The pause of a body ends with its request

Callers would see: an upload on a kept connection that isn't read, and is refused at its time limit (review, by reading).

Cause: the pause was a state of the connection; if an upstream answers while the body is paused, nobody resumes it, and the next body waits. Change: it is a state of the exchange. Evidence: ReadAheadTests.pauseOfABodyDoesNotOutliveItsRequest fails on and holds now.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -75,7 +75,6 @@
   private @Nullable CallerExchange incoming;
   private final ByteBudget.Share unsent;
   private long bodyBytes;
-  private boolean bodyPaused;
   private boolean closing;
   private boolean aborted;
   private boolean draining;
@@ -239,11 +238,6 @@
     updateReading();
   }
 
-  void pauseBody(boolean pause) {
-    bodyPaused = pause;
-    updateReading();
-  }
-
   /**
    * Takes further bytes unless the body is paused, has to wait for earlier answers, or too much is
    * unanswered or unsent.
@@ -253,7 +247,7 @@
     boolean paused =
         exchange == null
             ? unsent.heldBytes() >= MAX_QUEUED_ANSWER_BYTES
-            : exchange.isBodyBufferFull() || bodyPaused || !exchange.isStarted();
+            : exchange.isBodyHeldBack();
     readAhead.setPaused(paused || exchanges.size() >= MAX_CONCURRENT_EXCHANGES);
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -66,6 +66,7 @@
   private boolean bodyReceived;
   private boolean bodyStreaming;
   private boolean bodyPartial;
+  private boolean bodyPaused;
   private boolean answerStarted;
   private boolean answerEnded;
   private boolean closesConnection;
@@ -153,7 +154,8 @@
 
   /** Pauses or resumes the reading of a streamed body. */
   public void pauseBody(boolean pause) {
-    connection.pauseBody(pause);
+    bodyPaused = pause;
+    connection.updateReading();
   }
 
   /** Returns whether the caller is still connected and the answer has not ended. */
@@ -339,6 +341,11 @@
     started = true;
   }
 
+  /** Returns whether the rest of the body is not read now; what nobody waits for is read on. */
+  boolean isBodyHeldBack() {
+    return isBodyBufferFull() || bodyPaused && !answerEnded || !started;
+  }
+
   /** Returns whether reading is paused until the listener streams the rest of the body. */
   boolean isBodyBufferFull() {
     return !bodyReceived
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
@@ -142,4 +142,22 @@
     assertThat(buffers.readAhead().heldBytes()).isZero();
     assertThat(exchanges).hasSize(TAKEN).noneMatch(CallerExchange::isOpen);
   }
+
+  /** Guards against an upload that is not read, since the one before it was paused at its end. */
+  @Test
+  public void pauseOfABodyDoesNotOutliveItsRequest() {
+    receiveUpload();
+    exchanges.get(0).pauseBody(true);
+    answerAll();
+    receiveUpload();
+    channel.runPendingTasks();
+    assertThat(exchanges).hasSize(2);
+    assertThat(exchanges.get(1).isBodyReceived()).isTrue();
+  }
+
+  private void receiveUpload() {
+    String head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+    channel.writeInbound(Unpooled.copiedBuffer(head, StandardCharsets.ISO_8859_1));
+    channel.writeInbound(Unpooled.copiedBuffer("body", StandardCharsets.ISO_8859_1));
+  }
 }
