A confirmation from before a pause does not confirm a leader

Keys could be renewed for 0.8 s by a VM that woke up while another leads (review, by reading; fences stop it at owners that the new leader has reached).

Cause: the answer to a renewal that was sent before a pause set the time of the last confirmation after onPause had cleared it. Change: only answers to what was sent after the pause count. Evidence: LeaderTasksTests fails with the comparison taken out (trial) and holds with it.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -94,6 +94,7 @@
   private long fenceCount;
   private long renewalCount;
   private long lastConfirmedMs;
+  private long pauseEndedMs = Long.MIN_VALUE;
   private long nextRenewalMs;
   private boolean renewalInFlight;
   private boolean grantsAllowed = true;
@@ -268,17 +269,27 @@
     } else if (version.isEmpty()) {
       end("another VM acquired leadership");
     } else {
-      lastConfirmedMs = sentMs;
+      confirm(sentMs);
       long ageMs = nowMs - sentMs;
       state.ages().record(SystemTables.RANGES, state.ages().nowMs() - ageMs); // its own writes
       nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
     }
   }
 
+  /**
+   * Records a confirmation; one that was asked for before a pause may have been overtaken in it.
+   */
+  private void confirm(long sentMs) {
+    if (sentMs > pauseEndedMs) {
+      lastConfirmedMs = sentMs;
+    }
+  }
+
   /** Suspends grants after a pause of the process, until the store confirms the leadership. */
   void onPause() {
     lastConfirmedMs = Long.MIN_VALUE / 2;
-    nextRenewalMs = clock.nowMs();
+    pauseEndedMs = clock.nowMs();
+    nextRenewalMs = pauseEndedMs + 1;
   }
 
   /** Stops leading; no keys are granted from then on. */
@@ -351,7 +362,7 @@
         return;
       }
       leader = kept;
-      lastConfirmedMs = sentMs;
+      confirm(sentMs);
       nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
       executors.forEach(
           (service, executor) -> executor.onStoreRestored(mapVersions.getOrDefault(service, 0L)));
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -271,7 +271,7 @@
   }
 
   /** Rows of operators in which a configuration is just its number. */
-  private static final class NumberRows implements PlatformRows {
+  static final class NumberRows implements PlatformRows {
 
     @Override
     public String operatorTable() {
