A stop does not wait for a reader of standard output that is stuck

Operators would see: a stop that lasts until SIGKILL (review, by reading).

Cause: the last log lines were written without a time limit. Change: LineWriter.tryDrain gives up after 0.5 s and the stop goes on.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
@@ -40,6 +40,9 @@
 
   private static final String NAME = "foxtailford-entry";
 
+  /** Time that a stop waits for a reader of standard output that is stuck, in milliseconds. */
+  private static final long MAX_DRAIN_MS = 500;
+
   private final PrintStream out;
   private final PrintStream err;
 
@@ -138,10 +141,8 @@
 
   private static void shutDown(EntryVm vm, LineWriter writer) {
     vm.close();
-    try {
-      writer.drain();
-    } catch (IOException e) {
-      System.err.println(NAME + ": failed to write the last log lines: " + e);
+    if (!writer.tryDrain(MAX_DRAIN_MS)) {
+      System.err.println(NAME + ": failed to write the last log lines");
     }
     Runtime.getRuntime().halt(0);
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/log/LineWriter.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/log/LineWriter.java
@@ -4,7 +4,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -50,11 +53,11 @@
   }
 
   /**
-   * Writes all queued lines and the numbers of dropped ones; also called before the process exits.
+   * Writes all queued lines and the numbers of dropped ones.
    *
    * @throws IOException if the output can't be written
    */
-  public synchronized void drain() throws IOException {
+  private synchronized void drain() throws IOException {
     Optional<byte[]> next = queue.poll();
     while (next.isPresent()) {
       write(next.get());
@@ -67,6 +70,37 @@
     out.flush();
   }
 
+  /**
+   * Writes all queued lines as {@link #drain()}, but gives up after a time.
+   *
+   * @param timeoutMs maximum time, in milliseconds
+   * @return whether all lines were written
+   */
+  public boolean tryDrain(long timeoutMs) {
+    CompletableFuture<Void> drained = new CompletableFuture<>();
+    Thread thread = new Thread(null, () -> drain(drained), "log-drain", STACK_BYTES);
+    thread.setDaemon(true);
+    thread.start();
+    try {
+      drained.get(timeoutMs, TimeUnit.MILLISECONDS);
+      return true;
+    } catch (ExecutionException | TimeoutException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private void drain(CompletableFuture<Void> drained) {
+    try {
+      drain();
+      drained.complete(null);
+    } catch (IOException e) {
+      drained.completeExceptionally(e);
+    }
+  }
+
   private synchronized void write(byte[] line) throws IOException {
     out.write(line);
   }
