A change of the settings at the start is not lost, and SIGHUP then does not end the process

Operators would see: a VM that keeps old settings, or that ends, if the file changes or SIGHUP comes while it starts (review, by reading).

Cause: the watch of the file began with a second read, so that a change since the first one was not seen; and SIGHUP had its default action until the VM ran. Change: the watch compares with what was read first, and the signal is ignored until its handler is set. The start of the JVM itself stays uncovered.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryCommand.java
@@ -20,6 +20,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * The {@code foxtailford-entry} command: runs an entry VM until SIGTERM; SIGHUP reloads the
@@ -55,6 +56,7 @@
   public static void main(String[] args) {
     System.setProperty("io.netty.machineId", "02:00:00:ff:fe:00:00:01"); // no interface has one
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // no auto-detection
+    Signal.handle(new Signal("HUP"), SignalHandler.SIG_IGN); // until the file has been read
     int status = new EntryCommand(System.out, System.err).run(args);
     if (status != 0) {
       System.exit(status);
@@ -107,12 +109,13 @@
 
   private int start(Path file, boolean checkOnly) {
     try {
-      EntrySettings settings = EntrySettingsReader.read(Files.readAllBytes(file));
+      byte[] content = Files.readAllBytes(file);
+      EntrySettings settings = EntrySettingsReader.read(content);
       if (checkOnly) {
         out.println(file + ": no faults");
         return 0;
       }
-      run(file, settings);
+      run(file, content, settings);
       return 0;
     } catch (InvalidSettingsException e) {
       err.println(NAME + ": " + file + " has faults:");
@@ -127,13 +130,13 @@
     }
   }
 
-  private static void run(Path file, EntrySettings settings) {
+  private static void run(Path file, byte[] content, EntrySettings settings) {
     JsonLog.configure(settings.node(), Level.INFO);
     LineWriter writer = new LineWriter(JsonLog.lines(), new FileOutputStream(FileDescriptor.out));
     writer.start();
     EntryVm vm = new EntryVm(settings);
     vm.start();
-    SettingsWatcher watcher = new SettingsWatcher(file, vm::reload);
+    SettingsWatcher watcher = new SettingsWatcher(file, content, vm::reload);
     watcher.start();
     Signal.handle(new Signal("HUP"), signal -> watcher.reload("signal"));
     Signal.handle(new Signal("TERM"), signal -> vm.stop().thenRun(() -> shutDown(vm, writer)));
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/SettingsWatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/SettingsWatcher.java
@@ -24,15 +24,20 @@
 
   private final Path file;
   private final Consumer<EntrySettings> listener;
-  private byte[] lastRead = new byte[0];
+  private byte[] lastRead;
 
-  SettingsWatcher(Path file, Consumer<EntrySettings> listener) {
+  /**
+   * Creates a watcher that is not started.
+   *
+   * @param content content of the file from which the settings in force were read
+   */
+  SettingsWatcher(Path file, byte[] content, Consumer<EntrySettings> listener) {
     this.file = Assert.notNull(file, "file");
+    this.lastRead = content.clone();
     this.listener = Assert.notNull(listener, "listener");
   }
 
   void start() {
-    lastRead = read();
     Thread thread = new Thread(null, this::run, "settings-watch", STACK_BYTES);
     thread.setDaemon(true);
     thread.start();
