--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -31,12 +31,12 @@
  * Connection to an upstream that carries at most one request at a time.
  *
  * <p>An answer whose request id belongs to another request is skipped, and the connection is closed
- * after the expected answer. No request is sent twice on one connection, see {@link
+ * after the expected answer. It is also closed if more than one answer was received, or if the
+ * request was not sent completely. No request is sent twice on one connection, see {@link
  * UsedConnections}, so that the id tells each answer apart.
  *
  * <p>An answer that ends with its connection is complete only if the upstream has ended its output
- * in order and the whole request was sent: a reset may be met by a write, without a failed read. It
- * is also closed if more than one answer was received, or if the request was not sent completely.
+ * in order and the whole request was sent: a reset may be met by a write, without a failed read.
  * Confined to the connection's event loop.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
