An answer without length is told from a cut one without half-closure

Change: no half-closure. An answer that ends with its connection is complete if the whole request was sent and the VM did not close the connection itself; a reset that a write meets leaves a part of the request unsent, one that a read meets has failed the request before.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamAnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamAnswerDecoder.java
@@ -1,7 +1,6 @@
 package org.foxtailford.net.proxy;
 
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,7 +16,6 @@
 
   private boolean answerExpected;
   private boolean headRequest;
-  private boolean inputEnded;
 
   UpstreamAnswerDecoder() {
     super(
@@ -51,18 +49,6 @@
     }
   }
 
-  /** Records an orderly end before the decoder ends an answer without length because of it. */
-  @Override
-  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
-    inputEnded |= event instanceof ChannelInputShutdownEvent;
-    super.userEventTriggered(ctx, event);
-  }
-
-  /** Returns whether the upstream has ended its output, in contrast to a reset or an own close. */
-  boolean isInputEnded() {
-    return inputEnded;
-  }
-
   /** Returns whether an answer ends with its connection, since its head says nothing else. */
   boolean endsWithConnection(HttpResponse head) {
     return !isFramed(head) && !isContentAlwaysEmpty(head);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -1,10 +1,10 @@
 package org.foxtailford.net.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
@@ -35,11 +35,11 @@
  * request was not sent completely. No request is sent twice on one connection, see {@link
  * UsedConnections}, so that the id tells each answer apart.
  *
- * <p>An answer that ends with its connection is complete only if the upstream has ended its output
- * in order and the whole request was sent: a reset may be met by a write, without a failed read.
- * Confined to the connection's event loop.
+ * <p>An answer that ends with its connection is complete only if the upstream has closed that and
+ * the whole request was sent: a reset may be met by a write, without a failed read. Confined to the
+ * connection's event loop.
  */
-final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+final class UpstreamConnection extends ChannelDuplexHandler {
 
   /** Bytes that are skipped while an answer is expected: several small answers to others. */
   private static final int MAX_SKIPPED_BYTES = 64 << 10;
@@ -61,6 +61,7 @@
   private boolean headReceived;
   private boolean answerEnded;
   private boolean endsWithConnection;
+  private boolean ownClose;
   private boolean reusable;
   private long idleSinceMs;
   private OptionalLong keepAliveMs = OptionalLong.empty();
@@ -234,7 +235,7 @@
       fail(UpstreamFailure.BROKEN_OFF, "malformed answer body");
       return;
     }
-    if (last && endsWithConnection && !(decoder.isInputEnded() && bodySent)) {
+    if (last && endsWithConnection && !isEndedByUpstream()) {
       fail(UpstreamFailure.BROKEN_OFF, "connection lost during an answer without length");
       return;
     }
@@ -281,12 +282,19 @@
     }
   }
 
+  /**
+   * Returns whether the close of the connection is the end that the upstream gave to its answer. A
+   * reset that a read meets has failed the request already; one that a write meets leaves a part of
+   * the request unsent.
+   */
+  private boolean isEndedByUpstream() {
+    return bodySent && !ownClose && !context().channel().eventLoop().isShuttingDown();
+  }
+
   @Override
-  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-    if (event instanceof ChannelInputShutdownEvent) {
-      ctx.close();
-    }
-    ctx.fireUserEventTriggered(event);
+  public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+    ownClose = true;
+    ctx.close(promise);
   }
 
   @Override
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -81,7 +81,6 @@
             .group(Assert.notNull(loop, "loop"))
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.ALLOW_HALF_CLOSURE, true) // tells an orderly end from a reset
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARKS)
