A test cluster gives no port twice

Fits, not shown: the cluster draws each of a VM's three ports by itself from 20,000, so that two of one VM are the same now and then. Change: a port is given once for each test run. No check changes. After: EndlessAnswerTests, LongUploadTests and UnreadAnswerTests, 31 run, none failed. The whole script was not run again.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -15,7 +15,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -55,6 +57,9 @@
   private static final int LAST_PORT = 32_000;
   private static final int MAX_PORT_TRIES = 100;
 
+  /** Ports given out before: one VM would get the same port for two listeners now and then. */
+  private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
+
   private static final long CALL_TIMEOUT_MS = 4000;
   private static final long AWAIT_TIMEOUT_MS = 15_000;
 
@@ -210,6 +215,9 @@
     InetAddress loopback = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
     for (int i = 0; i < MAX_PORT_TRIES; i++) {
       int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      if (!GIVEN_PORTS.add(port)) {
+        continue;
+      }
       try (ServerSocket socket = new ServerSocket(port, 1, loopback)) {
         return new UpstreamAddress("127.0.0.1", socket.getLocalPort());
       } catch (BindException e) {
