The log says -1 where the store was never reached

Cause: a read that never succeeded counted as one at half of the least time. Change: no time until there is one; the line has -1, as elsewhere.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.range.LeaderFitness;
@@ -223,7 +224,7 @@
   private boolean needsPeers() {
     long staleAfterMs = reportIntervalMs() + ControlTiming.STALENESS_MARGIN_MS;
     boolean upstreamsStale =
-        readers.lastSuccessAgeMs() > staleAfterMs
+        readers.lastSuccessAgeMs().orElse(Long.MAX_VALUE) > staleAfterMs
             && ages.isOlderThan(upstreamTable, staleAfterMs / 2);
     return upstreamsStale || readers.areOperatorsOutdated(reportIntervalMs());
   }
@@ -261,13 +262,13 @@
   }
 
   private void updateStoreState(long nowMs) {
-    long ageMs = Math.min(upstreamsAgeMs(), readers.lastSuccessAgeMs());
-    boolean reached = ageMs < ControlTiming.STORE_LOST_MS;
+    OptionalLong ageMs = contactAgeMs();
+    boolean reached = ageMs.isPresent() && ageMs.getAsLong() < ControlTiming.STORE_LOST_MS;
     if (reached != storeReached) {
       storeReached = reached;
       logger
           .atWarning()
-          .with(EventFields.AGE_MS, ageMs)
+          .with(EventFields.AGE_MS, ageMs.orElse(-1))
           .log(reached ? "store reachable again" : "store unreachable, directly and through peers");
     }
     if (started) {
@@ -279,6 +280,13 @@
     return ages.ageMs(upstreamTable).orElse(Long.MAX_VALUE);
   }
 
+  /** Returns the time since the store was known to be reached, by this VM or a peer. */
+  private OptionalLong contactAgeMs() {
+    return LongStream.concat(
+            ages.ageMs(upstreamTable).stream(), readers.lastSuccessAgeMs().stream())
+        .min();
+  }
+
   private void report(long nowMs) {
     if (leader.isEmpty() || reportInFlight || nowMs < nextReportMs || isSelf(leader.get())) {
       return;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TableReaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/TableReaders.java
@@ -1,6 +1,7 @@
 package org.foxtailford.entry.control;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.LongConsumer;
 import org.foxtailford.core.range.LeadershipTiming;
@@ -27,7 +28,7 @@
   private final TablePoller owners;
   private final TablePoller members;
   private final TablePoller losses;
-  private long lastSuccessMs = Long.MIN_VALUE / 2;
+  private OptionalLong lastSuccessMs = OptionalLong.empty();
 
   /**
    * Creates the readers.
@@ -46,7 +47,7 @@
     this.clock = Assert.notNull(clock, "clock");
     this.upstreamTable = platform.upstreamTable();
     this.operatorTable = platform.operatorTable();
-    LongConsumer onRead = asOfMs -> lastSuccessMs = Math.max(lastSuccessMs, asOfMs);
+    LongConsumer onRead = this::recordSuccess;
     upstreams =
         new TablePoller(
             upstreamTable,
@@ -134,8 +135,17 @@
     operators.poll();
   }
 
-  /** Returns the time since a read of any table that succeeded was sent, in milliseconds. */
-  long lastSuccessAgeMs() {
-    return ages.nowMs() - lastSuccessMs;
+  /**
+   * Returns the time since a read of any table that succeeded was sent, in milliseconds; empty if
+   * none has.
+   */
+  OptionalLong lastSuccessAgeMs() {
+    return lastSuccessMs.isPresent()
+        ? OptionalLong.of(ages.nowMs() - lastSuccessMs.getAsLong())
+        : OptionalLong.empty();
+  }
+
+  private void recordSuccess(long asOfMs) {
+    lastSuccessMs = OptionalLong.of(Math.max(lastSuccessMs.orElse(asOfMs), asOfMs));
   }
 }
