A connection sends the announced body or is reset

Cause (class): the parts of a body had no place. Nobody could see that one was missing, came twice, or that the end came early, so whoever dropped a part made the upstream take the rest for the whole: with a Content-Length computed from what was left, or with a last chunk. Change: BodyPart carries its offset from the caller's connection; AnnouncedBody compares what is sent with what was announced (the length as stated or received, not the size of the buffer), and UpstreamConnection resets the connection before a part that does not follow. The length in the head is that of the request, so a beginning can't be announced as a whole body. CallerExchange.isBodyWhole() compares counts; its flag is gone. attempt failed and request answered have the bytes received, announced and sent.

Ruled out by reading each path that releases a part: RequestCall.onBodyPart without an attempt (only after the first one failed, and canRetry is false then), Attempt.sendBody while pool.send has not returned (nothing is read meanwhile), parts queued for a connection (sent in order behind the first), an ended or aborted answer (its connection is reset or closed). A part after a failed send no longer pauses the reading of the caller's body.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
@@ -77,6 +77,15 @@
   /** Number of items; the text of the event says which. */
   public static final MetadataKey<Long> COUNT = longField("count");
 
+  /** Bytes of a request's body that were received, by this VM. */
+  public static final MetadataKey<Long> RECEIVED_BYTES = longField("receivedBytes");
+
+  /** Length of a request's body as announced to the target; -1 if it came in chunks. */
+  public static final MetadataKey<Long> ANNOUNCED_BYTES = longField("announcedBytes");
+
+  /** Bytes of a request's body that were sent to the target. */
+  public static final MetadataKey<Long> SENT_BYTES = longField("sentBytes");
+
   /** Fence of an ownership, or term of a leader. */
   public static final MetadataKey<Long> FENCE = longField("fence");
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -9,9 +9,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.proxy.BodyPart;
 import org.foxtailford.net.proxy.CallerExchange;
 import org.foxtailford.net.proxy.RequestHeaders;
 import org.foxtailford.net.proxy.UpstreamFailure;
@@ -144,8 +146,8 @@
             exchange.method(),
             exchange.uri(),
             headers,
-            exchange.retainedBody(),
-            whole,
+            exchange.bufferedBody(),
+            exchange.bodyLength(),
             call.requestId(),
             call.usedConnections(),
             scheduler.maxIdleMs(call.route().kind()));
@@ -164,14 +166,14 @@
     call.exchange().pauseBody(false);
   }
 
-  final void sendBody(ByteBuf part, boolean last) {
+  final void sendBody(BodyPart part) {
     if (send == null) {
       part.release();
       return;
     }
-    onBodyPart(part.readableBytes());
-    send.sendBody(part, last);
-    if (!send.isWritable()) {
+    onBodyPart(part.bytes().readableBytes());
+    send.sendBody(part);
+    if (!closed && !send.isWritable()) {
       call.exchange().pauseBody(true);
     }
   }
@@ -333,15 +335,28 @@
     scheduler.sendWaiting(call.service().name());
   }
 
+  /** Adds the sizes of a body to a line of the log: received here, announced and sent. */
+  final FluentLogger.Api describeBody(FluentLogger.Api line) {
+    if (call.exchange().bodyBytes() == 0) {
+      return line;
+    }
+    Optional<UpstreamSend> started = Optional.ofNullable(send);
+    OptionalLong announced = started.map(UpstreamSend::announcedBytes).orElse(OptionalLong.empty());
+    return line.with(EventFields.RECEIVED_BYTES, call.exchange().receivedBytes())
+        .with(EventFields.ANNOUNCED_BYTES, announced.orElse(-1))
+        .with(EventFields.SENT_BYTES, started.map(UpstreamSend::sentBytes).orElse(0L));
+  }
+
   private void logFailure(String reason, long tookMs) {
-    logger
-        .atInfo()
-        .with(EventFields.REQUEST, call.requestId())
-        .with(EventFields.FINGERPRINT, Long.toHexString(call.fingerprint()))
-        .with(EventFields.SERVICE, call.service().name())
-        .with(EventFields.UPSTREAM, target())
-        .with(EventFields.REASON, reason)
-        .with(EventFields.TOOK_MS, tookMs)
+    describeBody(
+            logger
+                .atInfo()
+                .with(EventFields.REQUEST, call.requestId())
+                .with(EventFields.FINGERPRINT, Long.toHexString(call.fingerprint()))
+                .with(EventFields.SERVICE, call.service().name())
+                .with(EventFields.UPSTREAM, target())
+                .with(EventFields.REASON, reason)
+                .with(EventFields.TOOK_MS, tookMs))
         .log("attempt failed");
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -19,6 +19,7 @@
 import org.foxtailford.core.route.RouteRule;
 import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.tenant.Tenant;
+import org.foxtailford.net.proxy.BodyPart;
 import org.foxtailford.net.proxy.CallerExchange;
 import org.foxtailford.net.proxy.UsedConnections;
 import org.jspecify.annotations.Nullable;
@@ -177,7 +178,7 @@
   private long computeFingerprint() {
     OptionalInt statedKey = scheduler.dialect().key(exchange.headers()); // whatever the service is
     String keyText = statedKey.isPresent() ? Integer.toString(statedKey.getAsInt()) : "";
-    ByteBuf body = bodyBuffered ? exchange.retainedBody() : Unpooled.EMPTY_BUFFER;
+    ByteBuf body = bodyBuffered ? exchange.bufferedBody().bytes() : Unpooled.EMPTY_BUFFER;
     try {
       return RequestFingerprint.of(
           exchange.method().name(),
@@ -503,12 +504,12 @@
   }
 
   @Override
-  public void onBodyPart(ByteBuf part, boolean last) {
+  public void onBodyPart(BodyPart part) {
     Attempt attempt = activeAttempts.isEmpty() ? null : activeAttempts.get(0);
     if (finished || attempt == null) {
       part.release();
     } else {
-      attempt.sendBody(part, last);
+      attempt.sendBody(part);
     }
   }
 
@@ -535,7 +536,7 @@
   void onAnswered(Attempt attempt, int status) {
     long tookMs = scheduler.nowMs() - terms.arrivedMs();
     scheduler.metrics().recordAnswer(route.name(), status, tookMs);
-    scheduler.log().answered(this, attempt.target(), status);
+    scheduler.log().answered(this, attempt, status);
     activeAttempts.remove(attempt);
     finish();
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestLog.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestLog.java
@@ -17,10 +17,11 @@
   }
 
   /** Logs that an upstream's whole answer was passed on. */
-  void answered(RequestCall call, String target, int status) {
-    describe(logger.atInfo(), call)
+  void answered(RequestCall call, Attempt attempt, int status) {
+    attempt
+        .describeBody(describe(logger.atInfo(), call))
         .with(EventFields.ROUTE, call.route().name())
-        .with(EventFields.UPSTREAM, target)
+        .with(EventFields.UPSTREAM, attempt.target())
         .with(EventFields.STATUS, (long) status)
         .log("request answered");
   }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/LateRejectionTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/LateRejectionTests.java
@@ -11,10 +11,12 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.net.proxy.BodyPart;
 import org.foxtailford.net.proxy.UpstreamFailure;
 import org.foxtailford.net.proxy.UpstreamListener;
 import org.foxtailford.net.proxy.UpstreamPool;
@@ -88,7 +90,14 @@
     }
     UpstreamRequest request =
         new UpstreamRequest(
-            HttpMethod.GET, "/a", headers, Unpooled.EMPTY_BUFFER, true, id, used, TIMEOUT_MS);
+            HttpMethod.GET,
+            "/a",
+            headers,
+            new BodyPart(Unpooled.EMPTY_BUFFER, 0, true),
+            OptionalLong.of(0),
+            id,
+            used,
+            TIMEOUT_MS);
     loops.next().execute(() -> pool.send(request, answer));
     return answer.ended.get();
   }
--- /dev/null
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/AnnouncedBody.java
@@ -0,0 +1,49 @@
+package org.foxtailford.net.proxy;
+
+import java.util.OptionalLong;
+import org.foxtailford.core.util.Assert;
+
+/**
+ * Compares what is sent of a request's body with the body that was announced.
+ *
+ * <p>Whoever drops a part of a body can't make the upstream take the rest for the whole: the parts
+ * must follow each other without a gap, and the last one must end at the announced length. Confined
+ * to the event loop.
+ */
+final class AnnouncedBody {
+
+  private final OptionalLong length;
+  private long sentBytes;
+  private boolean ended;
+
+  /**
+   * Creates a body of which nothing is sent.
+   *
+   * @param length length in bytes; empty if the last part tells it
+   */
+  AnnouncedBody(OptionalLong length) {
+    this.length = Assert.notNull(length, "length");
+  }
+
+  /** Counts a part that is about to be sent; returns false if it must not be sent. */
+  boolean tryAdd(BodyPart part) {
+    long end = part.endOffset();
+    long limit = length.orElse(Long.MAX_VALUE);
+    boolean follows = !ended && part.offset() == sentBytes;
+    boolean fits = part.last() ? end == length.orElse(end) : end <= limit;
+    if (!follows || !fits) {
+      return false;
+    }
+    sentBytes = end;
+    ended = part.last();
+    return true;
+  }
+
+  OptionalLong length() {
+    return length;
+  }
+
+  long sentBytes() {
+    return sentBytes;
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -34,7 +35,7 @@
     default void onBodyReady() {}
 
     /** Called with each part of a streamed body; the listener must release the part. */
-    default void onBodyPart(ByteBuf part, boolean last) {
+    default void onBodyPart(BodyPart part) {
       part.release();
     }
 
@@ -65,7 +66,6 @@
   private Listener listener = new Listener() {};
   private boolean bodyReceived;
   private boolean bodyStreaming;
-  private boolean bodyPartial;
   private boolean bodyPaused;
   private boolean answerStarted;
   private boolean answerEnded;
@@ -73,6 +73,7 @@
   private boolean answeredAlone;
   private boolean callerGone;
   private boolean started;
+  private long receivedBytes;
   private long queuedBytes;
 
   /** Part of an answer behind earlier ones, and the bytes that it counts for. */
@@ -128,12 +129,27 @@
    * times. A body that was streamed is received at some time, but never whole in the buffer.
    */
   public boolean isBodyWhole() {
-    return bodyReceived && !bodyPartial;
+    return bodyReceived && body.readableBytes() == receivedBytes;
   }
 
   /** Returns the buffered part of the body; the caller of this method must release it. */
-  public ByteBuf retainedBody() {
-    return body.retained();
+  public BodyPart bufferedBody() {
+    return new BodyPart(body.retained(), 0, isBodyWhole());
+  }
+
+  /** Returns the number of bytes of the body that were received, buffered or not. */
+  public long receivedBytes() {
+    return receivedBytes;
+  }
+
+  /** Returns the length of the body in bytes, as received or stated; empty if not known yet. */
+  public OptionalLong bodyLength() {
+    if (bodyReceived) {
+      return OptionalLong.of(receivedBytes);
+    }
+    return hasStatedLength()
+        ? OptionalLong.of(HttpUtil.getContentLength(request, 0L))
+        : OptionalLong.empty();
   }
 
   /** Returns whether the header states the length of the body. */
@@ -362,12 +378,13 @@
   /** Adds a part of the body; returns false if the budget of all bodies has no room. */
   boolean tryAddBody(ByteBuf part, boolean last) {
     boolean added = true;
-    bodyPartial = bodyPartial || !isBuffering() && part.isReadable();
+    long offset = receivedBytes;
+    receivedBytes += part.readableBytes();
     if (answerEnded || callerGone) {
       part.release();
     } else if (bodyStreaming) {
       bodyReceived = bodyReceived || last;
-      listener.onBodyPart(part, last);
+      listener.onBodyPart(new BodyPart(part, offset, last));
     } else {
       added = body.tryAdd(part);
     }
@@ -375,10 +392,6 @@
     return added;
   }
 
-  private boolean isBuffering() {
-    return !answerEnded && !callerGone && !bodyStreaming;
-  }
-
   boolean isBodyReady() {
     return bodyReceived || bodyStreaming || isBodyBufferFull();
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -1,6 +1,5 @@
 package org.foxtailford.net.proxy;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -33,7 +32,8 @@
  * <p>An answer whose request id belongs to another request is skipped, and the connection is closed
  * after the expected answer. It is also closed if more than one answer was received, or if the
  * request was not sent completely. No request is sent twice on one connection, see {@link
- * UsedConnections}, so that the id tells each answer apart.
+ * UsedConnections}, so that the id tells each answer apart. A connection on which the body would
+ * differ from the announced one is reset.
  *
  * <p>An answer that ends with its connection is complete only if the upstream has closed that and
  * the whole request was sent: a reset may be met by a write, without a failed read. Confined to the
@@ -54,6 +54,7 @@
   private @Nullable ChannelHandlerContext context;
   private @Nullable UpstreamListener listener;
   private String requestId = "";
+  private AnnouncedBody body = new AnnouncedBody(OptionalLong.empty());
   private boolean bodySent;
   private boolean flushScheduled;
   private boolean skipping;
@@ -100,8 +101,9 @@
         && idleMs < keepAliveOrDefaultMs - UpstreamPool.CLOSE_MARGIN_MS;
   }
 
-  void send(UpstreamRequest request, UpstreamListener newListener) {
+  void send(UpstreamRequest request, AnnouncedBody newBody, UpstreamListener newListener) {
     listener = newListener;
+    body = newBody;
     requestId = request.requestId();
     request.usedConnections().add(this);
     headReceived = false;
@@ -117,18 +119,17 @@
     setBodyLength(head.headers(), request);
     context().write(head);
     newListener.onSent();
-    sendBody(request.body(), request.bodyComplete());
+    sendBody(request.body());
   }
 
   private static void setBodyLength(HttpHeaders headers, UpstreamRequest request) {
-    if (request.bodyComplete()) {
-      int length = request.body().readableBytes();
-      boolean hasContentLength = headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-      if (length > 0 || hasContentLength) {
+    if (request.bodyLength().isPresent()) {
+      long length = request.bodyLength().getAsLong();
+      if (length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
         headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
       }
-    } else if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+    } else {
+      headers.remove(HttpHeaderNames.CONTENT_LENGTH);
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
   }
@@ -137,12 +138,18 @@
    * Sends a part of the body and releases it. Parts that are decoded from one read are flushed
    * together, since a body may come in chunks of one byte.
    */
-  void sendBody(ByteBuf part, boolean last) {
-    if (last) {
-      ChannelFuture written = context().writeAndFlush(new DefaultLastHttpContent(part));
+  void sendBody(BodyPart part) {
+    if (!body.tryAdd(part)) {
+      part.release();
+      fail(
+          UpstreamFailure.BODY_INCOMPLETE,
+          "body part at %d of %d after %d bytes"
+              .formatted(part.offset(), body.length().orElse(-1), body.sentBytes()));
+    } else if (part.last()) {
+      ChannelFuture written = context().writeAndFlush(new DefaultLastHttpContent(part.bytes()));
       written.addListener(done -> bodySent = done.isSuccess());
     } else {
-      context().write(new DefaultHttpContent(part));
+      context().write(new DefaultHttpContent(part.bytes()));
       if (!flushScheduled) {
         flushScheduled = true;
         context().executor().execute(this::flush);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamFailure.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamFailure.java
@@ -11,7 +11,9 @@
   /** The connection was lost after the head of the answer and before its end. */
   BROKEN_OFF(false),
   /** The received data is not a valid HTTP answer. */
-  GARBLED(false);
+  GARBLED(false),
+  /** The parts of the body are not those of the announced one; the rest was not sent. */
+  BODY_INCOMPLETE(false);
 
   private final boolean notRun;
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamRequest.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamRequest.java
@@ -1,8 +1,8 @@
 package org.foxtailford.net.proxy;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.OptionalLong;
 import org.foxtailford.core.util.Assert;
 
 /**
@@ -12,7 +12,7 @@
  * @param uri path and query
  * @param headers end-to-end header fields
  * @param body body, or its first part; released when it is sent or the request is abandoned
- * @param bodyComplete whether {@code body} is the complete body
+ * @param bodyLength length of the whole body in bytes, stated or received; empty if not known yet
  * @param requestId id that an answer must have if it states one; empty if the request has none
  * @param usedConnections connections of earlier attempts, to which that of this one is added
  * @param maxIdleMs maximum idle time of a reused connection, in milliseconds
@@ -21,8 +21,8 @@
     HttpMethod method,
     String uri,
     HttpHeaders headers,
-    ByteBuf body,
-    boolean bodyComplete,
+    BodyPart body,
+    OptionalLong bodyLength,
     String requestId,
     UsedConnections usedConnections,
     long maxIdleMs) {
@@ -33,6 +33,7 @@
     Assert.hasLength(uri, "uri");
     Assert.notNull(headers, "headers");
     Assert.notNull(body, "body");
+    Assert.notNull(bodyLength, "bodyLength");
     Assert.notNull(requestId, "requestId");
     Assert.notNull(usedConnections, "usedConnections");
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamSend.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamSend.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,30 +17,29 @@
   private final UpstreamRequest request;
   private final UpstreamListener listener;
   private @Nullable UpstreamConnection connection;
-  private final Deque<Part> queuedParts = new ArrayDeque<>();
+  private final AnnouncedBody body;
+  private final Deque<BodyPart> queuedParts = new ArrayDeque<>();
   private boolean sent;
   private boolean finished;
 
-  /** Part of a body that arrived before a connection was available. */
-  private record Part(ByteBuf bytes, boolean last) {}
-
   UpstreamSend(UpstreamRequest request, UpstreamListener listener) {
     this.request = request;
     this.listener = listener;
+    this.body = new AnnouncedBody(request.bodyLength());
   }
 
   void start(UpstreamConnection newConnection) {
     connection = newConnection;
     sent = true;
-    newConnection.send(request, new ForwardingListener());
+    newConnection.send(request, body, new ForwardingListener());
     while (!queuedParts.isEmpty() && connection != null) {
-      Part part = queuedParts.poll();
-      newConnection.sendBody(part.bytes(), part.last());
+      newConnection.sendBody(queuedParts.poll());
     }
+    releaseQueuedParts();
   }
 
   private void releaseQueuedParts() {
-    queuedParts.forEach(part -> part.bytes().release());
+    queuedParts.forEach(BodyPart::release);
     queuedParts.clear();
   }
 
@@ -69,16 +69,26 @@
    * Sends a further part of the body and releases it. Parts are queued until a connection is
    * available, and dropped once the request has ended.
    */
-  public void sendBody(ByteBuf part, boolean last) {
+  public void sendBody(BodyPart part) {
     if (connection == null && !sent && !finished) {
-      queuedParts.add(new Part(part, last));
+      queuedParts.add(part);
     } else if (connection == null) {
       part.release();
     } else {
-      connection.sendBody(part, last);
+      connection.sendBody(part);
     }
   }
 
+  /** Returns the announced length of the body in bytes; empty if it is sent in chunks. */
+  public OptionalLong announcedBytes() {
+    return body.length();
+  }
+
+  /** Returns the number of bytes of the body that were sent. */
+  public long sentBytes() {
+    return body.sentBytes();
+  }
+
   /** Returns whether more of the body can be sent without exceeding the write buffer. */
   public boolean isWritable() {
     return connection != null && connection.isWritable();
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -77,14 +77,18 @@
 
   private void send(HttpMethod method, String answer) {
     ByteBuf body = Unpooled.copiedBuffer("body", StandardCharsets.UTF_8);
-    UpstreamRequest request =
-        new UpstreamRequest(
-            method, "/a", new DefaultHttpHeaders(), body, true, "", new UsedConnections(), 0);
-    connection.send(request, outcome);
+    send(method, new BodyPart(body, 0, true), OptionalLong.of(body.readableBytes()));
     channel.runPendingTasks();
     channel.writeInbound(Unpooled.copiedBuffer(answer, StandardCharsets.UTF_8));
   }
 
+  private void send(HttpMethod method, BodyPart body, OptionalLong length) {
+    UpstreamRequest request =
+        new UpstreamRequest(
+            method, "/a", new DefaultHttpHeaders(), body, length, "", new UsedConnections(), 0);
+    connection.send(request, new AnnouncedBody(length), outcome);
+  }
+
   /** Closes the channel as the transport does at the end of its input. */
   private void endInput() {
     channel.unsafe().close(channel.voidPromise());
@@ -124,6 +128,16 @@
     assertThat(outcome.text).isEqualTo("BROKEN_OFF");
   }
 
+  /** Guards against a request that an upstream takes for whole though a part was dropped. */
+  @Test
+  public void bodyWithAMissingPartResetsTheConnection() {
+    ByteBuf bytes = Unpooled.copiedBuffer("part", StandardCharsets.UTF_8);
+    send(HttpMethod.POST, new BodyPart(bytes, 0, false), OptionalLong.empty());
+    connection.sendBody(new BodyPart(Unpooled.EMPTY_BUFFER, 8, true));
+    assertThat(outcome.text).isEqualTo("BODY_INCOMPLETE");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   @Test
   public void answersThatStateTheirEndNeedNone() {
     send(HttpMethod.POST, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
