The announced length of a body is the caller's, and a refused part ends it

Change: the stated length goes before the received one; AnnouncedBody refuses all parts after a refused one; BODY_INCOMPLETE counts against no peer; upload broken off names what was received, announced and sent, and the lines of a request have receivedBytes. Tests: bodyThatEndsBeforeItsStatedLengthIsNotSent and nothingFollowsAPartThatWasRefused are new. AnnouncedBodyProperties asserts that no last part is accepted, which it said before but did not check.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
@@ -80,10 +80,10 @@
   /** Bytes of a request's body that were received, by this VM. */
   public static final MetadataKey<Long> RECEIVED_BYTES = longField("receivedBytes");
 
-  /** Length of a request's body as announced to the target; -1 if it came in chunks. */
+  /** Length of a request's body as announced to the target; -1 if it is sent in chunks. */
   public static final MetadataKey<Long> ANNOUNCED_BYTES = longField("announcedBytes");
 
-  /** Bytes of a request's body that were sent to the target. */
+  /** Bytes of a request's body that were passed to the connection to the target. */
   public static final MetadataKey<Long> SENT_BYTES = longField("sentBytes");
 
   /** Fence of an ownership, or term of a leader. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.util.Assert;
@@ -140,18 +139,18 @@
     long leftMs = Math.max(1, call.terms().deadlineMs() - scheduler.nowMs());
     address(headers, leftMs);
     onStart();
-    boolean whole = exchange.isBodyWhole();
+    BodyPart body = exchange.bufferedBody();
     UpstreamRequest request =
         new UpstreamRequest(
             exchange.method(),
             exchange.uri(),
             headers,
-            exchange.bufferedBody(),
+            body,
             exchange.bodyLength(),
             call.requestId(),
             call.usedConnections(),
             scheduler.maxIdleMs(call.route().kind()));
-    if (!whole) {
+    if (!body.last()) {
       exchange.streamBody(); // later parts of the body are not in the request above
     }
     UpstreamSend started = pool.send(request, this);
@@ -335,16 +334,18 @@
     scheduler.sendWaiting(call.service().name());
   }
 
-  /** Adds the sizes of a body to a line of the log: received here, announced and sent. */
-  final FluentLogger.Api describeBody(FluentLogger.Api line) {
-    if (call.exchange().bodyBytes() == 0) {
-      return line;
-    }
-    Optional<UpstreamSend> started = Optional.ofNullable(send);
-    OptionalLong announced = started.map(UpstreamSend::announcedBytes).orElse(OptionalLong.empty());
-    return line.with(EventFields.RECEIVED_BYTES, call.exchange().receivedBytes())
-        .with(EventFields.ANNOUNCED_BYTES, announced.orElse(-1))
-        .with(EventFields.SENT_BYTES, started.map(UpstreamSend::sentBytes).orElse(0L));
+  /** Adds the sizes of a body to a line of the log, as announced to the target and as sent. */
+  final FluentLogger.Api describeTransfer(FluentLogger.Api line) {
+    return send == null || call.exchange().bodyBytes() == 0
+        ? line
+        : line.with(EventFields.ANNOUNCED_BYTES, send.announcedBytes().orElse(-1))
+            .with(EventFields.SENT_BYTES, send.sentBytes());
+  }
+
+  private FluentLogger.Api describeBody(FluentLogger.Api line) {
+    return call.exchange().bodyBytes() == 0
+        ? line
+        : describeTransfer(line.with(EventFields.RECEIVED_BYTES, call.exchange().receivedBytes()));
   }
 
   private void logFailure(String reason, long tookMs) {
@@ -372,6 +373,7 @@
   final void abandon() {
     if (!closed) {
       abandoned = true;
+      logBrokenOff();
       close();
       if (send != null) {
         send.abandon();
@@ -379,6 +381,19 @@
     }
   }
 
+  /** Logs that the body is not sent to its end, since the request ends before it is received. */
+  private void logBrokenOff() {
+    if (isSent() && !call.exchange().isBodyReceived()) {
+      describeBody(
+              logger
+                  .atInfo()
+                  .with(EventFields.REQUEST, call.requestId())
+                  .with(EventFields.UPSTREAM, target())
+                  .with(EventFields.TOOK_MS, scheduler.nowMs() - sentMs))
+          .log("upload broken off");
+    }
+  }
+
   private void close() {
     buffer.release();
     buffer = Unpooled.compositeBuffer(1);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
@@ -136,7 +136,9 @@
 
   @Override
   void onConnectionFailure(UpstreamFailure failure, long tookMs) {
-    peer.avoidUntil(scheduler().nowMs() + FAILURE_PAUSE_MS);
+    if (failure != UpstreamFailure.BODY_INCOMPLETE) {
+      peer.avoidUntil(scheduler().nowMs() + FAILURE_PAUSE_MS);
+    }
     if (failure.isNotRun()) {
       call().recordDeliveries(-allowance);
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestLog.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestLog.java
@@ -19,7 +19,7 @@
   /** Logs that an upstream's whole answer was passed on. */
   void answered(RequestCall call, Attempt attempt, int status) {
     attempt
-        .describeBody(describe(logger.atInfo(), call))
+        .describeTransfer(describe(logger.atInfo(), call))
         .with(EventFields.ROUTE, call.route().name())
         .with(EventFields.UPSTREAM, attempt.target())
         .with(EventFields.STATUS, (long) status)
@@ -81,6 +81,9 @@
             .with(EventFields.AGE_MS, call.configurationAgeMs())
             .with(EventFields.ATTEMPTS, (long) call.sends())
             .with(EventFields.TOOK_MS, clock.nowMs() - call.terms().arrivedMs());
+    if (call.exchange().bodyBytes() > 0) {
+      described = described.with(EventFields.RECEIVED_BYTES, call.exchange().receivedBytes());
+    }
     return call.tenant().isPresent()
         ? described.with(EventFields.TENANT, call.tenant().get().name())
         : described;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -147,10 +147,10 @@
 
   @Override
   void onConnectionFailure(UpstreamFailure failure, long tookMs) {
-    long nowMs = scheduler().nowMs();
     if (failure == UpstreamFailure.BODY_INCOMPLETE) {
       return; // says nothing about the upstream
     }
+    long nowMs = scheduler().nowMs();
     if (failure == UpstreamFailure.LOST || failure == UpstreamFailure.BROKEN_OFF) {
       upstream.byteLimit().recordLoss(heldBytes);
     }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RelayedUploadTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RelayedUploadTests.java
@@ -85,6 +85,7 @@
   public Object[][] uploads() {
     return new Object[][] {
       {UpstreamBehaviour.FULL, "/once/", BUFFERED_BYTES - 1, false},
+      {UpstreamBehaviour.FULL, "/once/", BUFFERED_BYTES, true},
       {UpstreamBehaviour.FULL, "/once/", LONG_BYTES, false},
       {UpstreamBehaviour.FULL, "/once/", LONG_BYTES, true},
       {UpstreamBehaviour.FULL, "/safe/", LONG_BYTES, false},
@@ -105,11 +106,18 @@
     int status = chunked ? sendInChunks(path, bytes) : send(path, bytes).status();
     assertThat(faults).isEmpty();
     assertThat(sizes).as("bytes at upstreams").isNotEmpty().containsOnly(bytes);
-    assertThat(status).isEqualTo(behaviour == UpstreamBehaviour.NORMAL ? 200 : expected(behaviour));
+    if (behaviour == UpstreamBehaviour.NORMAL) {
+      assertThat(sizes).as("runs").hasSize(1);
+    }
+    assertThat(status).isEqualTo(expectedStatus(behaviour));
   }
 
-  private static int expected(UpstreamBehaviour behaviour) {
-    return behaviour == UpstreamBehaviour.FULL ? 503 : 500;
+  private static int expectedStatus(UpstreamBehaviour behaviour) {
+    return switch (behaviour) {
+      case FULL -> 503;
+      case FAILING -> 500;
+      default -> 200;
+    };
   }
 
   private HttpAnswer send(String path, int bytes) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/AnnouncedBody.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/AnnouncedBody.java
@@ -15,6 +15,7 @@
   private final OptionalLong length;
   private long sentBytes;
   private boolean ended;
+  private boolean refused;
 
   /**
    * Creates a body of which nothing is sent.
@@ -25,18 +26,27 @@
     this.length = Assert.notNull(length, "length");
   }
 
-  /** Counts a part that is about to be sent; returns false if it must not be sent. */
+  /**
+   * Counts a part that is about to be sent.
+   *
+   * @return false if it must not be sent, nor any part after it
+   */
   boolean tryAdd(BodyPart part) {
-    long end = part.endOffset();
-    long limit = length.orElse(Long.MAX_VALUE);
-    boolean follows = !ended && part.offset() == sentBytes;
-    boolean fits = part.last() ? end == length.orElse(end) : end <= limit;
-    if (!follows || !fits) {
-      return false;
+    refused = refused || ended || part.offset() != sentBytes || !keepsToLength(part);
+    if (!refused) {
+      sentBytes = part.endOffset();
+      ended = part.last();
+    }
+    return !refused;
+  }
+
+  private boolean keepsToLength(BodyPart part) {
+    if (length.isEmpty()) {
+      return true;
     }
-    sentBytes = end;
-    ended = part.last();
-    return true;
+    return part.last()
+        ? part.endOffset() == length.getAsLong()
+        : part.endOffset() <= length.getAsLong();
   }
 
   OptionalLong length() {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/BodyPart.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/BodyPart.java
@@ -18,7 +18,7 @@
     Assert.isTrue(offset >= 0, "offset must not be negative");
   }
 
-  /** Returns the number of bytes of the body up to the end of this part. */
+  /** Returns the number of bytes of the body up to the end of this part, which is not sent yet. */
   long endOffset() {
     return offset + bytes.readableBytes();
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -142,14 +142,12 @@
     return receivedBytes;
   }
 
-  /** Returns the length of the body in bytes, as received or stated; empty if not known yet. */
+  /** Returns the length of the body in bytes, as stated or received; empty if not known yet. */
   public OptionalLong bodyLength() {
-    if (bodyReceived) {
-      return OptionalLong.of(receivedBytes);
+    if (hasStatedLength()) {
+      return OptionalLong.of(HttpUtil.getContentLength(request, 0L));
     }
-    return hasStatedLength()
-        ? OptionalLong.of(HttpUtil.getContentLength(request, 0L))
-        : OptionalLong.empty();
+    return bodyReceived ? OptionalLong.of(receivedBytes) : OptionalLong.empty();
   }
 
   /** Returns whether the header states the length of the body. */
@@ -159,7 +157,7 @@
 
   /** Returns the stated length of the body, or the bytes buffered if it states none. */
   public long bodyBytes() {
-    return Math.max(HttpUtil.getContentLength(request, 0L), body.readableBytes());
+    return Math.max(bodyLength().orElse(0), body.readableBytes());
   }
 
   /** Stops buffering: passes the rest of the body to the listener, and resumes reading. */
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamRequest.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamRequest.java
@@ -12,7 +12,7 @@
  * @param uri path and query
  * @param headers end-to-end header fields
  * @param body body, or its first part; released when it is sent or the request is abandoned
- * @param bodyLength length of the whole body in bytes, stated or received; empty if not known yet
+ * @param bodyLength length of the whole body in bytes, as announced; empty to send it in chunks
  * @param requestId id that an answer must have if it states one; empty if the request has none
  * @param usedConnections connections of earlier attempts, to which that of this one is added
  * @param maxIdleMs maximum idle time of a reused connection, in milliseconds
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamSend.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamSend.java
@@ -84,7 +84,7 @@
     return body.length();
   }
 
-  /** Returns the number of bytes of the body that were sent. */
+  /** Returns the number of bytes of the body that were passed to the connection. */
   public long sentBytes() {
     return body.sentBytes();
   }
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/AnnouncedBodyProperties.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/AnnouncedBodyProperties.java
@@ -16,7 +16,7 @@
   @Property(seed = "1", tries = 500)
   boolean bodyWithoutOneOfItsPartsNeverEnds(
       @ForAll @Size(min = 2, max = 9) List<@IntRange(min = 1, max = 9) Integer> sizes,
-      @ForAll @IntRange(min = 0, max = 8) int place,
+      @ForAll @IntRange(min = 0, max = 8) int chosen,
       @ForAll boolean repeated,
       @ForAll boolean stated) {
     List<BodyPart> parts = new ArrayList<>();
@@ -27,13 +27,13 @@
               Unpooled.wrappedBuffer(new byte[size]), offset, parts.size() == sizes.size() - 1));
       offset += size;
     }
-    int changed = place % (parts.size() - 1);
     if (repeated) {
-      parts.add(changed, parts.get(changed));
+      int place = chosen % (parts.size() - 1); // the last part may come twice: the body has ended
+      parts.add(place, parts.get(place));
     } else {
-      parts.remove(changed);
+      parts.remove(chosen % parts.size());
     }
     AnnouncedBody body = new AnnouncedBody(stated ? OptionalLong.of(offset) : OptionalLong.empty());
-    return !parts.stream().map(body::tryAdd).reduce(true, Boolean::logicalAnd);
+    return parts.stream().filter(body::tryAdd).noneMatch(BodyPart::last);
   }
 }
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/AnnouncedBodyTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/AnnouncedBodyTests.java
@@ -33,6 +33,13 @@
     assertThat(body.tryAdd(part(3, 1, true))).isFalse();
   }
 
+  @Test
+  public void nothingFollowsAPartThatWasRefused() {
+    AnnouncedBody body = new AnnouncedBody(OptionalLong.empty());
+    assertThat(body.tryAdd(part(1, 1, false))).isFalse();
+    assertThat(body.tryAdd(part(0, 3, true))).isFalse();
+  }
+
   @Test
   public void bodyEndsAtItsAnnouncedLength() {
     assertThat(ofLength(5).tryAdd(part(0, 4, true))).isFalse();
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
@@ -26,7 +27,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests of when an answer is complete. */
+/** Tests of when an answer and a request are complete. */
 public class UpstreamConnectionTests {
 
   private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart of the answer";
@@ -133,9 +134,21 @@
   public void bodyWithAMissingPartResetsTheConnection() {
     ByteBuf bytes = Unpooled.copiedBuffer("part", StandardCharsets.UTF_8);
     send(HttpMethod.POST, new BodyPart(bytes, 0, false), OptionalLong.empty());
-    connection.sendBody(new BodyPart(Unpooled.EMPTY_BUFFER, 8, true));
+    ByteBuf end = Unpooled.copiedBuffer("end", StandardCharsets.UTF_8);
+    connection.sendBody(new BodyPart(end, 8, true));
     assertThat(outcome.text).isEqualTo("BODY_INCOMPLETE");
     assertThat(channel.isOpen()).isFalse();
+    assertThat(end.refCnt()).isZero();
+    assertThat(channel.outboundMessages()).noneMatch(LastHttpContent.class::isInstance);
+  }
+
+  /** Guards against a body shorter than its stated length that is announced as a whole one. */
+  @Test
+  public void bodyThatEndsBeforeItsStatedLengthIsNotSent() {
+    ByteBuf bytes = Unpooled.copiedBuffer("part", StandardCharsets.UTF_8);
+    send(HttpMethod.POST, new BodyPart(bytes, 0, true), OptionalLong.of(10));
+    assertThat(outcome.text).isEqualTo("BODY_INCOMPLETE");
+    assertThat(channel.outboundMessages()).noneMatch(LastHttpContent.class::isInstance);
   }
 
   @Test
