The target of a request keeps its bytes

Found by the review of the relayed uploads; nobody has reported it. Cause: the decoder reads each byte of the target as a character, Netty's encoder writes the characters as UTF-8. Change: RequestEncoder writes them as they were read; calls of the platform use it too. Ruled out: fields, whose names and values are written byte by byte.

--- /dev/null
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
@@ -0,0 +1,73 @@
+package org.foxtailford.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.testkit.published.TcpLinkStandIn;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Integration tests of requests that must reach an upstream as they were sent: through one entry VM
+ * and through two, of which the first has no links to the upstreams.
+ */
+public class UnchangedRequestTests {
+
+  private static final int TIMEOUT_MS = 30_000;
+  private static final String CLOSE = "Connection: close\r\n\r\n";
+
+  private final List<HttpExchange> arrived = new CopyOnWriteArrayList<>();
+  private LinkedTestCluster vms;
+
+  @BeforeClass
+  public void begin() throws Exception {
+    vms = new LinkedTestCluster(2);
+    vms.setLinks(0, TcpLinkStandIn.State.RESET);
+    EntryTestCluster.await("cut off", this::isCutOffAfterRequest);
+    for (String id : LinkedTestCluster.PLAIN) {
+      vms.cluster().upstream(id).setRequestListener(arrived::add);
+    }
+  }
+
+  private boolean isCutOffAfterRequest() {
+    vms.send(0, HttpMethod.GET, "/safe/x", "cut" + System.nanoTime()).join();
+    return vms.isCutOff(0);
+  }
+
+  @BeforeMethod
+  public void clear() {
+    arrived.clear();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void end() {
+    vms.close();
+  }
+
+  /** Returns the VM that is cut off, and one that is not. */
+  @DataProvider
+  public Object[][] entryVms() {
+    return new Object[][] {{0}, {1}};
+  }
+
+  private RawCaller connect(int vm) throws IOException {
+    return new RawCaller(vms.cluster().settings(vm).callers());
+  }
+
+  /** Guards against bytes of the target outside ASCII that arrive in another encoding. */
+  @Test(dataProvider = "entryVms", timeOut = TIMEOUT_MS)
+  public void targetWithBytesOutsideAsciiArrivesAsSent(int vm) throws Exception {
+    String target = "/safe/\u00c3\u00a9?q=\u00e9%C3%A9";
+    try (RawCaller caller = connect(vm)) {
+      assertThat(caller.begin("GET", target, "bytes" + vm, CLOSE).readHead()).contains(" 200 ");
+    }
+    assertThat(arrived).extracting(HttpExchange::uri).containsExactly(target);
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -125,7 +124,7 @@
     channel
         .pipeline()
         .addLast(decoder)
-        .addLast(new HttpRequestEncoder())
+        .addLast(new RequestEncoder())
         .addLast(new AnswerFramingHandler(decoder))
         .addLast(new HttpObjectAggregator(maxAnswerBytes))
         .addLast(new HttpClientHandler(decoder, echoedId));
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -23,6 +22,7 @@
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
+import org.foxtailford.net.http.RequestEncoder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -97,7 +97,7 @@
                     channel
                         .pipeline()
                         .addLast(decoder)
-                        .addLast(new HttpRequestEncoder())
+                        .addLast(new RequestEncoder())
                         .addLast(
                             new UpstreamConnection(UpstreamPool.this, decoder, dialect, clock));
                   }
