A request that announces no body has none

Found by the review of the relayed uploads; nobody has reported it. Cause: Netty's decoder keeps to a draft of WebSocket in which such a GET has eight bytes. Change: RequestDecoder takes a head without Content-Length and Transfer-Encoding for a request without a body (RFC 9112, 6.3).

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
@@ -70,4 +70,19 @@
     }
     assertThat(arrived).extracting(HttpExchange::uri).containsExactly(target);
   }
+
+  /** Guards against the next eight bytes of a connection that count as a body that isn't there. */
+  @Test(dataProvider = "entryVms", timeOut = TIMEOUT_MS)
+  public void requestWithoutLengthHasNoBodyWhateverItsFields(int vm) throws Exception {
+    String keys = "Sec-WebSocket-Key1: 1\r\nSec-WebSocket-Key2: 2\r\n\r\n";
+    try (RawCaller caller = connect(vm)) {
+      caller.begin("GET", "/safe/first", "keys" + vm, keys);
+      String answers = caller.begin("GET", "/safe/next", "next" + vm, CLOSE).readToEnd();
+      assertThat(answers.split("HTTP/1.1 200", -1)).hasSize(3);
+    }
+    assertThat(arrived)
+        .extracting(HttpExchange::uri)
+        .containsExactlyInAnyOrder("/safe/first", "/safe/next");
+    assertThat(arrived).allMatch(exchange -> exchange.body().length == 0);
+  }
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/RequestDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/RequestDecoder.java
@@ -1,6 +1,8 @@
 package org.foxtailford.net.http;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
@@ -22,6 +24,14 @@
             .setStrictLineParsing(true));
   }
 
+  /** Returns whether a complete head announces no body, whatever its other fields are. */
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    HttpHeaders headers = message.headers();
+    return !headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
