A body in another transfer coding than chunked is refused

What callers saw: a body sent with Transfer-Encoding: gzip, chunked reached the upstream in chunks, or with a length, as bytes that no field named as compressed (rule UNASKED). Found by the review of the relayed uploads; nobody has reported it. Cause: the decoder asks only that chunked comes last, and the field is removed as hop-by-hop.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
@@ -85,4 +85,15 @@
         .containsExactlyInAnyOrder("/safe/first", "/safe/next");
     assertThat(arrived).allMatch(exchange -> exchange.body().length == 0);
   }
+
+  /** Guards against a coded body that reaches the upstream without the name of its coding. */
+  @Test(dataProvider = "entryVms", timeOut = TIMEOUT_MS)
+  public void bodyInAnUnknownTransferCodingIsRefused(int vm) throws Exception {
+    String coding = "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    try (RawCaller caller = connect(vm)) {
+      assertThat(caller.begin("POST", "/once/x", "coded" + vm, coding).readHead())
+          .contains(" 400 ");
+    }
+    assertThat(arrived).isEmpty();
+  }
 }
