A caller can't have the id or the host of its request removed

What callers saw: a request with Connection: close, Request-Id, Host reached the upstream without these two, which ran it under no id (rule UNASKED: an id that no consumer sent). Found by the review of the relayed uploads; nobody has reported it. Cause: each field that Connection names is removed. The key of a keyed request can still be named; its upstream then rejects it.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -135,6 +135,9 @@
     CallerExchange exchange = call.exchange();
     HttpHeaders headers = exchange.headers().copy();
     RequestHeaders.prepare(headers);
+    if (!call.requestId().isEmpty()) { // which the Connection field may have named
+      scheduler.dialect().setRequestId(headers, call.requestId());
+    }
     RelayHeaders.removeFrom(headers);
     long leftMs = Math.max(1, call.terms().deadlineMs() - scheduler.nowMs());
     address(headers, leftMs);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
@@ -96,4 +96,17 @@
     }
     assertThat(arrived).isEmpty();
   }
+
+  /** Guards against end-to-end fields that a caller has removed by naming them hop-by-hop. */
+  @Test(dataProvider = "entryVms", timeOut = TIMEOUT_MS)
+  public void fieldsThatIdentifyARequestAreKept(int vm) throws Exception {
+    String fields = "Connection: close, Request-Id, Host, X-Own\r\nX-Own: 1\r\n\r\n";
+    try (RawCaller caller = connect(vm)) {
+      assertThat(caller.begin("GET", "/safe/x", "named" + vm, fields).readHead()).contains(" 200 ");
+    }
+    assertThat(arrived).hasSize(1);
+    assertThat(arrived.get(0).headers().get("Request-Id")).isEqualTo("named" + vm);
+    assertThat(arrived.get(0).headers().get("Host")).isEqualTo("127.0.0.1");
+    assertThat(arrived.get(0).headers().contains("X-Own")).isFalse();
+  }
 }
