A request behind another one is told to send its body

What callers saw: a request with Expect: 100-continue behind an unanswered one got no 100, so a caller that waits for it sent no body until the request had failed. Found by the review of the relayed uploads; nobody has reported it. Cause: the interim answer was written when the head came, and only if nothing was before it. Change: it is written when the request is started. Test: requestBehindAnotherIsToldToSendItsBody, direct and through a second VM: 2 of 2 red before. Ruled out: a 100 after the final answer; a request whose body has begun gets none.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/UnchangedRequestTests.java
@@ -109,4 +109,16 @@
     assertThat(arrived.get(0).headers().get("Host")).isEqualTo("127.0.0.1");
     assertThat(arrived.get(0).headers().contains("X-Own")).isFalse();
   }
+
+  /** Guards against a caller that waits in vain for the 100 to a request behind another one. */
+  @Test(dataProvider = "entryVms", timeOut = TIMEOUT_MS)
+  public void requestBehindAnotherIsToldToSendItsBody(int vm) throws Exception {
+    String expects = "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+    try (RawCaller caller = connect(vm)) {
+      caller.begin("GET", "/safe/x", "ahead" + vm, "\r\n");
+      caller.begin("POST", "/once/x", "expects" + vm, expects);
+      String heads = caller.readHead() + caller.readHead();
+      assertThat(heads).contains(" 200 ").contains(" 100 ");
+    }
+  }
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -156,12 +156,6 @@
     } else if (!exchange.tryReserveBody()) {
       reject(exchange, SERVICE_UNAVAILABLE, BODIES_FULL);
     } else {
-      if (HttpUtil.is100ContinueExpected(request) && isFirst(exchange)) {
-        context()
-            .writeAndFlush(
-                new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-      }
       startReadyRequests();
     }
     updateReading();
@@ -184,6 +178,9 @@
     for (CallerExchange exchange : List.copyOf(exchanges)) {
       if (!exchange.isStarted() && mayStart(exchange)) {
         exchange.markStarted();
+        if (isFirst(exchange) && exchange.expectsContinue()) {
+          writeContinue();
+        }
         handler.onRequest(exchange);
         if (exchange.isOpen() && exchange.isBodyReady()) {
           exchange.fireBodyReady();
@@ -192,6 +189,13 @@
     }
   }
 
+  private void writeContinue() {
+    context()
+        .writeAndFlush(
+            new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+  }
+
   /**
    * Returns whether a request may be started now. One behind others would lose its answer if the
    * connection ends with an earlier one.
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -132,6 +132,11 @@
     return bodyReceived && body.readableBytes() == receivedBytes;
   }
 
+  /** Returns whether the caller waits for an interim answer before it sends its body. */
+  boolean expectsContinue() {
+    return !bodyReceived && receivedBytes == 0 && HttpUtil.is100ContinueExpected(request);
+  }
+
   /** Returns the buffered part of the body; the caller of this method must release it. */
   public BodyPart bufferedBody() {
     return new BodyPart(body.retained(), 0, isBodyWhole());
