VMs that are cut off relay no longer to each other

Cause: a cut VM relays to the peer with the fewest of its requests, those of other data centres counted twice. A peer that is cut off too refuses at once, so it always looks idle; it was avoided for 100 ms only, and a request was given up after max_attempts + 3 sends. With more than a handful of cut peers nearby all sends went to them, while the VMs that could serve stood idle.

Change: a refusal of a cut VM states so (Foxtailford-Cut-Off). The peer is left out until it states otherwise (RelayPeer, RelayPeerChooser in core); single trials, 100 ms apart and none within 1 s of a statement, find out. Such refusals don't count against a request's sends or the three peers of a partial cut, and say nothing about the owner or service relayed for, which PartialReachRelay paused before. Relays stay in the data centre while a peer there can serve. A VM of an earlier build states nothing and is treated as before.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamReach.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/UpstreamReach.java
@@ -146,6 +146,12 @@
     subjects.computeIfAbsent(subject, name -> new Subject()).relayed++;
   }
 
+  /** Records the end of a relayed request that shows nothing of its subject. */
+  public void recordRelayWithoutOutcome(String subject) {
+    Subject known = subjects.computeIfAbsent(subject, name -> new Subject());
+    known.relayed = Math.max(0, known.relayed - 1);
+  }
+
   /**
    * Records the end of a relayed request.
    *
--- a/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamReachTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/upstream/UpstreamReachTests.java
@@ -63,6 +63,20 @@
     assertThat(trials).isBetween(5, 8);
   }
 
+  // A peer that is cut off from all upstreams made a request's owner look unreached by all VMs.
+  @Test
+  public void refusalOfACutOffPeerSaysNothingOfTheSubject() {
+    reach.recordFailure("u1");
+    for (int peer = 0; peer < 5; peer++) {
+      assertThat(mayRelay(reach, "u1", SLOTS)).as("trial at peer %d", peer).isTrue();
+      reach.recordRelayed("u1");
+      reach.recordRelayWithoutOutcome("u1");
+    }
+    reach.recordRelayed("u1");
+    reach.recordRelayEnd("u1", false);
+    assertThat(mayRelay(reach, "u1", SLOTS)).as("after a refusal for another reason").isFalse();
+  }
+
   @Test
   public void noMoreIsRelayedThanTheUnreachedUpstreamsCouldRun() {
     reach.recordFailure("u1");
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PartialReachRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PartialReachRelay.java
@@ -25,7 +25,7 @@
 
   /**
    * Maximum number of peers that are asked to serve a request, of which each may refuse it; several
-   * VMs can lose the same upstreams.
+   * VMs can lose the same upstreams. Peers that are cut off from all upstreams don't count.
    */
   private static final int MAX_PEERS = 3;
 
@@ -76,7 +76,9 @@
   }
 
   private boolean mayRelay(RequestCall call) {
-    if (!reach.hasUnreached() || call.isRelayed() || call.triedPeers().size() >= MAX_PEERS) {
+    if (!reach.hasUnreached()
+        || call.isRelayed()
+        || call.triedPeers().size() - call.cutOffPeers() >= MAX_PEERS) {
       return false;
     }
     return reach.mayRelay(subject(call), () -> unreachedSlots(call));
@@ -115,6 +117,11 @@
     reach.recordRelayEnd(subject, served);
   }
 
+  /** Records that a peer refused a request as it reaches no upstream, whatever the subject. */
+  void recordRefusalAsCutOff(String subject) {
+    reach.recordRelayWithoutOutcome(subject);
+  }
+
   /** Handles that this VM is cut off from all upstreams, or no longer. */
   void onPathChanged() {
     reach.clear();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
@@ -24,6 +24,7 @@
   private boolean answered;
   private boolean served;
   private boolean reserved;
+  private boolean refusedAsCutOff;
   private int allowance;
 
   /**
@@ -49,12 +50,12 @@
 
   /** Returns since when the peer has answered nothing, in milliseconds. */
   long silentSinceMs() {
-    return Math.max(sentMs(), peer.lastAnswerMs());
+    return Math.max(sentMs(), peer.fitness().lastAnswerMs());
   }
 
   /** Prefers other peers for a while. */
   void recordSilence() {
-    peer.avoidUntil(scheduler().nowMs() + FAILURE_PAUSE_MS);
+    peer.fitness().avoidUntil(scheduler().nowMs() + FAILURE_PAUSE_MS);
   }
 
   @Override
@@ -79,7 +80,7 @@
   @Override
   void onStart() {
     started = true;
-    peer.recordStart();
+    peer.fitness().recordStart();
     call().recordDeliveries(allowance); // the peer may use all that it is allowed
   }
 
@@ -98,7 +99,8 @@
   @Override
   void onAnswerHead(HttpResponse answer) {
     answered = true;
-    peer.recordAnswer(scheduler().nowMs());
+    refusedAsCutOff = isRefused() && RelayHeaders.isCutOff(answer.headers());
+    peer.fitness().recordAnswer(refusedAsCutOff, scheduler().nowMs());
     RelayHeaders.version(answer.headers()).ifPresent(scheduler()::recordConfigurationHeardOf);
     if (!isRefused()) {
       RelayHeaders.removeFrom(answer.headers());
@@ -128,15 +130,18 @@
 
   @Override
   void onUnusable(HttpResponse answer) {
-    peer.avoidUntil(scheduler().nowMs() + REFUSAL_PAUSE_MS);
+    peer.fitness().avoidUntil(scheduler().nowMs() + REFUSAL_PAUSE_MS);
     if (isRefused()) {
       call().recordDeliveries(-allowance);
     }
+    if (refusedAsCutOff) {
+      call().recordCutOffPeer();
+    }
   }
 
   @Override
   void onConnectionFailure(UpstreamFailure failure, long tookMs) {
-    peer.avoidUntil(scheduler().nowMs() + FAILURE_PAUSE_MS);
+    peer.fitness().avoidUntil(scheduler().nowMs() + FAILURE_PAUSE_MS);
     if (failure.isNotRun()) {
       call().recordDeliveries(-allowance);
     }
@@ -154,8 +159,12 @@
   void onClosed() {
     ended = true;
     if (started) {
-      peer.recordEnd();
+      peer.fitness().recordEnd();
+    }
+    if (refusedAsCutOff) {
+      scheduler().partialReach().recordRefusalAsCutOff(subject);
+    } else {
+      scheduler().partialReach().recordRelayEnd(subject, served);
     }
-    scheduler().partialReach().recordRelayEnd(subject, served);
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerHandle.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerHandle.java
@@ -1,5 +1,6 @@
 package org.foxtailford.entry.request;
 
+import org.foxtailford.core.upstream.RelayPeer;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.proxy.UpstreamPool;
 
@@ -8,9 +9,7 @@
 
   private final EntryPeer peer;
   private final UpstreamPool pool;
-  private int inFlight;
-  private long avoidedUntilMs;
-  private long lastAnswerMs;
+  private final RelayPeer fitness = new RelayPeer();
 
   PeerHandle(EntryPeer peer, UpstreamPool pool) {
     this.peer = Assert.notNull(peer, "peer");
@@ -25,34 +24,7 @@
     return pool;
   }
 
-  /** Returns the number of requests of this VM that the peer has not answered. */
-  int inFlight() {
-    return inFlight;
-  }
-
-  void recordStart() {
-    inFlight++;
-  }
-
-  void recordEnd() {
-    inFlight--;
-  }
-
-  void recordAnswer(long nowMs) {
-    lastAnswerMs = nowMs;
-  }
-
-  /** Returns when the peer last answered any request of this VM, in milliseconds; 0 if never. */
-  long lastAnswerMs() {
-    return lastAnswerMs;
-  }
-
-  /** Prefers other peers until a time, in milliseconds. */
-  void avoidUntil(long untilMs) {
-    avoidedUntilMs = Math.max(avoidedUntilMs, untilMs);
-  }
-
-  boolean isAvoided(long nowMs) {
-    return nowMs < avoidedUntilMs;
+  RelayPeer fitness() {
+    return fitness;
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
@@ -16,6 +16,9 @@
   /** States in an answer that the request has not run and will not run. */
   private static final String NOT_RUN = "Foxtailford-Not-Run";
 
+  /** States in a refusal that the VM reaches no upstream. */
+  private static final String CUT_OFF = "Foxtailford-Cut-Off";
+
   /** Version of the configuration that decided a request, or its answer. */
   private static final String VERSION = "Foxtailford-Configuration";
 
@@ -58,7 +61,16 @@
     return headers.contains(NOT_RUN);
   }
 
+  static void setCutOff(HttpHeaders headers) {
+    headers.set(CUT_OFF, "1");
+  }
+
+  /** Returns whether a refusal states so; false from a VM of an earlier build. */
+  static boolean isCutOff(HttpHeaders headers) {
+    return headers.contains(CUT_OFF);
+  }
+
   static void removeFrom(HttpHeaders headers) {
-    headers.remove(ATTEMPTS).remove(NOT_RUN).remove(VERSION);
+    headers.remove(ATTEMPTS).remove(NOT_RUN).remove(CUT_OFF).remove(VERSION);
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -59,6 +59,7 @@
   private OptionalLong fingerprint = OptionalLong.empty();
   private boolean bodyBuffered;
   private int sends;
+  private int cutOffPeers;
   private int deliveries;
   private boolean mayHaveRun;
   private long disownedFence;
@@ -211,6 +212,16 @@
     return sends;
   }
 
+  /** Records that a peer refused the request as it reaches no upstream. */
+  void recordCutOffPeer() {
+    cutOffPeers++;
+  }
+
+  /** Returns the number of peers that refused the request as they reach no upstream. */
+  int cutOffPeers() {
+    return cutOffPeers;
+  }
+
   /** Returns the number of attempts whose request may have reached an upstream. */
   int deliveries() {
     return deliveries;
@@ -464,6 +475,9 @@
     scheduler.dialect().setRetryAfter(headers, delayMs);
     if (relayed) {
       RelayHeaders.setNotRun(headers);
+      if (scheduler.path().isCutOff()) {
+        RelayHeaders.setCutOff(headers);
+      }
     }
     scheduler.metrics().recordRefusal(reason);
     scheduler.log().refused(this, reason, delayMs);
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
@@ -1,13 +1,16 @@
 package org.foxtailford.entry.request;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.upstream.RelayPeerChooser;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamPath;
 import org.foxtailford.core.upstream.UpstreamReach;
@@ -22,15 +25,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Load of a peer in another data centre, relative to one here; bytes between them are billed. */
-  private static final double REMOTE_FACTOR = 2;
-
   private final UpstreamPath path;
   private final UpstreamReach reach;
   private final RoutingView view;
   private final Function<UpstreamAddress, UpstreamPool> poolFactory;
   private final MillisClock clock;
-  private final DoubleSupplier random;
+  private final RelayPeerChooser chooser;
   private final String dataCentre;
   private final Map<String, PeerHandle> handles = new HashMap<>();
 
@@ -56,7 +56,7 @@
     this.view = Assert.notNull(view, "view");
     this.poolFactory = Assert.notNull(poolFactory, "poolFactory");
     this.clock = Assert.notNull(clock, "clock");
-    this.random = Assert.notNull(random, "random");
+    this.chooser = new RelayPeerChooser(clock, random);
     this.dataCentre = Assert.hasLength(dataCentre, "dataCentre");
   }
 
@@ -94,21 +94,14 @@
   }
 
   private Optional<PeerHandle> choose(RequestCall call) {
-    long nowMs = clock.nowMs();
-    PeerHandle best = null;
-    double bestLoad = Double.MAX_VALUE;
+    List<PeerHandle> untried = new ArrayList<>();
     for (EntryPeer peer : view.peers()) {
-      PeerHandle handle = handle(peer);
-      if (!call.triedPeers().contains(peer.node()) && !handle.isAvoided(nowMs)) {
-        double factor = peer.dataCentre().equals(dataCentre) ? 1 : REMOTE_FACTOR;
-        double load = factor * (handle.inFlight() + 1) + random.getAsDouble() / 2;
-        if (load < bestLoad) {
-          best = handle;
-          bestLoad = load;
-        }
+      if (!call.triedPeers().contains(peer.node())) {
+        untried.add(handle(peer));
       }
     }
-    return Optional.ofNullable(best);
+    return chooser.choose(
+        untried, PeerHandle::fitness, handle -> handle.peer().dataCentre().equals(dataCentre));
   }
 
   private PeerHandle handle(EntryPeer peer) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -383,7 +383,7 @@
     boolean retryable =
         allowedToRun
             && call.canRetry()
-            && call.sends() < call.route().maxAttempts() + MAX_UNREACHED_SENDS
+            && call.sends() - call.cutOffPeers() < call.route().maxAttempts() + MAX_UNREACHED_SENDS
             && call.terms().deadlineMs() - nowMs() > upstreams.averageMs(call.service().name()) / 2;
     boolean reached = call.deliveries() > 0;
     if (poison.isStopped(call)) {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -53,6 +53,9 @@
       "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"1000ms",
       "idle_timeout":"15000ms"}}""";
 
+  /** Data centre of all upstreams, and of the VMs for which none is named. */
+  static final String DATA_CENTRE = "dc";
+
   private static final int FIRST_PORT = 12_000;
   private static final int LAST_PORT = 32_000;
   private static final int MAX_PORT_TRIES = 100;
@@ -147,6 +150,18 @@
     return addVm(node, seeds, storeAddress, rows, EntrySettings.TenantBounds.DEFAULT);
   }
 
+  /** Adds a VM of a data centre. */
+  EntryVm addVm(
+      String node,
+      String dataCentre,
+      List<UpstreamAddress> seeds,
+      UpstreamAddress storeAddress,
+      PlatformRows rows)
+      throws IOException {
+    return addVm(
+        node, dataCentre, seeds, storeAddress, rows, EntrySettings.TenantBounds.DEFAULT, false);
+  }
+
   EntryVm addVm(
       String node,
       List<UpstreamAddress> seeds,
@@ -154,13 +169,14 @@
       PlatformRows rows,
       EntrySettings.TenantBounds tenantBounds)
       throws IOException {
-    return addVm(node, seeds, storeAddress, rows, tenantBounds, false);
+    return addVm(node, DATA_CENTRE, seeds, storeAddress, rows, tenantBounds, false);
   }
 
   /** Adds a VM that chooses upstreams by the expected cost of requests. */
   EntryVm addCostAwareVm(String node) throws IOException {
     return addVm(
         node,
+        DATA_CENTRE,
         List.of(),
         storeAddress(),
         new JsonPlatformRows(),
@@ -170,6 +186,7 @@
 
   private EntryVm addVm(
       String node,
+      String dataCentre,
       List<UpstreamAddress> seeds,
       UpstreamAddress storeAddress,
       PlatformRows rows,
@@ -179,7 +196,7 @@
     EntrySettings vmSettings =
         new EntrySettings(
             node,
-            "dc",
+            dataCentre,
             freeAddress(),
             freeAddress(),
             freeAddress(),
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/LinkedTestCluster.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,16 @@
 
   /** Starts VMs and waits until they serve requests of all kinds. */
   LinkedTestCluster(int count) throws Exception {
+    this(Collections.nCopies(count, EntryTestCluster.DATA_CENTRE));
+  }
+
+  /**
+   * Starts VMs and waits until they serve requests of all kinds.
+   *
+   * @param dataCentres data centre of each VM
+   */
+  LinkedTestCluster(List<String> dataCentres) throws Exception {
+    int count = dataCentres.size();
     cluster.configure(4);
     for (String id : PLAIN) {
       cluster.addUpstream(id, "plain");
@@ -35,7 +46,7 @@
       cluster.addUpstream(id, "keyed");
     }
     for (int vm = 0; vm < count; vm++) {
-      addVm(vm);
+      addVm(vm, dataCentres.get(vm));
     }
     for (int vm = 0; vm < count; vm++) {
       int number = vm;
@@ -46,13 +57,14 @@
     }
   }
 
-  private void addVm(int vm) throws IOException {
+  private void addVm(int vm, String dataCentre) throws IOException {
     Map<Integer, Integer> portByTarget = new HashMap<>();
     links.put(vm, new ArrayList<>());
     linksByTarget.put(vm, new ConcurrentHashMap<>());
     vms.add(
         cluster.addVm(
             "vm-" + (vm + 1),
+            dataCentre,
             vm == 0 ? List.of() : List.of(cluster.settings(0).peers()),
             cluster.storeAddress(),
             new LinkedRows(
