Requests read late are as old as the event loop was late

Cause: a request's age counted from the reading of its head. After the process or its event loop stood still, all that waited in the kernel's buffers was new, with its whole Deadline-Ms, and the first pass of the loop started it before the next pass met the close behind it.

Change: ArrivalClock owns the question how old what is read may be. The loop ticks it each 100 ms; what is read over 250 ms after a tick may be as old as that tick. ReadAhead then holds a connection's bytes until a pass finds nothing more on it, so a close comes first, and the dispatcher counts Deadline-Ms from the earliest arrival and refuses, as not run, what may be over.

Without bytes in hand the head and idle timeouts would have ended a connection whose bytes are held: they wait for it.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -25,6 +25,7 @@
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.route.RoutingConfiguration;
 import org.foxtailford.core.store.PlatformRows;
+import org.foxtailford.core.time.ArrivalClock;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
@@ -98,6 +99,7 @@
 
   private final EntrySettings settings;
   private final MillisClock clock = new SystemMillisClock();
+  private final ArrivalClock arrivals = new ArrivalClock(clock);
   private final ControlClocks clocks = ControlClocks.of(clock, System::currentTimeMillis);
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -182,6 +184,7 @@
             new RequestDispatcher(routingState, scheduler, authentication, quotas.gate(), clock),
             routingState::callerLimits,
             clock,
+            arrivals,
             buffers);
     shutdown = new GracefulShutdown(callers, scheduler, clock, loop);
   }
@@ -321,7 +324,7 @@
           pathMonitor.start();
           quotas.start();
           scheduler.start();
-          new EventLoopMonitor(loop, clock, registry).start();
+          new EventLoopMonitor(loop, clock, arrivals, registry).start();
         });
     logger
         .atInfo()
@@ -336,6 +339,8 @@
     gauge("foxtailford.waiting", () -> scheduler.waitingRequests());
     gauge("foxtailford.connections.callers", () -> callers.connections());
     gauge("foxtailford.connections.callers.unread", () -> callers.unreadConnections());
+    gauge("foxtailford.callers.read.late", callers::readLate);
+    gauge("foxtailford.callers.read.late.gone", callers::leftMeanwhile);
     gauge("foxtailford.connections.begun", () -> upstreamRegistry.connects());
     gauge("foxtailford.upstreams", () -> routingState.upstreams().size());
     gauge("foxtailford.rows.unreadable", () -> routingState.unreadableRows());
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EventLoopMonitor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EventLoopMonitor.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.time.ArrivalClock;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 
@@ -18,20 +19,23 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Interval between measurements, in milliseconds; a delay that is longer is never missed. */
-  private static final long INTERVAL_MS = 500;
-
   /** Delay from which a line is logged, in milliseconds. */
   private static final long LOGGED_DELAY_MS = 250;
 
   private final ScheduledExecutorService loop;
   private final MillisClock clock;
+  private final ArrivalClock arrivals;
   private final Timer delays;
   private long dueMs;
 
-  EventLoopMonitor(ScheduledExecutorService loop, MillisClock clock, MeterRegistry registry) {
+  EventLoopMonitor(
+      ScheduledExecutorService loop,
+      MillisClock clock,
+      ArrivalClock arrivals,
+      MeterRegistry registry) {
     this.loop = Assert.notNull(loop, "loop");
     this.clock = Assert.notNull(clock, "clock");
+    this.arrivals = Assert.notNull(arrivals, "arrivals");
     this.delays =
         Timer.builder("foxtailford.loop.delay")
             .serviceLevelObjectives(
@@ -41,8 +45,8 @@
 
   /** Starts the periodic measurement. */
   void start() {
-    dueMs = clock.nowMs() + INTERVAL_MS;
-    loop.schedule(this::measure, INTERVAL_MS, TimeUnit.MILLISECONDS);
+    dueMs = clock.nowMs() + ArrivalClock.TICK_INTERVAL_MS;
+    loop.schedule(this::measure, ArrivalClock.TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
   private void measure() {
@@ -55,6 +59,13 @@
           .with(EventFields.TOOK_MS, delayMs)
           .log("event loop delayed");
     }
+    tick();
     start();
   }
+
+  private void tick() {
+    if (arrivals.tick()) {
+      loop.schedule(this::tick, 0, TimeUnit.MILLISECONDS); // after the next pass of reading
+    }
+  }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -38,6 +38,12 @@
   /** Retry delay sent to callers while no configuration is known or confirmed, in milliseconds. */
   private static final long NO_CONFIGURATION_RETRY_MS = 300;
 
+  /**
+   * Retry delay sent to callers whose requests may be over, in milliseconds; what waited with them
+   * is served by then.
+   */
+  private static final long LATE_RETRY_MS = 200;
+
   /**
    * Retry delay sent to callers while the budget of request bodies is used up, in milliseconds;
    * stalled bodies leave it at their deadlines, which are some seconds away at most.
@@ -116,8 +122,23 @@
     }
     OptionalLong remainingMs = scheduler.dialect().timeLeftMs(exchange.headers());
     long arrivedMs = exchange.arrivedMs();
-    long callerMs = remainingMs.orElse(route.timeoutMs());
-    long deadlineMs = arrivedMs + Math.min(callerMs, route.timeoutMs());
+    long timeoutAtMs = arrivedMs + route.timeoutMs();
+    long callerDeadlineMs =
+        remainingMs.isPresent()
+            ? exchange.earliestArrivalMs() + remainingMs.getAsLong()
+            : timeoutAtMs;
+    long deadlineMs = Math.min(callerDeadlineMs, timeoutAtMs);
+    if (deadlineMs <= scheduler.nowMs()) {
+      HttpHeaders headers = new DefaultHttpHeaders();
+      scheduler.dialect().setRetryAfter(headers, LATE_RETRY_MS);
+      answer(
+          exchange,
+          headers,
+          RequestCall.SERVICE_UNAVAILABLE,
+          "time may be up",
+          configuration.version());
+      return;
+    }
     OptionalInt tenantPriority =
         identity.tenant().map(Tenant::priority).orElse(OptionalInt.empty());
     WaitingRequest terms =
@@ -137,7 +158,7 @@
             key,
             scheduler.dialect().requestId(exchange.headers()).orElse(""),
             terms,
-            arrivedMs + callerMs,
+            callerDeadlineMs,
             remainingMs.isPresent(),
             configuration.version(),
             view.configurationAgeMs());
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -137,7 +137,8 @@
 
   private CallerExchange newExchange(HttpRequest request) {
     RequestBody body = new RequestBody(server.buffers().bodies());
-    return new CallerExchange(this, request, body, readAhead.receivedMs());
+    return new CallerExchange(
+        this, request, body, readAhead.receivedMs(), readAhead.earliestArrivalMs());
   }
 
   private void onHead(HttpRequest request) {
@@ -390,6 +391,9 @@
    * which a request with a body waits; answers 408 on a request header timeout.
    */
   void closeIfTimedOut(long nowMs) {
+    if (readAhead.isCatchingUp()) {
+      return; // what it waits for may be there
+    }
     boolean slowHead =
         headStartedMs != 0 && nowMs - headStartedMs > limits.get().headerTimeoutMs() && !closing;
     boolean waits = exchanges.isEmpty() ? headStartedMs == 0 : isBlocked();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -60,6 +60,7 @@
   private final CallerConnection connection;
   private final HttpRequest request;
   private final long arrivedMs;
+  private final long earliestArrivalMs;
   private final Deque<QueuedPart> queued = new ArrayDeque<>();
   private final RequestBody body;
   private Listener listener = new Listener() {};
@@ -79,11 +80,16 @@
   private record QueuedPart(Object message, int bytes) {}
 
   CallerExchange(
-      CallerConnection connection, HttpRequest request, RequestBody body, long arrivedMs) {
+      CallerConnection connection,
+      HttpRequest request,
+      RequestBody body,
+      long arrivedMs,
+      long earliestArrivalMs) {
     this.connection = connection;
     this.body = body;
     this.request = request;
     this.arrivedMs = arrivedMs;
+    this.earliestArrivalMs = earliestArrivalMs;
     this.closesConnection = !HttpUtil.isKeepAlive(request);
   }
 
@@ -113,6 +119,14 @@
     return arrivedMs;
   }
 
+  /**
+   * Returns the earliest time at which the request head can have arrived, in milliseconds of the
+   * clock: before it was read, if the event loop was late.
+   */
+  public long earliestArrivalMs() {
+    return earliestArrivalMs;
+  }
+
   /** Replaces the listener; events that have already occurred are not repeated. */
   public void setListener(Listener newListener) {
     listener = Assert.notNull(newListener, "newListener");
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.time.ArrivalClock;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.http.HttpLimits;
@@ -43,16 +44,20 @@
   private final CallerHandler handler;
   private final CallerLimitsSource limits;
   private final MillisClock clock;
+  private final ArrivalClock arrivals;
   private final CallerBuffers buffers;
   private final Set<CallerConnection> connections = new LinkedHashSet<>();
   private final Set<ChannelHandlerContext> pendingFlushes = new LinkedHashSet<>();
   private @Nullable Channel listener;
   private boolean draining;
+  private long readLate;
+  private long leftMeanwhile;
 
   /**
    * Creates a server.
    *
    * @param loop the single event loop of all its connections
+   * @param arrivals tells how old what this loop reads may be
    * @param buffers memory for bodies and answers of all connections
    */
   public CallerServer(
@@ -60,11 +65,13 @@
       CallerHandler handler,
       CallerLimitsSource limits,
       MillisClock clock,
+      ArrivalClock arrivals,
       CallerBuffers buffers) {
     this.loop = Assert.notNull(loop, "loop");
     this.handler = Assert.notNull(handler, "handler");
     this.limits = Assert.notNull(limits, "limits");
     this.clock = Assert.notNull(clock, "clock");
+    this.arrivals = Assert.notNull(arrivals, "arrivals");
     this.buffers = Assert.notNull(buffers, "buffers");
   }
 
@@ -125,6 +132,10 @@
     List.copyOf(connections).forEach(connection -> connection.closeIfTimedOut(nowMs));
   }
 
+  ArrivalClock arrivals() {
+    return arrivals;
+  }
+
   CallerBuffers buffers() {
     return buffers;
   }
@@ -217,6 +228,31 @@
     }
   }
 
+  /** Reports a connection whose bytes may have arrived long ago, in milliseconds. */
+  void onCatchUp(long maxAgeMs) {
+    readLate++;
+    logger
+        .atInfo()
+        .atMostEvery(1, TimeUnit.SECONDS)
+        .with(EventFields.AGE_MS, maxAgeMs)
+        .log("callers were read late");
+  }
+
+  /** Reports a caller that closed its connection before its bytes, read late, were passed on. */
+  void onLeftMeanwhile() {
+    leftMeanwhile++;
+  }
+
+  /** Returns how often bytes of a connection were held since they may have arrived long ago. */
+  public long readLate() {
+    return readLate;
+  }
+
+  /** Returns how many callers turned out to have left before what was read late was passed on. */
+  public long leftMeanwhile() {
+    return leftMeanwhile;
+  }
+
   /** Returns the number of open connections. */
   public int connections() {
     return connections.size();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
@@ -6,17 +6,21 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import org.foxtailford.core.overload.ByteBudget;
+import org.foxtailford.core.time.ArrivalClock;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Reads on, up to a limit, while the requests of a caller's connection are not taken, and holds
- * what it has read.
+ * what it has read. So it does after the event loop was late, until the connection has nothing more
+ * to read.
  *
  * <p>The end of a connection is found only by reading up to it. A connection that was not read
- * while its requests wait would keep upstreams at work for a caller that has left. Confined to the
+ * while its requests wait would keep upstreams at work for a caller that has left. The end of a
+ * caller that left while the loop stood still lies behind its requests. Confined to the
  * connection's event loop.
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
@@ -29,6 +33,7 @@
 
   private final CallerServer server;
   private final MillisClock clock;
+  private final ArrivalClock arrivals;
   private final ByteBudget budget;
   private final ByteBudget.Share share;
   private final Deque<HeldBytes> held = new ArrayDeque<>();
@@ -36,12 +41,15 @@
   private boolean paused;
   private boolean discarding;
   private boolean passScheduled;
+  private boolean catchingUp;
+  private boolean heldMore;
   private boolean unread;
   private long unreadSinceMs;
   private long receivedMs;
+  private long earliestArrivalMs;
 
-  /** Bytes of one read, with the time at which they were received. */
-  private record HeldBytes(ByteBuf bytes, long receivedMs) {
+  /** Bytes of one read, with the time at which they were read and the earliest of their arrival. */
+  private record HeldBytes(ByteBuf bytes, long receivedMs, long earliestArrivalMs) {
 
     int size() {
       return bytes.readableBytes() + CallerBuffers.PART_OVERHEAD_BYTES;
@@ -51,6 +59,7 @@
   ReadAhead(CallerServer server, MillisClock clock) {
     this.server = Assert.notNull(server, "server");
     this.clock = Assert.notNull(clock, "clock");
+    this.arrivals = server.arrivals();
     this.budget = server.buffers().readAhead();
     this.share = budget.open(() -> {}, this::onCut);
   }
@@ -58,22 +67,33 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
+    arrivals.onRead();
   }
 
   private ChannelHandlerContext context() {
     return Assert.notNull(context, "context");
   }
 
-  /** Returns when the bytes that are being passed on were received, in milliseconds. */
+  /** Returns when the bytes that are being passed on were read, in milliseconds. */
   long receivedMs() {
     return receivedMs;
   }
 
+  /** Returns the earliest time at which these bytes can have arrived, in milliseconds. */
+  long earliestArrivalMs() {
+    return earliestArrivalMs;
+  }
+
   /** Returns whether nothing is held. */
   boolean isEmpty() {
     return held.isEmpty();
   }
 
+  /** Returns whether bytes are held since the event loop was late. */
+  boolean isCatchingUp() {
+    return catchingUp;
+  }
+
   /** Returns whether the connection is not read, so that its end is not noticed. */
   boolean isUnread() {
     return unread;
@@ -98,30 +118,65 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    arrivals.onRead();
+    boolean late = arrivals.isLate();
+    boolean catchesUp = late && budget.hasRoom();
     if (discarding && message instanceof ByteBuf) {
       ((ByteBuf) message).release();
-    } else if (message instanceof ByteBuf && (paused || !held.isEmpty())) {
+    } else if (message instanceof ByteBuf && (paused || catchesUp || !held.isEmpty())) {
       hold((ByteBuf) message);
+      if (catchesUp) {
+        catchUp();
+      }
     } else {
       receivedMs = clock.nowMs();
+      earliestArrivalMs = late ? receivedMs - arrivals.maxAgeMs() : receivedMs;
       ctx.fireChannelRead(message);
     }
   }
 
   /** Copies bytes, since read buffers may be many times larger than what they contain. */
   private void hold(ByteBuf bytes) {
-    HeldBytes copy = new HeldBytes(Unpooled.copiedBuffer(bytes), clock.nowMs());
+    long nowMs = clock.nowMs();
+    HeldBytes copy =
+        new HeldBytes(Unpooled.copiedBuffer(bytes), nowMs, nowMs - arrivals.maxAgeMs());
     bytes.release();
     held.add(copy);
+    heldMore = true;
     share.add(copy.size());
     updateReading();
   }
 
+  /** Holds what is read until a pass of the event loop finds nothing more to read. */
+  private void catchUp() {
+    if (!catchingUp) {
+      catchingUp = true;
+      server.onCatchUp(arrivals.maxAgeMs());
+      context().executor().execute(this::awaitNextPass);
+    }
+  }
+
+  /** A task that is scheduled by another one runs after the next pass of reading. */
+  private void awaitNextPass() {
+    heldMore = false;
+    context().executor().schedule(this::onPass, 0, TimeUnit.MILLISECONDS);
+  }
+
+  private void onPass() {
+    if (heldMore && !unread) {
+      awaitNextPass();
+    } else {
+      catchingUp = false;
+      passHeld();
+    }
+  }
+
   private void passHeld() {
     passScheduled = false;
-    while (!paused && !held.isEmpty()) {
+    while (!paused && !catchingUp && !held.isEmpty()) {
       HeldBytes next = held.peek();
       receivedMs = next.receivedMs();
+      earliestArrivalMs = next.earliestArrivalMs();
       ByteBuf bytes = next.bytes();
       if (bytes.readableBytes() > PASSED_BYTES) {
         share.release(PASSED_BYTES);
@@ -164,6 +219,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    if (catchingUp && !held.isEmpty()) {
+      server.onLeftMeanwhile();
+    }
     discarding = true;
     releaseHeld();
     share.close();
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionCloseTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionCloseTests.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.foxtailford.core.route.CallerLimits;
+import org.foxtailford.core.time.ArrivalClock;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -51,7 +52,8 @@
       };
   private final CallerBuffers buffers = new CallerBuffers();
   private final CallerServer server =
-      new CallerServer(loops, handler, () -> CallerLimits.DEFAULT, () -> 0, buffers);
+      new CallerServer(
+          loops, handler, () -> CallerLimits.DEFAULT, () -> 0, new ArrivalClock(() -> 0), buffers);
   private EmbeddedChannel channel;
   private CallerConnection connection;
 
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import org.foxtailford.core.overload.ByteBudget;
 import org.foxtailford.core.route.CallerLimits;
+import org.foxtailford.core.time.ArrivalClock;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
@@ -46,7 +47,13 @@
         }
       };
   private final CallerServer server =
-      new CallerServer(loops, handler, () -> CallerLimits.DEFAULT, () -> nowMs, buffers);
+      new CallerServer(
+          loops,
+          handler,
+          () -> CallerLimits.DEFAULT,
+          () -> nowMs,
+          new ArrivalClock(() -> nowMs),
+          buffers);
 
   /** Defers all writes, as for a caller that reads slowly. */
   private static final class DeferredWrites extends ChannelOutboundHandlerAdapter {
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/HeadAnswerTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/HeadAnswerTests.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.foxtailford.core.route.CallerLimits;
+import org.foxtailford.core.time.ArrivalClock;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -62,7 +63,13 @@
           }
         };
     CallerServer server =
-        new CallerServer(loops, handler, () -> CallerLimits.DEFAULT, () -> 0, new CallerBuffers());
+        new CallerServer(
+            loops,
+            handler,
+            () -> CallerLimits.DEFAULT,
+            () -> 0,
+            new ArrivalClock(() -> 0),
+            new CallerBuffers());
     ReadAhead readAhead = new ReadAhead(server, () -> 0);
     EmbeddedChannel channel =
         new EmbeddedChannel(
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.foxtailford.core.route.CallerLimits;
+import org.foxtailford.core.time.ArrivalClock;
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.RequestDecoder;
 import org.testng.annotations.AfterClass;
@@ -42,6 +43,9 @@
   private CallerBuffers buffers;
   private EmbeddedChannel channel;
   private ReadAhead readAhead;
+  private ArrivalClock arrivals;
+  private CallerServer server;
+  private CallerConnection connection;
   private long nowMs;
 
   @BeforeMethod
@@ -49,16 +53,19 @@
     exchanges.clear();
     nowMs = 0;
     buffers = new CallerBuffers();
-    CallerServer server =
-        new CallerServer(loops, handler, () -> CallerLimits.DEFAULT, () -> nowMs, buffers);
+    arrivals = new ArrivalClock(() -> nowMs);
+    server =
+        new CallerServer(
+            loops, handler, () -> CallerLimits.DEFAULT, () -> nowMs, arrivals, buffers);
     readAhead = new ReadAhead(server, () -> nowMs);
+    connection =
+        new CallerConnection(server, readAhead, handler, () -> CallerLimits.DEFAULT, () -> nowMs);
     channel =
         new EmbeddedChannel(
             readAhead,
             new RequestDecoder(new HttpLimits(8 << 10, Integer.MAX_VALUE)),
             new HttpResponseEncoder(),
-            new CallerConnection(
-                server, readAhead, handler, () -> CallerLimits.DEFAULT, () -> nowMs));
+            connection);
   }
 
   @AfterClass
@@ -143,6 +150,77 @@
     assertThat(exchanges).hasSize(TAKEN).noneMatch(CallerExchange::isOpen);
   }
 
+  /** Makes the event loop stand still for a time, in milliseconds. */
+  private void standStill(long timeMs) {
+    arrivals.tick();
+    nowMs += timeMs;
+  }
+
+  private void receiveWithoutTasks(String text) {
+    channel.pipeline().fireChannelRead(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+
+  /** Ends a pass of the event loop; a task that is scheduled by another one runs in the next. */
+  private void endPass() {
+    channel.runPendingTasks();
+    arrivals.tick();
+  }
+
+  // GONE: a request was started before the close behind it was read.
+  @Test
+  public void requestReadLateIsNotStartedIfItsCallerHasLeft() {
+    standStill(900);
+    receiveWithoutTasks("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    assertThat(exchanges).isEmpty();
+    channel.pipeline().fireChannelInactive();
+    endPass();
+    endPass();
+    assertThat(exchanges).isEmpty();
+    assertThat(buffers.readAhead().heldBytes()).isZero();
+    assertThat(server.leftMeanwhile()).isEqualTo(1);
+  }
+
+  @Test
+  public void requestReadLateIsStartedOnceThereIsNothingMoreToRead() {
+    standStill(900);
+    receiveWithoutTasks("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    endPass();
+    endPass();
+    assertThat(exchanges).hasSize(1);
+    assertThat(exchanges.get(0).arrivedMs()).isEqualTo(900);
+    assertThat(exchanges.get(0).earliestArrivalMs()).isZero();
+    nowMs += 10;
+    receiveWithoutTasks("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    assertThat(exchanges).hasSize(2);
+    assertThat(exchanges.get(1).earliestArrivalMs()).isEqualTo(910);
+  }
+
+  // The timers run after the first pass of reading, so that they would end what has just come.
+  @Test
+  public void timeoutsDoNotEndConnectionsWhoseBytesWereReadLate() {
+    nowMs = 1000;
+    receiveWithoutTasks("GET / HTTP/1.1\r\n");
+    connection.onBytesReceived();
+    long timeoutMs = CallerLimits.DEFAULT.headerTimeoutMs() + CallerLimits.DEFAULT.idleTimeoutMs();
+    standStill(timeoutMs + 1);
+    receiveWithoutTasks("Host: h\r\n\r\n");
+    connection.closeIfTimedOut(nowMs);
+    endPass();
+    endPass();
+    assertThat(exchanges).hasSize(1);
+    assertThat(channel.isOpen()).isTrue();
+  }
+
+  // A VM with many callers must not lose them after it stood still.
+  @Test
+  public void requestsReadLateAreStartedAtOnceIfTheBudgetIsUsedUp() {
+    buffers.readAhead().open(() -> {}, () -> {}).add(2 << 20);
+    standStill(900);
+    receiveWithoutTasks("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    assertThat(exchanges).hasSize(1);
+    assertThat(exchanges.get(0).earliestArrivalMs()).isZero();
+  }
+
   /** Guards against an upload that is not read, since the one before it was paused at its end. */
   @Test
   public void pauseOfABodyDoesNotOutliveItsRequest() {
