Tests of restarts wait until the port is free

Seen once (18:41, a run of all tests of net, load average 27): BootIdTests.restartIsDetectedBeforeARequestIsSent could not listen on its port again. Cause: a closed listener that is registered with a selector keeps its port until the selector's next pass, and close() returns before that. Change: the test binds the port itself until it can, within its time, before it starts the second server. What it asserts is unchanged.

--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/BootIdTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/BootIdTests.java
@@ -53,14 +53,11 @@
   }
 
   private static int freePort() throws IOException {
-    while (true) {
-      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-        return socket.getLocalPort();
-      } catch (BindException e) {
-        continue; // in use
-      }
+    int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+    while (!isFree(port)) {
+      port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
     }
+    return port;
   }
 
   @AfterMethod(alwaysRun = true)
@@ -75,6 +72,25 @@
     endpoint = endpoint.toBuilder().setPort(server.bind(endpoint)).build();
   }
 
+  /**
+   * Starts another server on the port, which is free after the next pass of the event loop only.
+   */
+  private void restartServer(String bootId) throws IOException {
+    server.close();
+    while (!isFree(endpoint.getPort())) {
+      Thread.onSpinWait();
+    }
+    startServer(bootId);
+  }
+
+  private static boolean isFree(int port) throws IOException {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (BindException e) {
+      return false;
+    }
+  }
+
   private CompletableFuture<HttpAnswer> send(long bootId) {
     HttpExchange request =
         new HttpExchange(HttpMethod.GET, "/menu/get", new DefaultHttpHeaders(), new byte[0]);
@@ -95,19 +111,17 @@
     assertThat(reportedBootIds).containsExactly(7L);
   }
 
-  @Test
-  public void restartIsDetectedBeforeARequestIsSent() {
+  @Test(timeOut = TIMEOUT_MS)
+  public void restartIsDetectedBeforeARequestIsSent() throws IOException {
     send(7).join();
-    server.close();
-    startServer("9");
+    restartServer("9");
     assertThatThrownBy(() -> send(7).join()).hasCauseInstanceOf(ResultCodeException.class);
     assertThat(timeoutHeaders).hasSize(1);
   }
 
-  @Test
-  public void requestWithABootIdIsNotSentToAnUpstreamWithoutOne() {
-    server.close();
-    startServer("");
+  @Test(timeOut = TIMEOUT_MS)
+  public void requestWithABootIdIsNotSentToAnUpstreamWithoutOne() throws IOException {
+    restartServer("");
     assertNotSent(send(7));
   }
 
