A trial of a cut-off VM costs no request that can't be repeated

Change: RelayPeerChooser tries a peer with a request that can be repeated, or if no other peer is left, and each peer once a second at most, whatever is in flight. Only an answer of an upstream to a request that was sent after the statement ends the statement. PartialReachRelay doesn't count cut-off peers for running requests either.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/RelayPeer.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/RelayPeer.java
@@ -11,6 +11,7 @@
   private long lastAnswerMs;
   private boolean cutOff;
   private long statedMs;
+  private long triedMs;
 
   /** Returns the number of requests that the peer has not answered. */
   public int inFlight() {
@@ -27,15 +28,26 @@
     inFlight--;
   }
 
-  /**
-   * Records an answer of the peer.
-   *
-   * @param statesCutOff whether the peer refused the request since it reaches no upstream
-   */
-  public void recordAnswer(boolean statesCutOff, long nowMs) {
+  /** Records an answer of the peer, whatever it says. */
+  public void recordAnswer(long nowMs) {
     lastAnswerMs = nowMs;
-    cutOff = statesCutOff;
+  }
+
+  /** Records that the peer refused a request since it reaches no upstream. */
+  public void recordCutOff(long nowMs) {
+    cutOff = true;
     statedMs = nowMs;
+    triedMs = nowMs;
+  }
+
+  /** Records that the peer served a request that was sent to it at a time. */
+  public void recordServed(long sentMs) {
+    cutOff = cutOff && sentMs < statedMs; // an earlier request may have been sent on before the cut
+  }
+
+  /** Records that the peer is tried though it is cut off as far as known. */
+  void recordTrial(long nowMs) {
+    triedMs = nowMs;
   }
 
   /** Returns when the peer last answered; 0 if never. */
@@ -53,13 +65,13 @@
     return nowMs < avoidedUntilMs;
   }
 
-  /** Returns whether the peer's last answer stated that it reaches no upstream. */
+  /** Returns whether the peer has stated that it reaches no upstream, and served nothing since. */
   public boolean isCutOff() {
     return cutOff;
   }
 
-  /** Returns when the peer last stated whether it reaches upstreams. */
-  long statedMs() {
-    return statedMs;
+  /** Returns when the peer last stated that it is cut off, or was tried since. */
+  long triedMs() {
+    return triedMs;
   }
 }
--- a/foxtailford-core/src/main/java/org/foxtailford/core/upstream/RelayPeerChooser.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/upstream/RelayPeerChooser.java
@@ -24,7 +24,7 @@
   /** Interval between trials of peers that stated that they are cut off, in milliseconds. */
   static final long TRIAL_INTERVAL_MS = 100;
 
-  /** Time after the statement of a peer until it is tried again, in milliseconds. */
+  /** Time after the statement or trial of a peer until it is tried again, in milliseconds. */
   static final long STATEMENT_MS = 1000;
 
   private final MillisClock clock;
@@ -48,9 +48,10 @@
    * @param peers peers that were not asked to serve the request
    * @param fitness returns what is known of a peer
    * @param local whether a peer is in the data centre of this VM
+   * @param repeatable whether the request can be sent to one more peer if a trial fails
    */
   public <T> Optional<T> choose(
-      Collection<T> peers, Function<T, RelayPeer> fitness, Predicate<T> local) {
+      Collection<T> peers, Function<T, RelayPeer> fitness, Predicate<T> local, boolean repeatable) {
     long nowMs = clock.nowMs();
     T best = null;
     double bestLoad = Double.MAX_VALUE;
@@ -73,18 +74,19 @@
         bestLoad = load;
       }
     }
-    if (trial == null) {
+    if (trial == null || best != null && !repeatable) {
       return Optional.ofNullable(best);
     }
     nextTrialMs = nowMs + TRIAL_INTERVAL_MS;
+    fitness.apply(trial).recordTrial(nowMs);
     return Optional.of(trial);
   }
 
   private boolean isTrialDue(RelayPeer peer, long nowMs) {
-    return nowMs >= nextTrialMs && peer.inFlight() == 0 && nowMs - peer.statedMs() >= STATEMENT_MS;
+    return nowMs >= nextTrialMs && nowMs - peer.triedMs() >= STATEMENT_MS;
   }
 
   private static <T> boolean isEarlier(RelayPeer peer, T other, Function<T, RelayPeer> fitness) {
-    return other == null || peer.statedMs() < fitness.apply(other).statedMs();
+    return other == null || peer.triedMs() < fitness.apply(other).triedMs();
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PartialReachRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PartialReachRelay.java
@@ -190,7 +190,7 @@
           call.route().kind().isIdempotent()
               && call.canRetry()
               && !call.hasSeveralAttempts()
-              && call.triedPeers().isEmpty()
+              && call.triedPeers().size() == call.cutOffPeers()
               && !scheduler.poison().isStopped(call);
       if (eligible && mayRelay(call)) {
         if (!scheduler.tryRetry(call, SILENT_UPSTREAM)) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
@@ -100,7 +100,11 @@
   void onAnswerHead(HttpResponse answer) {
     answered = true;
     refusedAsCutOff = isRefused() && RelayHeaders.isCutOff(answer.headers());
-    peer.fitness().recordAnswer(refusedAsCutOff, scheduler().nowMs());
+    long nowMs = scheduler().nowMs();
+    peer.fitness().recordAnswer(nowMs);
+    if (refusedAsCutOff) {
+      peer.fitness().recordCutOff(nowMs);
+    }
     RelayHeaders.version(answer.headers()).ifPresent(scheduler()::recordConfigurationHeardOf);
     if (!isRefused()) {
       RelayHeaders.removeFrom(answer.headers());
@@ -126,6 +130,9 @@
   @Override
   void onComplete(HttpResponse answer, long tookMs, boolean measuresWork) {
     served = isSigned(answer);
+    if (served) {
+      peer.fitness().recordServed(sentMs());
+    }
   }
 
   @Override
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestCall.java
@@ -345,6 +345,11 @@
     }
   }
 
+  /** Returns whether an attempt is active. */
+  boolean hasActiveAttempt() {
+    return !activeAttempts.isEmpty();
+  }
+
   /** Returns whether more than one attempt is active. */
   boolean hasSeveralAttempts() {
     return activeAttempts.size() > 1;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestRelay.java
@@ -101,7 +101,10 @@
       }
     }
     return chooser.choose(
-        untried, PeerHandle::fitness, handle -> handle.peer().dataCentre().equals(dataCentre));
+        untried,
+        PeerHandle::fitness,
+        handle -> handle.peer().dataCentre().equals(dataCentre),
+        call.canRetry() && call.route().kind().isIdempotent() && !call.hasActiveAttempt());
   }
 
   private PeerHandle handle(EntryPeer peer) {
