A connection that catches up is not read beyond the budget

Change: it is not read until what it holds is passed on, like a paused one. Test: connectionIsNotReadOnWhenTheBudgetIsUsedUpMeanwhile. A comment of the test said more than EmbeddedChannel does.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/ReadAhead.java
@@ -192,7 +192,8 @@
 
   private void updateReading() {
     boolean full =
-        share.heldBytes() >= MAX_HELD_BYTES || paused && !budget.hasRoom() && !held.isEmpty();
+        share.heldBytes() >= MAX_HELD_BYTES
+            || (paused || catchingUp) && !budget.hasRoom() && !held.isEmpty();
     boolean stop = full && !discarding;
     if (stop == unread) {
       return;
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/ReadAheadTests.java
@@ -160,7 +160,7 @@
     channel.pipeline().fireChannelRead(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
   }
 
-  /** Ends a pass of the event loop; a task that is scheduled by another one runs in the next. */
+  /** Runs the tasks at the end of a pass of the event loop, and those that they schedule. */
   private void endPass() {
     channel.runPendingTasks();
     arrivals.tick();
@@ -211,6 +211,21 @@
     assertThat(channel.isOpen()).isTrue();
   }
 
+  /** Guards against connections that are cut off, since more is held than the budget allows. */
+  @Test
+  public void connectionIsNotReadOnWhenTheBudgetIsUsedUpMeanwhile() {
+    standStill(900);
+    receiveWithoutTasks("GET / HTTP/1.1\r\n");
+    assertThat(readAhead.isUnread()).isFalse();
+    buffers.readAhead().open(() -> {}, () -> {}).add(2 << 20);
+    receiveWithoutTasks("Host: h\r\n\r\n");
+    assertThat(readAhead.isUnread()).isTrue();
+    endPass();
+    endPass();
+    assertThat(exchanges).hasSize(1);
+    assertThat(readAhead.isUnread()).isFalse();
+  }
+
   // A VM with many callers must not lose them after it stood still.
   @Test
   public void requestsReadLateAreStartedAtOnceIfTheBudgetIsUsedUp() {
