An answer that has begun is overdue by the caller's time from the reading

Found by the review of the change that counts deadlines from the earliest arrival (by reading): after a gap, an answer that was being passed on, or work that may run once, would have been ended up to the gap, less 0.5 s, before the caller's own deadline. Change: what may be over is refused, and upstreams are told, by the earliest arrival as before; that an answer is overdue counts from the reading, as it did before.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -158,7 +158,7 @@
             key,
             scheduler.dialect().requestId(exchange.headers()).orElse(""),
             terms,
-            callerDeadlineMs,
+            arrivedMs + remainingMs.orElse(route.timeoutMs()),
             remainingMs.isPresent(),
             configuration.version(),
             view.configurationAgeMs());
