Log from whom leadership was acquired, and keys whose grants expired

`leadership acquired` names the leader before, its term, why its leadership counted as vacant, and for how long grants of earlier leaders may be in force; keys that are freed without a release have a line. No change of logic.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/event/EventFields.java
@@ -89,6 +89,9 @@
   /** Fence of an ownership, or term of a leader. */
   public static final MetadataKey<Long> FENCE = longField("fence");
 
+  /** Term of the leader before. */
+  public static final MetadataKey<Long> PREVIOUS_FENCE = longField("previousFence");
+
   private EventFields() {}
 
   private static MetadataKey<String> stringField(String name) {
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.foxtailford.core.util.Assert;
 
@@ -38,6 +39,7 @@
 
   private final RangeTiming timing;
   private final LongSupplier fences;
+  private final Consumer<RangeAssignment> onExpired;
   private final RangePlanner planner = new RangePlanner();
   private final KeyLoadHistory loads;
   private List<RangePiece> pieces = new ArrayList<>();
@@ -67,6 +69,7 @@
    *     expired
    * @param earlierGrantsExpiryMs latest time until which grants of earlier leaders may be in force,
    *     in milliseconds
+   * @param onExpired receives what an owner lost because its grants have expired, without a release
    */
   public RangeController(
       RangeTiming timing,
@@ -74,10 +77,12 @@
       KeyLoadHistory loads,
       RangeMap map,
       boolean mapComplete,
-      long earlierGrantsExpiryMs) {
+      long earlierGrantsExpiryMs,
+      Consumer<RangeAssignment> onExpired) {
     this.timing = Assert.notNull(timing, "timing");
     this.fences = Assert.notNull(fences, "fences");
     this.loads = Assert.notNull(loads, "loads");
+    this.onExpired = Assert.notNull(onExpired, "onExpired");
     this.mapVersion = map.version();
     this.grantsFromMs = mapComplete ? Long.MIN_VALUE : earlierGrantsExpiryMs;
     int next = 0;
@@ -148,6 +153,7 @@
 
   private void advance(RangePiece piece, long nowMs, List<RangeCommand> commands) {
     if (piece.isReleasing() && piece.isGrantExpired(nowMs)) {
+      onExpired.accept(piece.assignment());
       piece.free(Optional.empty());
     } else if (piece.isReleasing() && piece.isCommandDue(nowMs)) {
       piece.onReleaseSent();
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/OwnershipSchedule.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/OwnershipSchedule.java
@@ -94,7 +94,8 @@
               new KeyLoadHistory(),
               stored.map(),
               complete,
-              earlierGrantsExpiryMs);
+              earlierGrantsExpiryMs,
+              expired -> {});
       store(stored.map(), ownTerm);
     }
 
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RangeBalanceTests.java
@@ -32,7 +32,8 @@
   private RangeController controller = newController();
 
   private RangeController newController() {
-    return new RangeController(TIMING, () -> ++fence, loads, RangeMap.EMPTY, true, 0);
+    return new RangeController(
+        TIMING, () -> ++fence, loads, RangeMap.EMPTY, true, 0, expired -> {});
   }
 
   private void reset(int upstreams) {
--- a/foxtailford-core/src/test/java/org/foxtailford/core/range/RestoredStoreTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/range/RestoredStoreTests.java
@@ -38,7 +38,8 @@
             new KeyLoadHistory(),
             map,
             map.isComplete(currentEra, false),
-            5000);
+            5000,
+            expired -> {});
   }
 
   private static RangeMap mapOfEra(long era) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -387,9 +387,11 @@
     long grantsExpiryMs = timing.latestExpiryMs(nowMs + timing.callTimeoutMs()) + otherRenewalsMs;
     logger
         .atInfo()
-        .with(EventFields.NODE, node)
+        .with(EventFields.NODE, acquired.previous().node())
+        .with(EventFields.PREVIOUS_FENCE, acquired.previous().term())
         .with(EventFields.FENCE, acquired.leader().term())
-        .with(EventFields.REASON, acquired.holderEnded() ? "no holder" : "not renewed in time")
+        .with(EventFields.REASON, acquired.previous().vacancy())
+        .with(EventFields.LEFT_MS, grantsExpiryMs - nowMs)
         .log("leadership acquired");
     leader = Optional.of(acquired.leader());
     connectionRefused = false;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
@@ -35,8 +35,18 @@
    * @param leader this VM as the leader
    * @param holderEnded whether no earlier leader can be running: there was none, or it was an
    *     earlier incarnation of this VM, and the store was not restored since
+   * @param previous what the record said before
    */
-  record Acquired(KnownLeader leader, boolean holderEnded) {}
+  record Acquired(KnownLeader leader, boolean holderEnded, Previous previous) {}
+
+  /**
+   * Record from which leadership was acquired.
+   *
+   * @param node name of the VM that held it; empty if nobody did
+   * @param term term of its leadership; 0 if nobody did
+   * @param vacancy why the leadership counted as vacant
+   */
+  record Previous(String node, long term, String vacancy) {}
 
   private final String node;
   private final long incarnation;
@@ -143,7 +153,9 @@
       boolean holderEnded = recordComplete && (record.getTerm() == 0 || heldByPreviousIncarnation);
       StoreVersion expected = holder.map(Row::version).orElse(new StoreVersion(era, 0));
       long term = LeadershipTerms.next(era, record.getTerm(), highestKnownTerm.getAsLong());
-      tryAcquire(term, expected, holderEnded);
+      String vacancy = vacancy(record, heldByPreviousIncarnation, connectionRefused);
+      tryAcquire(
+          term, expected, holderEnded, new Previous(record.getNode(), record.getTerm(), vacancy));
     } else if (record.getTerm() > 0 && !record.getResigned()) {
       onLeaderObserved.accept(
           new KnownLeader(
@@ -155,6 +167,18 @@
     }
   }
 
+  private static String vacancy(
+      LeaderRecord record, boolean heldByPreviousIncarnation, boolean connectionRefused) {
+    if (record.getTerm() == 0) {
+      return "no leader yet";
+    } else if (heldByPreviousIncarnation) {
+      return "earlier incarnation";
+    } else if (record.getResigned()) {
+      return "resigned";
+    }
+    return connectionRefused ? "connection refused" : "not renewed in time";
+  }
+
   /** Takes up leadership if the record shows that an unanswered try succeeded. */
   private boolean adoptUnansweredTry(LeaderRecord record, Optional<Row> holder) {
     Optional<Acquired> succeeded =
@@ -169,7 +193,8 @@
     unansweredTry = Optional.empty();
     KnownLeader self =
         new KnownLeader(node, incarnation, record.getTerm(), address, holder.get().version());
-    onAcquired.accept(new Acquired(self, succeeded.get().holderEnded()));
+    onAcquired.accept(
+        new Acquired(self, succeeded.get().holderEnded(), succeeded.get().previous()));
     return true;
   }
 
@@ -186,7 +211,8 @@
     }
   }
 
-  private void tryAcquire(long term, StoreVersion expected, boolean holderEnded) {
+  private void tryAcquire(
+      long term, StoreVersion expected, boolean holderEnded, Previous previous) {
     callInFlight = true;
     KnownLeader self = new KnownLeader(node, incarnation, term, address, StoreVersion.NONE);
     byte[] value = RecordCodec.serializeLeader(self, false);
@@ -198,16 +224,21 @@
             expected.era(),
             TablePoller.TIMEOUT_MS)
         .whenCompleteAsync(
-            (version, failure) -> onAcquireResponse(term, holderEnded, version, failure), loop);
+            (version, failure) -> onAcquireResponse(term, holderEnded, previous, version, failure),
+            loop);
   }
 
   private void onAcquireResponse(
-      long term, boolean holderEnded, Optional<StoreVersion> version, Throwable failure) {
+      long term,
+      boolean holderEnded,
+      Previous previous,
+      Optional<StoreVersion> version,
+      Throwable failure) {
     callInFlight = false;
     unansweredTry = Optional.empty();
     if (failure != null) {
       KnownLeader self = new KnownLeader(node, incarnation, term, address, StoreVersion.NONE);
-      unansweredTry = Optional.of(new Acquired(self, holderEnded));
+      unansweredTry = Optional.of(new Acquired(self, holderEnded, previous));
       logger
           .atInfo()
           .with(EventFields.FENCE, term)
@@ -216,7 +247,9 @@
     } else if (version.isPresent()) {
       onAcquired.accept(
           new Acquired(
-              new KnownLeader(node, incarnation, term, address, version.get()), holderEnded));
+              new KnownLeader(node, incarnation, term, address, version.get()),
+              holderEnded,
+              previous));
     } else {
       nextPollMs = clock.nowMs();
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -188,7 +188,8 @@
             loads.historyOf(service),
             new RangeMap(storedVersion, known.era(), known.assignments()),
             known.isComplete(era, noEarlierLeader),
-            earlierGrantsExpiryMs);
+            earlierGrantsExpiryMs,
+            expired -> logExpiry(service, expired));
     return new RangeExecutor(
         service,
         controller,
@@ -202,6 +203,16 @@
         loop);
   }
 
+  private static void logExpiry(String service, RangeAssignment expired) {
+    logger
+        .atInfo()
+        .with(EventFields.SERVICE, service)
+        .with(EventFields.UPSTREAM, expired.owner().upstream())
+        .with(EventFields.KEYS, expired.range().first() + "-" + expired.range().last())
+        .with(EventFields.FENCE, expired.fence())
+        .log("grants expired without a release");
+  }
+
   private List<RangeCandidate> candidates(String service) {
     long nowMs = clock.nowMs();
     List<UpstreamEntry> entries = state.upstreams().usable(service);
