--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -8,20 +8,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.foxtailford.core.poison.LossLog;
 import org.foxtailford.core.poison.PoisonLimits;
 import org.foxtailford.core.poison.PoisonTracker;
 import org.foxtailford.core.poison.PoisonVerdict;
 import org.foxtailford.core.quota.QuotaTerms;
-import org.foxtailford.core.range.CommandOutcome;
-import org.foxtailford.core.range.KeyRange;
-import org.foxtailford.core.range.RangeCommandClient;
 import org.foxtailford.core.range.RangeTiming;
 import org.foxtailford.core.route.CallerLimits;
 import org.foxtailford.core.route.RoutingConfiguration;
+import org.foxtailford.core.route.ServicePolicy;
 import org.foxtailford.core.store.PlatformRows;
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.upstream.UpstreamAddress;
@@ -39,16 +38,43 @@
 
   private static final String OPERATORS = "operators";
   private static final String UPSTREAMS = "upstreams";
+  private static final String SERVICE = "plain";
   private static final long ONE_WAY_MS = 1;
   private static final int PORT = 1000;
 
   private final EventQueue events = new EventQueue();
   private final SimulatedStore store = new SimulatedStore(events);
   private final List<Vm> vms = new ArrayList<>();
+  private final List<Cut> cuts = new ArrayList<>();
+  private final List<ServicePolicy> services;
+  private final KeyHolders holders;
   private final Random random;
 
+  /**
+   * Cut between some VMs and upstreams and all others.
+   *
+   * @param nodes numbers of the VMs on one side
+   * @param upstreams upstreams on the same side
+   * @param refuses whether connections across the cut are refused, not silent
+   */
+  record Cut(Set<Integer> nodes, Set<String> upstreams, boolean refuses) {}
+
+  /** Creates a world without services. */
   ControlWorld(int count, long seed) {
+    this(count, seed, 0);
+  }
+
+  /** Creates a world with a service whose keys a number of upstreams hold, if there are any. */
+  ControlWorld(int count, long seed, int upstreams) {
     random = new Random(seed);
+    holders = new KeyHolders(events, new Random(seed));
+    services =
+        upstreams == 0
+            ? List.of()
+            : List.of(new ServicePolicy(SERVICE, "/health", 100, 0, 100, true, 0));
+    for (int i = 0; i < upstreams; i++) {
+      startUpstream("u" + i);
+    }
     put(1);
     for (int i = 0; i < count; i++) {
       vms.add(new Vm(i, 1));
@@ -104,7 +130,48 @@
   /** Ends all VMs and starts others of the same names, which remember nothing. */
   void restartAll() {
     vms.forEach(Vm::end);
-    vms.replaceAll(ended -> new Vm(ended.number, ended.incarnation + 1));
+    List.copyOf(vms).forEach(this::restart);
+  }
+
+  /** Starts a VM of the name of one that has ended, which remembers nothing. */
+  void restart(Vm ended) {
+    Vm next = new Vm(ended.number, ended.incarnation + 1);
+    vms.set(ended.number, next);
+    next.link().setSilent(ended.link().isSilent());
+  }
+
+  KeyHolders holders() {
+    return holders;
+  }
+
+  /** Starts an incarnation of an upstream and registers it. */
+  void startUpstream(String id) {
+    long bornMs = events.nowMs() + 1;
+    holders.start(id, bornMs);
+    register(id, bornMs);
+  }
+
+  /** Registers the present incarnation of an upstream, whose registration has lapsed. */
+  void registerAgain(String id) {
+    register(id, holders.bornMs(id));
+  }
+
+  void cut(Cut cut) {
+    cuts.add(cut);
+  }
+
+  void heal(Cut cut) {
+    cuts.remove(cut);
+  }
+
+  private KeyHolders.Path path(Function<Cut, Boolean> isAcross) {
+    KeyHolders.Path path = KeyHolders.Path.OPEN;
+    for (Cut cut : cuts) {
+      if (isAcross.apply(cut) && path != KeyHolders.Path.SILENT) {
+        path = cut.refuses() ? KeyHolders.Path.REFUSED : KeyHolders.Path.SILENT;
+      }
+    }
+    return path;
   }
 
   boolean hasLeader() {
@@ -130,7 +197,7 @@
       this.incarnation = incarnation;
       String node = "vm-" + number;
       ControlClocks clocks = ControlClocks.of(loop.steadyClock(), events::nowMs);
-      state = new EntryRoutingState(new NumberRows(), clocks, node);
+      state = new EntryRoutingState(new NumberRows(services), clocks, node);
       tracker = new PoisonTracker(PoisonLimits.BY_INCARNATION, loop.steadyClock());
       EntryIdentity self =
           new EntryIdentity(node, incarnation, "dc", address(number), 999, 1, 100, true);
@@ -149,8 +216,8 @@
               self,
               List.of(address(0), address(1)),
               link,
-              new NumberRows(),
-              new UpstreamLinks(new GrantingClient(), () -> cutOffFromUpstreams),
+              new NumberRows(services),
+              new UpstreamLinks(holders.newClient(this::pathTo), () -> cutOffFromUpstreams),
               state,
               new ReportContents(
                   new LossExchange(
@@ -170,6 +237,18 @@
       control.reportEarly();
     }
 
+    private KeyHolders.Path pathTo(String upstream) {
+      return path(cut -> cut.nodes().contains(number) != cut.upstreams().contains(upstream));
+    }
+
+    private KeyHolders.Path pathTo(Vm other) {
+      return path(cut -> cut.nodes().contains(number) != cut.nodes().contains(other.number));
+    }
+
+    int number() {
+      return number;
+    }
+
     String name() {
       return "vm-" + number;
     }
@@ -210,6 +289,15 @@
       loop.end();
     }
 
+    boolean isEnded() {
+      return loop.isEnded();
+    }
+
+    /** Returns the highest term that the VM knows of. */
+    long term() {
+      return state.highestTerm();
+    }
+
     boolean isLeading() {
       return control.isLeading();
     }
@@ -241,7 +329,11 @@
           timeoutMs,
           () -> answer.completeExceptionally(new IllegalStateException("no answer in time")));
       Vm target = vms.get(endpoint.getPort() - PORT);
-      if (target.loop.isEnded()) {
+      KeyHolders.Path path = pathTo(target);
+      if (path == KeyHolders.Path.SILENT) {
+        return answer;
+      }
+      if (target.loop.isEnded() || path == KeyHolders.Path.REFUSED) {
         events.schedule(
             2 * ONE_WAY_MS,
             () -> answer.completeExceptionally(new ConnectException("Connection refused")));
@@ -273,6 +365,16 @@
   /** Rows of operators in which a configuration is just its number. */
   static final class NumberRows implements PlatformRows {
 
+    private final List<ServicePolicy> services;
+
+    NumberRows() {
+      this(List.of());
+    }
+
+    NumberRows(List<ServicePolicy> services) {
+      this.services = services;
+    }
+
     @Override
     public String operatorTable() {
       return OPERATORS;
@@ -292,7 +394,7 @@
     public RoutingConfiguration readConfiguration(Row row) {
       long version = Long.parseLong(new String(row.value(), StandardCharsets.UTF_8));
       return new RoutingConfiguration(
-          version, List.of(), List.of(), CallerLimits.DEFAULT, Optional.empty());
+          version, List.of(), services, CallerLimits.DEFAULT, Optional.empty());
     }
 
     @Override
@@ -304,32 +406,7 @@
     public UpstreamEntry readUpstream(Row row) {
       long bornMs = Long.parseLong(new String(row.value(), StandardCharsets.UTF_8));
       UpstreamAddress address = new UpstreamAddress("10.1.0.1", 2000);
-      return new UpstreamEntry(row.key(), bornMs, "plain", address, "dc", 4, false, 0);
-    }
-  }
-
-  /** Upstreams that accept every grant and release. */
-  private static final class GrantingClient implements RangeCommandClient {
-
-    @Override
-    public CompletableFuture<GrantResult> grant(
-        String upstream,
-        UpstreamAddress address,
-        KeyRange range,
-        long fence,
-        long grantTtlMs,
-        Optional<String> handover,
-        OptionalLong session,
-        long timeoutMs) {
-      return CompletableFuture.completedFuture(
-          new GrantResult(CommandOutcome.DONE, OptionalLong.of(1)));
-    }
-
-    @Override
-    public CompletableFuture<ReleaseResult> release(
-        String upstream, UpstreamAddress address, KeyRange range, long fence, long timeoutMs) {
-      return CompletableFuture.completedFuture(
-          new ReleaseResult(CommandOutcome.DONE, Optional.empty()));
+      return new UpstreamEntry(row.key(), bornMs, SERVICE, address, "dc", 4, false, 0);
     }
   }
 }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/SimulatedStore.java
@@ -96,6 +96,10 @@
       silent = newSilent;
     }
 
+    boolean isSilent() {
+      return silent;
+    }
+
     /** Makes the store refuse this VM's calls at once, or ends it. */
     void setRefused(boolean newRefused) {
       refused = newRefused;
