A new leader waits for every leader before it, not only for the last

Cause: a leader that took over from its own earlier incarnation left out the 6 s for which a leader that is cut off goes on renewing. That is right for the holder that the record names, but says nothing of the leader before that one. Change: EarlierGrants is the one owner of the question until when anyone before may have granted. Each leader states in its record and in its renewals how much of that time is left, counted by whoever reads it from the reading on; the next incarnation of the same VM goes on from there. A statement that is missing (an older build) or impossible means the whole time. The same cause elsewhere: - an empty map after a restored store counted as complete for a VM that took over from its own earlier incarnation; now only if nobody has led before; - a leader record that can't be read counted as "nobody has led"; - a VM of the same name at another address counted as ended; now the address has to be the one at which this process listens; - LeadershipKeeper confirmed as of the reading of an answer, LeaderTasks as of its construction; now both as of the sending. Ruled out: always the whole wait, which costs the keys of ended upstreams 6 s more after each restart of the leader; RestartOfAllVmsTests guards that.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
@@ -352,9 +352,7 @@
   public void onStoreRestored(long restoredVersion, long nowMs) {
     mapVersion = restoredVersion;
     rewriteDue = !writePending;
-    heldBackUntilMs =
-        timing.latestExpiryMs(nowMs + timing.callTimeoutMs())
-            + LeadershipTiming.GRANT_RENEWAL_WINDOW_MS;
+    heldBackUntilMs = EarlierGrants.afterTakeover(nowMs).latestExpiryMs(timing);
     completed = false;
     pieces.forEach(piece -> piece.requireProof(heldBackUntilMs));
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -383,23 +383,21 @@
 
   private void onLeadershipAcquired(LeaderElection.Acquired acquired) {
     long nowMs = clock.nowMs();
-    long otherRenewalsMs = acquired.holderEnded() ? 0 : LeadershipTiming.GRANT_RENEWAL_WINDOW_MS;
-    long grantsExpiryMs = timing.latestExpiryMs(nowMs + timing.callTimeoutMs()) + otherRenewalsMs;
     logger
         .atInfo()
         .with(EventFields.NODE, acquired.previous().node())
         .with(EventFields.PREVIOUS_FENCE, acquired.previous().term())
         .with(EventFields.FENCE, acquired.leader().term())
         .with(EventFields.REASON, acquired.previous().vacancy())
-        .with(EventFields.LEFT_MS, grantsExpiryMs - nowMs)
+        .with(EventFields.LEFT_MS, acquired.earlierGrants().latestExpiryMs(timing) - nowMs)
         .log("leadership acquired");
     leader = Optional.of(acquired.leader());
     connectionRefused = false;
-    readBeforeLeading(acquired, grantsExpiryMs);
+    readBeforeLeading(acquired);
   }
 
   /** Starts leading with the owners that the store holds after leadership was acquired. */
-  private void readBeforeLeading(LeaderElection.Acquired acquired, long grantsExpiryMs) {
+  private void readBeforeLeading(LeaderElection.Acquired acquired) {
     KnownLeader known = acquired.leader();
     store
         .readAll(SystemTables.RANGES, TablePoller.TIMEOUT_MS)
@@ -414,33 +412,22 @@
               }
               if (failure != null) {
                 loop.schedule(
-                    () -> readBeforeLeading(acquired, grantsExpiryMs),
+                    () -> readBeforeLeading(acquired),
                     LeadershipTiming.RETRY_INTERVAL_MS,
                     TimeUnit.MILLISECONDS);
                 return;
               }
               state.apply(SystemTables.RANGES, pages.get(0));
               state.apply(upstreamTable, pages.get(1));
-              startLeading(acquired, grantsExpiryMs);
+              startLeading(acquired);
             },
             loop);
   }
 
-  private void startLeading(LeaderElection.Acquired acquired, long grantsExpiryMs) {
+  private void startLeading(LeaderElection.Acquired acquired) {
     started = true;
     tasks =
-        new LeaderTasks(
-            acquired.leader(),
-            store,
-            links.commands(),
-            state,
-            loads,
-            timing,
-            this,
-            clock,
-            loop,
-            acquired.holderEnded(),
-            grantsExpiryMs);
+        new LeaderTasks(acquired, store, links.commands(), state, loads, timing, this, clock, loop);
     broadcast(List.of());
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
@@ -3,10 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.range.EarlierGrants;
 import org.foxtailford.core.range.LeaderVacancyDetector;
 import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.LeadershipTiming;
@@ -20,6 +22,7 @@
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.entry.LeaderRecord;
+import org.foxtailford.schema.entry.RenewalRecord;
 
 /**
  * Polls the leader record while the leader doesn't respond, and acquires vacant leadership.
@@ -33,11 +36,17 @@
    * Leadership that this VM has acquired.
    *
    * @param leader this VM as the leader
-   * @param holderEnded whether no earlier leader can be running: there was none, or it was an
-   *     earlier incarnation of this VM, and the store was not restored since
+   * @param firstLeader whether nobody has led before, so that no map of the owners can be lost
+   * @param earlierGrants until when anyone before may grant keys
    * @param previous what the record said before
+   * @param confirmedMs when the call that confirmed the leadership was sent, in milliseconds
    */
-  record Acquired(KnownLeader leader, boolean holderEnded, Previous previous) {}
+  record Acquired(
+      KnownLeader leader,
+      boolean firstLeader,
+      EarlierGrants earlierGrants,
+      Previous previous,
+      long confirmedMs) {}
 
   /**
    * Record from which leadership was acquired.
@@ -48,6 +57,18 @@
    */
   record Previous(String node, long term, String vacancy) {}
 
+  /**
+   * Try to acquire leadership.
+   *
+   * @param term term of the leadership
+   * @param firstLeader whether nobody has led before
+   * @param earlierGrants until when anyone before may grant keys; empty if that depends on when the
+   *     try succeeds, because another VM may still lead until then
+   * @param previous what the record said before
+   */
+  private record Try(
+      long term, boolean firstLeader, Optional<EarlierGrants> earlierGrants, Previous previous) {}
+
   private final String node;
   private final long incarnation;
   private final UpstreamAddress address;
@@ -63,7 +84,7 @@
   private long nextPollMs;
 
   /** Try to acquire leadership that got no answer, so that it may have succeeded. */
-  private Optional<Acquired> unansweredTry = Optional.empty();
+  private Optional<Try> unansweredTry = Optional.empty();
 
   /**
    * Creates an election.
@@ -120,11 +141,11 @@
     store
         .readAll(SystemTables.LEADER, TablePoller.TIMEOUT_MS)
         .whenCompleteAsync(
-            (page, failure) -> onRead(page, failure, connectionRefused, eligible), loop);
+            (page, failure) -> onRead(page, failure, connectionRefused, eligible, nowMs), loop);
   }
 
   private void onRead(
-      RowPage page, Throwable failure, boolean connectionRefused, boolean eligible) {
+      RowPage page, Throwable failure, boolean connectionRefused, boolean eligible, long sentMs) {
     callInFlight = false;
     if (failure != null) {
       logger
@@ -134,28 +155,33 @@
       return;
     }
     Optional<Row> holder = row(page, SystemTables.LEADER_KEY);
-    long renewal =
-        row(page, SystemTables.RENEWAL_KEY).map(row -> row.version().number()).orElse(0L);
+    Optional<Row> renewal = row(page, SystemTables.RENEWAL_KEY);
     long era = page.version().era();
     LeaderRecord record =
         holder.map(LeaderElection::parse).orElse(LeaderRecord.getDefaultInstance());
-    boolean heldByPreviousIncarnation =
-        record.getNode().equals(node) && record.getLife() != incarnation;
-    if (adoptUnansweredTry(record, holder)) {
+    if (adoptUnansweredTry(record, holder, sentMs)) {
       return;
     }
     long nowMs = clock.nowMs();
+    boolean heldByPreviousIncarnation = isOfPreviousIncarnation(record);
     boolean noHolder = connectionRefused || record.getResigned();
+    long renewalVersion = renewal.map(row -> row.version().number()).orElse(0L);
     if (vacancyDetector.observe(
-            record.getTerm(), renewal, heldByPreviousIncarnation, noHolder, nowMs)
+            record.getTerm(), renewalVersion, heldByPreviousIncarnation, noHolder, nowMs)
         && eligible) {
-      boolean recordComplete = LeadershipTerms.era(record.getTerm()) == era || firstStart;
-      boolean holderEnded = recordComplete && (record.getTerm() == 0 || heldByPreviousIncarnation);
-      StoreVersion expected = holder.map(Row::version).orElse(new StoreVersion(era, 0));
-      long term = LeadershipTerms.next(era, record.getTerm(), highestKnownTerm.getAsLong());
+      boolean sameEra = LeadershipTerms.era(record.getTerm()) == era || firstStart;
+      boolean firstLeader = sameEra && holder.isEmpty();
+      Optional<EarlierGrants> earlierGrants =
+          firstLeader
+              ? Optional.of(EarlierGrants.none(nowMs))
+              : Optional.of(statedLeftMs(record, renewal))
+                  .filter(stated -> sameEra && heldByPreviousIncarnation)
+                  .map(stated -> EarlierGrants.afterEarlierIncarnation(stated, nowMs));
       String vacancy = vacancy(record, heldByPreviousIncarnation, connectionRefused);
-      tryAcquire(
-          term, expected, holderEnded, new Previous(record.getNode(), record.getTerm(), vacancy));
+      Previous previous = new Previous(record.getNode(), record.getTerm(), vacancy);
+      long term = LeadershipTerms.next(era, record.getTerm(), highestKnownTerm.getAsLong());
+      StoreVersion expected = holder.map(Row::version).orElse(new StoreVersion(era, 0));
+      tryAcquire(new Try(term, firstLeader, earlierGrants, previous), expected);
     } else if (record.getTerm() > 0 && !record.getResigned()) {
       onLeaderObserved.accept(
           new KnownLeader(
@@ -167,6 +193,30 @@
     }
   }
 
+  /** Returns whether the holder has ended, because this process listens at its address. */
+  private boolean isOfPreviousIncarnation(LeaderRecord record) {
+    return record.getNode().equals(node)
+        && record.getLife() != incarnation
+        && record.getHost().equals(address.host())
+        && record.getPort() == address.port();
+  }
+
+  /** Returns for how long leaders before the holder may grant keys, as the holder stated last. */
+  private static OptionalLong statedLeftMs(LeaderRecord record, Optional<Row> renewal) {
+    Optional<RenewalRecord> last =
+        renewal
+            .flatMap(LeaderElection::parseRenewal)
+            .filter(parsed -> parsed.getTerm() == record.getTerm());
+    if (last.isPresent()) {
+      return last.get().hasEarlierGrantsLeftMs()
+          ? OptionalLong.of(last.get().getEarlierGrantsLeftMs())
+          : OptionalLong.empty();
+    }
+    return record.hasEarlierGrantsLeftMs()
+        ? OptionalLong.of(record.getEarlierGrantsLeftMs())
+        : OptionalLong.empty();
+  }
+
   private static String vacancy(
       LeaderRecord record, boolean heldByPreviousIncarnation, boolean connectionRefused) {
     if (record.getTerm() == 0) {
@@ -179,25 +229,35 @@
     return connectionRefused ? "connection refused" : "not renewed in time";
   }
 
-  /** Takes up leadership if the record shows that an unanswered try succeeded. */
-  private boolean adoptUnansweredTry(LeaderRecord record, Optional<Row> holder) {
-    Optional<Acquired> succeeded =
+  /**
+   * Takes up leadership if the record shows that an unanswered try succeeded.
+   *
+   * @param sentMs when the read of the record was sent, in milliseconds
+   */
+  private boolean adoptUnansweredTry(LeaderRecord record, Optional<Row> holder, long sentMs) {
+    Optional<Try> succeeded =
         unansweredTry.filter(
-            acquired ->
+            made ->
                 record.getNode().equals(node)
                     && record.getLife() == incarnation
-                    && record.getTerm() == acquired.leader().term());
+                    && record.getTerm() == made.term());
     if (succeeded.isEmpty() || holder.isEmpty()) {
       return false;
     }
     unansweredTry = Optional.empty();
-    KnownLeader self =
-        new KnownLeader(node, incarnation, record.getTerm(), address, holder.get().version());
-    onAcquired.accept(
-        new Acquired(self, succeeded.get().holderEnded(), succeeded.get().previous()));
+    onAcquired.accept(acquired(succeeded.get(), holder.get().version(), sentMs));
     return true;
   }
 
+  private Acquired acquired(Try made, StoreVersion version, long confirmedMs) {
+    return new Acquired(
+        new KnownLeader(node, incarnation, made.term(), address, version),
+        made.firstLeader(),
+        made.earlierGrants().orElseGet(() -> EarlierGrants.afterTakeover(clock.nowMs())),
+        made.previous(),
+        confirmedMs);
+  }
+
   static Optional<Row> row(RowPage page, String key) {
     return page.rows().stream().filter(row -> row.key().equals(key)).findFirst();
   }
@@ -211,11 +271,22 @@
     }
   }
 
-  private void tryAcquire(
-      long term, StoreVersion expected, boolean holderEnded, Previous previous) {
+  private static Optional<RenewalRecord> parseRenewal(Row row) {
+    try {
+      return Optional.of(RecordCodec.parseRenewal(row));
+    } catch (UnreadableRowException e) {
+      logger.atSevere().withCause(e).log("renewal of the leadership invalid");
+      return Optional.empty();
+    }
+  }
+
+  private void tryAcquire(Try made, StoreVersion expected) {
     callInFlight = true;
-    KnownLeader self = new KnownLeader(node, incarnation, term, address, StoreVersion.NONE);
-    byte[] value = RecordCodec.serializeLeader(self, false);
+    long sentMs = clock.nowMs();
+    KnownLeader self = new KnownLeader(node, incarnation, made.term(), address, StoreVersion.NONE);
+    long leftMs =
+        made.earlierGrants().orElseGet(() -> EarlierGrants.afterTakeover(sentMs)).leftMs(sentMs);
+    byte[] value = RecordCodec.serializeLeader(self, false, leftMs);
     store
         .write(
             List.of(
@@ -224,32 +295,22 @@
             expected.era(),
             TablePoller.TIMEOUT_MS)
         .whenCompleteAsync(
-            (version, failure) -> onAcquireResponse(term, holderEnded, previous, version, failure),
-            loop);
+            (version, failure) -> onAcquireResponse(made, version, failure, sentMs), loop);
   }
 
   private void onAcquireResponse(
-      long term,
-      boolean holderEnded,
-      Previous previous,
-      Optional<StoreVersion> version,
-      Throwable failure) {
+      Try made, Optional<StoreVersion> version, Throwable failure, long sentMs) {
     callInFlight = false;
     unansweredTry = Optional.empty();
     if (failure != null) {
-      KnownLeader self = new KnownLeader(node, incarnation, term, address, StoreVersion.NONE);
-      unansweredTry = Optional.of(new Acquired(self, holderEnded, previous));
+      unansweredTry = Optional.of(made);
       logger
           .atInfo()
-          .with(EventFields.FENCE, term)
+          .with(EventFields.FENCE, made.term())
           .with(EventFields.REASON, String.valueOf(failure))
           .log("leadership not acquired");
     } else if (version.isPresent()) {
-      onAcquired.accept(
-          new Acquired(
-              new KnownLeader(node, incarnation, term, address, version.get()),
-              holderEnded,
-              previous));
+      onAcquired.accept(acquired(made, version.get(), sentMs));
     } else {
       nextPollMs = clock.nowMs();
     }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.foxtailford.core.event.EventFields;
+import org.foxtailford.core.range.EarlierGrants;
 import org.foxtailford.core.range.LeadershipTerms;
 import org.foxtailford.core.range.LeadershipTiming;
 import org.foxtailford.core.range.OwnerCapacities;
@@ -86,11 +87,11 @@
   private final MillisClock clock;
   private final Executor loop;
   private final boolean noEarlierLeader;
-  private final long earlierGrantsExpiryMs;
   private final Map<String, RangeExecutor> executors = new HashMap<>();
   private final Map<String, Capacities> capacitiesByService = new HashMap<>();
   private final Map<RangeOwner, UpstreamAddress> addresses = new HashMap<>();
   private KnownLeader leader;
+  private EarlierGrants earlierGrants;
   private long fenceCount;
   private long renewalCount;
   private long lastConfirmedMs;
@@ -101,8 +102,13 @@
   private boolean tickScheduled;
   private boolean ended;
 
+  /**
+   * Creates the tasks of a term.
+   *
+   * @param acquired the leadership, as the store has confirmed it
+   */
   LeaderTasks(
-      KnownLeader leader,
+      LeaderElection.Acquired acquired,
       RowStore store,
       RangeCommandClient commandClient,
       EntryRoutingState state,
@@ -110,10 +116,8 @@
       RangeTiming timing,
       Listener listener,
       MillisClock clock,
-      Executor loop,
-      boolean noEarlierLeader,
-      long earlierGrantsExpiryMs) {
-    this.leader = leader;
+      Executor loop) {
+    this.leader = acquired.leader();
     this.store = store;
     this.commandClient = commandClient;
     this.state = state;
@@ -122,11 +126,11 @@
     this.listener = Assert.notNull(listener, "listener");
     this.clock = Assert.notNull(clock, "clock");
     this.loop = Assert.notNull(loop, "loop");
-    this.noEarlierLeader = noEarlierLeader;
-    this.earlierGrantsExpiryMs = earlierGrantsExpiryMs;
+    this.noEarlierLeader = acquired.firstLeader();
+    this.earlierGrants = acquired.earlierGrants();
     this.keeper = new LeadershipKeeper(store, clock, loop, new KeptLeadership());
-    this.lastConfirmedMs = clock.nowMs();
-    this.nextRenewalMs = lastConfirmedMs;
+    this.lastConfirmedMs = acquired.confirmedMs();
+    this.nextRenewalMs = clock.nowMs();
   }
 
   KnownLeader leader() {
@@ -188,7 +192,7 @@
             loads.historyOf(service),
             new RangeMap(storedVersion, known.era(), known.assignments()),
             known.isComplete(era, noEarlierLeader),
-            earlierGrantsExpiryMs,
+            earlierGrants.latestExpiryMs(timing),
             expired -> logExpiry(service, expired));
     return new RangeExecutor(
         service,
@@ -254,6 +258,7 @@
         RenewalRecord.newBuilder()
             .setTerm(leader.term())
             .setCount(++renewalCount)
+            .setEarlierGrantsLeftMs(earlierGrants.leftMs(nowMs))
             .build()
             .toByteArray();
     List<RowWrite> rows =
@@ -315,7 +320,7 @@
   /** Stops leading and tells the store, so that another VM can take over at once. */
   void resign(String reason) {
     end(reason);
-    byte[] value = RecordCodec.serializeLeader(leader, true);
+    byte[] value = RecordCodec.serializeLeader(leader, true, earlierGrants.leftMs(clock.nowMs()));
     RowWrite record =
         RowWrite.put(
             SystemTables.LEADER, SystemTables.LEADER_KEY, leader.rowVersion().number(), value);
@@ -373,6 +378,7 @@
         return;
       }
       leader = kept;
+      earlierGrants = EarlierGrants.afterTakeover(clock.nowMs());
       confirm(sentMs);
       nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
       executors.forEach(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeadershipKeeper.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeadershipKeeper.java
@@ -68,6 +68,7 @@
       return;
     }
     callInFlight = true;
+    long sentMs = nowMs;
     store
         .readAll(SystemTables.LEADER, TablePoller.TIMEOUT_MS)
         .thenCombine(
@@ -76,7 +77,7 @@
         .whenCompleteAsync(
             (pages, failure) -> {
               if (failure == null) {
-                onRead(leader, pages.get(0), pages.get(1));
+                onRead(leader, pages.get(0), pages.get(1), sentMs);
               } else {
                 retry(failure);
               }
@@ -84,7 +85,7 @@
             loop);
   }
 
-  private void onRead(KnownLeader leader, RowPage recordPage, RowPage mapPage) {
+  private void onRead(KnownLeader leader, RowPage recordPage, RowPage mapPage, long sentMs) {
     long era = recordPage.version().era();
     if (mapPage.version().era() != era) {
       retry(new EraChangedException(era, mapPage.version().era()));
@@ -97,7 +98,7 @@
         record.getNode().equals(leader.node()) && record.getLife() == leader.incarnation();
     if (isOfThisEra && isOwn) {
       // An earlier try succeeded though its answer was lost.
-      onWritten(leader, record.getTerm(), row.get().version(), mapPage, clock.nowMs());
+      onWritten(leader, record.getTerm(), row.get().version(), mapPage, sentMs);
     } else if (isOfThisEra) {
       callInFlight = false;
       listener.onTaken();
@@ -118,7 +119,8 @@
         RecordCodec.serializeLeader(
             new KnownLeader(
                 leader.node(), leader.incarnation(), term, leader.address(), leader.rowVersion()),
-            false);
+            false,
+            LeadershipTiming.GRANT_RENEWAL_WINDOW_MS); // of a leader that was lost with the rows
     long expected = storedVersion.map(StoreVersion::number).orElse(0L);
     store
         .write(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RecordCodec.java
@@ -23,6 +23,7 @@
 import org.foxtailford.schema.entry.MemberRecord;
 import org.foxtailford.schema.entry.RangeMapRecord;
 import org.foxtailford.schema.entry.RangeRecord;
+import org.foxtailford.schema.entry.RenewalRecord;
 import org.foxtailford.schema.entry.StoredRow;
 import org.foxtailford.schema.entry.TableRows;
 
@@ -41,7 +42,20 @@
     }
   }
 
-  static byte[] serializeLeader(KnownLeader leader, boolean resigned) {
+  static RenewalRecord parseRenewal(Row row) {
+    try {
+      return RenewalRecord.parseFrom(row.value());
+    } catch (InvalidProtocolBufferException e) {
+      throw new UnreadableRowException("renewal row does not contain a valid RenewalRecord", e);
+    }
+  }
+
+  /**
+   * Returns a leader record.
+   *
+   * @param earlierGrantsLeftMs time for which leaders before may go on granting, in milliseconds
+   */
+  static byte[] serializeLeader(KnownLeader leader, boolean resigned, long earlierGrantsLeftMs) {
     return LeaderRecord.newBuilder()
         .setNode(leader.node())
         .setLife(leader.incarnation())
@@ -49,6 +63,7 @@
         .setHost(leader.address().host())
         .setPort(leader.address().port())
         .setResigned(resigned)
+        .setEarlierGrantsLeftMs(earlierGrantsLeftMs)
         .build()
         .toByteArray();
   }
