An answer counts only for the command that waits for it

Cause: the outcome of a release or grant was matched to a range by its keys alone. Change: commands have numbers, and an answer that no range waits for is logged as too late and changes nothing. A range that is freed waits for no answer, so that its next owner isn't delayed by a release that nobody answers.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeCommand.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeCommand.java
@@ -10,21 +10,24 @@
   /**
    * Grants keys to their owner, or renews that grant.
    *
+   * @param number number of the command, unique within its controller
    * @param assignment the keys to grant, their owner and the fence of the grant
    * @param handover token that the previous owner returned with its release; empty if there is none
    * @param session connection over which the keys were granted under this fence; empty for the
    *     first grant. A renewal over another connection might reach another incarnation of the
    *     upstream
    */
-  record Grant(RangeAssignment assignment, Optional<String> handover, OptionalLong session)
+  record Grant(
+      long number, RangeAssignment assignment, Optional<String> handover, OptionalLong session)
       implements RangeCommand {}
 
   /**
    * Takes keys back from their owner.
    *
+   * @param number number of the command, unique within its controller
    * @param assignment the keys and their current owner; the fence is higher than every granted one
    */
-  record Release(RangeAssignment assignment) implements RangeCommand {}
+  record Release(long number, RangeAssignment assignment) implements RangeCommand {}
 
   /**
    * Writes the range map, provided that the stored map still has the expected version.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
@@ -52,6 +52,7 @@
   private boolean rewriteDue;
   private long heldBackUntilMs = Long.MIN_VALUE;
   private boolean superseded;
+  private long lastCommand;
   private boolean completed = true;
   private long firstCandidateMs = Long.MIN_VALUE;
   private long newestCandidateMs;
@@ -156,11 +157,14 @@
       onExpired.accept(piece.assignment());
       piece.free(Optional.empty());
     } else if (piece.isReleasing() && piece.isCommandDue(nowMs)) {
-      piece.onReleaseSent();
-      commands.add(new RangeCommand.Release(piece.assignment(fences.getAsLong())));
+      piece.onReleaseSent(++lastCommand);
+      RangeAssignment released = piece.assignment(fences.getAsLong());
+      commands.add(new RangeCommand.Release(lastCommand, released));
     } else if (piece.isGrantDue(nowMs)) {
-      piece.onGrantSent(timing.latestExpiryMs(nowMs + timing.callTimeoutMs()));
-      commands.add(new RangeCommand.Grant(piece.assignment(), piece.handover(), piece.session()));
+      piece.onGrantSent(++lastCommand, timing.latestExpiryMs(nowMs + timing.callTimeoutMs()));
+      commands.add(
+          new RangeCommand.Grant(
+              lastCommand, piece.assignment(), piece.handover(), piece.session()));
     }
   }
 
@@ -250,17 +254,19 @@
    * Processes the outcome of a grant.
    *
    * @param session connection over which the answer arrived; empty without an answer
+   * @return whether the grant still mattered: its keys have not got another owner meanwhile, and
+   *     their range was not divided
    */
-  public void onGrant(
+  public boolean onGrant(
       RangeCommand.Grant command, CommandOutcome outcome, OptionalLong session, long nowMs) {
-    Optional<RangePiece> match = findPiece(command.assignment());
+    Optional<RangePiece> match = findPiece(command.number());
     if (match.isEmpty()) {
-      return;
+      return false;
     }
     RangePiece piece = match.get();
     if (!piece.isOwned()) {
       piece.onAnswer(nowMs);
-      return;
+      return true;
     }
     piece.onAnswer(
         nowMs
@@ -285,6 +291,7 @@
       default:
         piece.requireNewFence();
     }
+    return true;
   }
 
   /**
@@ -310,12 +317,13 @@
    * Processes the outcome of a release.
    *
    * @param handover token that the upstream passes to the next owner; empty if it passes none
+   * @return whether the release still mattered: its keys have not got another owner meanwhile
    */
-  public void onRelease(
+  public boolean onRelease(
       RangeCommand.Release command, CommandOutcome outcome, Optional<String> handover, long nowMs) {
-    Optional<RangePiece> match = findPiece(command.assignment());
+    Optional<RangePiece> match = findPiece(command.number());
     if (match.isEmpty()) {
-      return;
+      return false;
     }
     RangePiece piece = match.get();
     piece.onAnswer(nowMs + timing.retryIntervalMs());
@@ -323,6 +331,7 @@
     if (piece.isReleasing() && released) {
       piece.free(handover);
     }
+    return true;
   }
 
   /**
@@ -365,8 +374,8 @@
     return superseded;
   }
 
-  private Optional<RangePiece> findPiece(RangeAssignment assignment) {
-    return pieces.stream().filter(p -> p.range().equals(assignment.range())).findFirst();
+  private Optional<RangePiece> findPiece(long command) {
+    return pieces.stream().filter(piece -> piece.isInFlight(command)).findFirst();
   }
 
   /** Returns the assignments of all ranges that have an owner now, in order of their keys. */
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangePiece.java
@@ -26,7 +26,7 @@
   private long grantExpiryMs;
   private long previousExpiryMs;
   private long nextCommandMs;
-  private boolean commandInFlight;
+  private OptionalLong commandInFlight = OptionalLong.empty();
   private @Nullable RangeOwner target;
   private long movedAtMs = Long.MIN_VALUE / 2;
   private Optional<String> handover = Optional.empty();
@@ -120,7 +120,7 @@
         && session.isPresent()
         && !needsFence
         && missingProofs == 0
-        && !commandInFlight
+        && commandInFlight.isEmpty()
         && movedAtMs <= sinceMs;
   }
 
@@ -134,7 +134,7 @@
     if (!renewable) {
       requireNewFence(); // what was written for the present one may be lost
     }
-    missingProofs = !renewable ? Integer.MAX_VALUE : commandInFlight ? 2 : 1;
+    missingProofs = !renewable ? Integer.MAX_VALUE : commandInFlight.isPresent() ? 2 : 1;
     heldBackUntilMs = untilMs;
   }
 
@@ -181,9 +181,17 @@
     return handover;
   }
 
+  /**
+   * Returns whether a command waits for its answer. One that was sent to an earlier owner, or for
+   * the range before it was divided, doesn't.
+   */
+  boolean isInFlight(long command) {
+    return commandInFlight.isPresent() && commandInFlight.getAsLong() == command;
+  }
+
   /** Returns whether the next command may be sent. */
   boolean isCommandDue(long nowMs) {
-    return !commandInFlight && nowMs >= nextCommandMs;
+    return commandInFlight.isEmpty() && nowMs >= nextCommandMs;
   }
 
   /** Returns whether all grants to the owner have certainly expired. */
@@ -192,8 +200,8 @@
   }
 
   /** Records that a grant is sent, which may be in force until a given time if it arrives. */
-  void onGrantSent(long expiryMs) {
-    commandInFlight = true;
+  void onGrantSent(long command, long expiryMs) {
+    commandInFlight = OptionalLong.of(command);
     previousExpiryMs = grantExpiryMs;
     grantExpiryMs = Math.max(grantExpiryMs, expiryMs);
   }
@@ -207,12 +215,12 @@
     grantExpiryMs = Math.max(previousExpiryMs, expiryMs);
   }
 
-  void onReleaseSent() {
-    commandInFlight = true;
+  void onReleaseSent(long command) {
+    commandInFlight = OptionalLong.of(command);
   }
 
   void onAnswer(long dueMs) {
-    commandInFlight = false;
+    commandInFlight = OptionalLong.empty();
     nextCommandMs = dueMs;
   }
 
@@ -234,6 +242,7 @@
   void free(Optional<String> newHandover) {
     state = State.FREE;
     owner = null;
+    commandInFlight = OptionalLong.empty();
     requireNewFence();
     newFencePending = false;
     handover = newHandover;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -219,10 +219,11 @@
   }
 
   private void onRelease(RangeCommand.Release command, RangeCommandClient.ReleaseResult result) {
-    log(command.assignment(), "keys released", result.outcome().name());
-    if (!stopped) {
-      controller.onRelease(command, result.outcome(), result.handover(), clock.nowMs());
-    }
+    boolean counted =
+        !stopped
+            && controller.onRelease(command, result.outcome(), result.handover(), clock.nowMs());
+    String outcome = result.outcome().name();
+    log(command.assignment(), "keys released", counted ? outcome : outcome + ", too late");
   }
 
   private void log(RangeAssignment assignment, String event, String reason) {
