A grant is not sent later than its expiry is reckoned for

What lay between (the planning of other services, a long task, a collection of garbage), and up to 0.7 s of waiting behind another grant on the connection, had to fit into the margin of 0.1 s, or the keys got a second owner too early. Change: the send has what is left of the timeout from the planning; without any left the grant isn't sent. Each service is planned by a time of its own. That a leader was ever that late is not shown.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -17,6 +17,7 @@
 import org.foxtailford.core.range.OwnerCapacities;
 import org.foxtailford.core.range.RangeAssignment;
 import org.foxtailford.core.range.RangeCandidate;
+import org.foxtailford.core.range.RangeCommand;
 import org.foxtailford.core.range.RangeCommandClient;
 import org.foxtailford.core.range.RangeController;
 import org.foxtailford.core.range.RangeMap;
@@ -160,20 +161,30 @@
     if (!mayGrant || configuration.isEmpty() || ended) {
       return;
     }
-    boolean mayMove = nowMs - lastConfirmedMs < LeadershipTiming.MOVE_WINDOW_MS;
     Set<String> keyed = new HashSet<>();
     for (ServicePolicy service : configuration.get().services()) {
       if (service.keyed()) {
         keyed.add(service.name());
         RangeExecutor executor = executors.computeIfAbsent(service.name(), this::newExecutor);
         executor.controller().setWriteInterval(WRITE_INTERVAL_PER_VM_MS * state.entryVms().size());
-        executor.execute(
-            executor.controller().nextCommands(candidates(service.name()), mayMove, nowMs));
+        planAndExecute(executor, candidates(service.name()));
       }
     }
     executors.keySet().retainAll(keyed);
   }
 
+  /** Plans by a time of its own, since the planning of services before may have taken long. */
+  private void planAndExecute(RangeExecutor executor, List<RangeCandidate> candidates) {
+    long plannedMs = clock.nowMs();
+    long ageMs = plannedMs - lastConfirmedMs;
+    if (ageMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS) {
+      boolean mayMove = ageMs < LeadershipTiming.MOVE_WINDOW_MS;
+      List<RangeCommand> commands =
+          executor.controller().nextCommands(candidates, mayMove, plannedMs);
+      executor.execute(commands, plannedMs);
+    }
+  }
+
   private RangeExecutor newExecutor(String service) {
     RangeMap known = state.owners(service);
     long era = leader.rowVersion().era();
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -129,7 +129,13 @@
     controller.onStoreRestored(restoredVersion, clock.nowMs());
   }
 
-  void execute(List<RangeCommand> commands) {
+  /**
+   * Executes commands.
+   *
+   * @param plannedMs time as of which they were planned, in milliseconds; the expiry of a grant is
+   *     reckoned from it, so that a grant is not sent later than its timeout after it
+   */
+  void execute(List<RangeCommand> commands, long plannedMs) {
     List<RangeAssignment> releases = new ArrayList<>();
     for (RangeCommand command : commands) {
       if (command instanceof RangeCommand.Release) {
@@ -141,7 +147,7 @@
     }
     for (RangeCommand command : commands) {
       if (command instanceof RangeCommand.Grant) {
-        grant((RangeCommand.Grant) command);
+        grant((RangeCommand.Grant) command, plannedMs);
       } else if (command instanceof RangeCommand.Release) {
         release((RangeCommand.Release) command);
       } else {
@@ -165,10 +171,11 @@
     }
   }
 
-  private void grant(RangeCommand.Grant command) {
+  private void grant(RangeCommand.Grant command, long plannedMs) {
     RangeAssignment assignment = command.assignment();
     Optional<UpstreamAddress> address = addressLookup.apply(assignment.owner());
-    if (address.isEmpty()) {
+    long leftMs = plannedMs + timing.callTimeoutMs() - clock.nowMs();
+    if (address.isEmpty() || leftMs <= 0) {
       controller.onGrant(command, CommandOutcome.UNREACHED, OptionalLong.empty(), clock.nowMs());
       return;
     }
@@ -182,7 +189,7 @@
             timing.grantTtlMs(),
             command.handover(),
             command.session(),
-            timing.callTimeoutMs())
+            leftMs)
         .thenAcceptAsync(result -> onGrant(command, result), loop);
   }
 
