--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/SessionClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/SessionClient.java
@@ -133,17 +133,21 @@
       session.busy = true;
       connected = session.isConnected();
     }
-    long remainingMs = queued.deadlineMs() - clock.nowMs();
     boolean sessionEnded =
         queued.session().isPresent()
             && (!connected || queued.session().getAsLong() != session.number);
-    if (sessionEnded || remainingMs <= 0) {
+    if (sessionEnded || remainingMs(queued) <= 0) {
       finish(session);
       queued
           .answer()
           .completeExceptionally(notSent("its connection is closed or its time is over"));
     } else if (connected) {
-      exchange(session, queued, remainingMs);
+      Channel channel = Assert.notNull(session.channel, "channel");
+      if (channel.eventLoop().inEventLoop()) {
+        exchange(session, queued, channel);
+      } else {
+        channel.eventLoop().execute(() -> exchange(session, queued, channel));
+      }
     } else {
       bootstrap
           .connect(session.endpoint.getHost(), session.endpoint.getPort())
@@ -153,8 +157,7 @@
   }
 
   private void onConnected(Session session, QueuedRequest queued, ChannelFuture connectFuture) {
-    long remainingMs = queued.deadlineMs() - clock.nowMs();
-    if (!connectFuture.isSuccess() || remainingMs <= 0) {
+    if (!connectFuture.isSuccess() || remainingMs(queued) <= 0) {
       connectFuture.channel().close();
       finish(session);
       queued.answer().completeExceptionally(notSent("no connection: " + connectFuture.cause()));
@@ -164,11 +167,21 @@
       session.channel = connectFuture.channel();
       session.number = ++lastNumber;
     }
-    exchange(session, queued, remainingMs);
+    exchange(session, queued, connectFuture.channel());
+  }
+
+  private long remainingMs(QueuedRequest queued) {
+    return queued.deadlineMs() - clock.nowMs();
   }
 
-  private void exchange(Session session, QueuedRequest queued, long remainingMs) {
-    Channel channel = Assert.notNull(session.channel, "channel");
+  /** Sends a request on the event loop of its connection, unless its time is over by then. */
+  private void exchange(Session session, QueuedRequest queued, Channel channel) {
+    long remainingMs = remainingMs(queued);
+    if (remainingMs <= 0) {
+      finish(session);
+      queued.answer().completeExceptionally(notSent("its time is over"));
+      return;
+    }
     HttpClientHandler handler = channel.pipeline().get(HttpClientHandler.class);
     if (handler == null) {
       finish(session);
