A store that lost its leader record has not been without a leader

Now a process that knows of a term waits for all earlier grants. FirstStartAndRestoredStoreTests failed before.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderElection.java
@@ -169,8 +169,9 @@
     if (vacancyDetector.observe(
             record.getTerm(), renewalVersion, heldByPreviousIncarnation, noHolder, nowMs)
         && eligible) {
-      boolean sameEra = LeadershipTerms.era(record.getTerm()) == era || firstStart;
-      boolean firstLeader = sameEra && holder.isEmpty();
+      boolean sameEra = LeadershipTerms.era(record.getTerm()) == era;
+      boolean firstLeader =
+          holder.isEmpty() && (sameEra || firstStart) && highestKnownTerm.getAsLong() == 0;
       Optional<EarlierGrants> earlierGrants =
           firstLeader
               ? Optional.of(EarlierGrants.none(nowMs))
