A service that comes back keeps its controller while its grants are in force

Cause: the leader forgot the controller with the service, and a new one reckons with the grants of earlier leaders only, not with the leader's own. Now the controller stays until its last grant must have expired.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -170,7 +170,19 @@
         planAndExecute(executor, candidates(service.name()));
       }
     }
-    executors.keySet().retainAll(keyed);
+    removeUnused(keyed, nowMs);
+  }
+
+  /**
+   * Removes the executors of services that have no keys any more. One whose grants may be in force
+   * stays, since the service may come back before they have expired.
+   */
+  private void removeUnused(Set<String> keyed, long nowMs) {
+    executors
+        .entrySet()
+        .removeIf(
+            entry ->
+                !keyed.contains(entry.getKey()) && !entry.getValue().mayHaveGrantsInForce(nowMs));
   }
 
   /** Plans by a time of its own, since the planning of services before may have taken long. */
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -77,6 +77,7 @@
   private boolean writeInFlight;
   private long nextWriteMs;
   private boolean stopped;
+  private long lastPlannedMs;
 
   /**
    * Written map that was not announced yet.
@@ -117,6 +118,11 @@
     stopped = true;
   }
 
+  /** Returns whether a grant that this executor has sent may be in force. */
+  boolean mayHaveGrantsInForce(long nowMs) {
+    return nowMs < timing.latestExpiryMs(lastPlannedMs + timing.callTimeoutMs());
+  }
+
   /**
    * Continues after the store was restored from an older copy.
    *
@@ -136,6 +142,7 @@
    *     reckoned from it, so that a grant is not sent later than its timeout after it
    */
   void execute(List<RangeCommand> commands, long plannedMs) {
+    lastPlannedMs = plannedMs;
     List<RangeAssignment> releases = new ArrayList<>();
     for (RangeCommand command : commands) {
       if (command instanceof RangeCommand.Release) {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/ControlWorld.java
@@ -42,6 +42,9 @@
   private static final long ONE_WAY_MS = 1;
   private static final int PORT = 1000;
 
+  /** Version of the configuration that has no services. */
+  static final long WITHOUT_SERVICES = 77;
+
   private final EventQueue events = new EventQueue();
   private final SimulatedStore store = new SimulatedStore(events);
   private final List<Vm> vms = new ArrayList<>();
@@ -394,7 +397,11 @@
     public RoutingConfiguration readConfiguration(Row row) {
       long version = Long.parseLong(new String(row.value(), StandardCharsets.UTF_8));
       return new RoutingConfiguration(
-          version, List.of(), services, CallerLimits.DEFAULT, Optional.empty());
+          version,
+          List.of(),
+          version == WITHOUT_SERVICES ? List.of() : services,
+          CallerLimits.DEFAULT,
+          Optional.empty());
     }
 
     @Override
