A leader that was late excludes no upstream

Found by the review of the limit on late grants: a grant that wasn't sent for lack of time counted as an upstream that can't be reached, which was then left out for 3 s, and its keys were placed anew. NOT_SENT says nothing of the upstream; the grant is planned again at once. LateGrantTests.upstreamIsNotExcludedBecauseTheLeaderWasLate failed before.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/CommandOutcome.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/CommandOutcome.java
@@ -6,6 +6,8 @@
   DONE,
   /** The upstream rejected the command because it has already seen a higher fence. */
   FENCED,
+  /** The leader was too late to send the command, which says nothing of the upstream. */
+  NOT_SENT,
   /**
    * No connection could be made, so the command was not delivered. This doesn't show that the
    * upstream's process is gone: a network partition refuses connections too.
--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/RangeController.java
@@ -285,6 +285,10 @@
       case OTHER_UPSTREAM:
         exclude(piece, command.assignment().owner(), nowMs);
         break;
+      case NOT_SENT:
+        piece.correctGrantExpiry(0);
+        piece.onAnswer(nowMs);
+        break;
       case UNREACHED:
         onUnreached(piece, command, nowMs);
         break;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/RangeExecutor.java
@@ -182,7 +182,11 @@
     RangeAssignment assignment = command.assignment();
     Optional<UpstreamAddress> address = addressLookup.apply(assignment.owner());
     long leftMs = plannedMs + timing.callTimeoutMs() - clock.nowMs();
-    if (address.isEmpty() || leftMs <= 0) {
+    if (leftMs <= 0) {
+      controller.onGrant(command, CommandOutcome.NOT_SENT, OptionalLong.empty(), clock.nowMs());
+      return;
+    }
+    if (address.isEmpty()) {
       controller.onGrant(command, CommandOutcome.UNREACHED, OptionalLong.empty(), clock.nowMs());
       return;
     }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LateGrantTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LateGrantTests.java
@@ -57,6 +57,26 @@
     assertThat(sendByMs).hasSize(delayMs < TIMING.callTimeoutMs() ? 1 : 0);
   }
 
+  /** A grant that was planned in time and not sent says nothing of the upstream. */
+  @Test
+  public void upstreamIsNotExcludedBecauseTheLeaderWasLate() {
+    nowMs = 1000;
+    List<Long> sendByMs = new ArrayList<>();
+    RangeController controller = ownedByOne();
+    RangeExecutor executor = newExecutor(controller, sendByMs);
+    List<RangeCandidate> candidates = List.of(new RangeCandidate(OWNER, 4, false));
+    List<RangeCommand> commands = controller.nextCommands(candidates, false, nowMs);
+    controller.onWritten((RangeCommand.Write) commands.get(0), 8, nowMs);
+    long plannedMs = nowMs;
+    commands = controller.nextCommands(candidates, false, plannedMs);
+    nowMs += TIMING.callTimeoutMs();
+    executor.execute(commands, plannedMs);
+    nowMs += TIMING.retryIntervalMs() + 50;
+    commands = controller.nextCommands(candidates, false, nowMs);
+    assertThat(controller.assignments()).as("keys still assigned to their owner").hasSize(1);
+    assertThat(commands).hasAtLeastOneElementOfType(RangeCommand.Grant.class);
+  }
+
   private static RangeController ownedByOne() {
     RangeMap map = new RangeMap(7, 0, List.of(new RangeAssignment(ALL, OWNER, 50)));
     long[] fence = {100};
