Short pauses don't stretch the time for which a cut-off leader renews

Change: ClockReading holds both clocks; the age of a confirmation comes from the one that has advanced more. A time of day that is set forward costs a leader its grants until the next renewal, as it did before for steps over 0.7 s. Open: a time of day that is set back during a pause hides it.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlClocks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/ControlClocks.java
@@ -1,5 +1,6 @@
 package org.foxtailford.entry.control;
 
+import org.foxtailford.core.time.ClockReading;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.time.PauseAwareClock;
 import org.foxtailford.core.util.Assert;
@@ -20,6 +21,11 @@
     Assert.notNull(timeOfDay, "timeOfDay");
   }
 
+  /** Reads the steady clock and the time of day. */
+  ClockReading read() {
+    return new ClockReading(steady.nowMs(), timeOfDay.nowMs());
+  }
+
   /** Returns the clocks of a process with a given monotonic clock and time of day. */
   public static ControlClocks of(MillisClock steady, MillisClock timeOfDay) {
     return new ControlClocks(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/EntryControl.java
@@ -56,6 +56,7 @@
   private final LossKeeper lossKeeper;
   private final MemberRegistration registration;
   private final RangeTiming timing;
+  private final ControlClocks clocks;
   private final MillisClock clock;
   private final PauseAwareClock pauseAwareClock;
   private final CopyAges ages;
@@ -95,6 +96,7 @@
     this.node = self.node();
     this.incarnation = self.incarnation();
     this.address = self.address();
+    this.clocks = Assert.notNull(clocks, "clocks");
     this.clock = clocks.steady();
     this.pauseAwareClock = clocks.pauseAware();
     this.store = Assert.notNull(store, "store");
@@ -427,7 +429,8 @@
   private void startLeading(LeaderElection.Acquired acquired) {
     started = true;
     tasks =
-        new LeaderTasks(acquired, store, links.commands(), state, loads, timing, this, clock, loop);
+        new LeaderTasks(
+            acquired, store, links.commands(), state, loads, timing, this, clocks, loop);
     broadcast(List.of());
   }
 
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeaderTasks.java
@@ -30,6 +30,7 @@
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
 import org.foxtailford.core.store.StoreVersion;
+import org.foxtailford.core.time.ClockReading;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.upstream.UpstreamEntry;
@@ -85,6 +86,7 @@
   private final KeyLoads loads;
   private final RangeTiming timing;
   private final Listener listener;
+  private final ControlClocks clocks;
   private final MillisClock clock;
   private final Executor loop;
   private final boolean noEarlierLeader;
@@ -95,7 +97,7 @@
   private EarlierGrants earlierGrants;
   private long fenceCount;
   private long renewalCount;
-  private long lastConfirmedMs;
+  private ClockReading lastConfirmed;
   private long pauseEndedMs = Long.MIN_VALUE;
   private long nextRenewalMs;
   private boolean renewalInFlight;
@@ -116,7 +118,7 @@
       KeyLoads loads,
       RangeTiming timing,
       Listener listener,
-      MillisClock clock,
+      ControlClocks clocks,
       Executor loop) {
     this.leader = acquired.leader();
     this.store = store;
@@ -125,13 +127,14 @@
     this.loads = loads;
     this.timing = timing;
     this.listener = Assert.notNull(listener, "listener");
-    this.clock = Assert.notNull(clock, "clock");
+    this.clocks = Assert.notNull(clocks, "clocks");
+    this.clock = clocks.steady();
     this.loop = Assert.notNull(loop, "loop");
     this.noEarlierLeader = acquired.firstLeader();
     this.earlierGrants = acquired.earlierGrants();
-    this.keeper = new LeadershipKeeper(store, clock, loop, new KeptLeadership());
-    this.lastConfirmedMs = acquired.confirmedMs();
+    this.keeper = new LeadershipKeeper(store, clocks, loop, new KeptLeadership());
     this.nextRenewalMs = clock.nowMs();
+    this.lastConfirmed = clocks.read().minus(nextRenewalMs - acquired.confirmedMs());
   }
 
   KnownLeader leader() {
@@ -140,21 +143,21 @@
 
   /** Performs the tasks that are due. */
   void tick() {
-    long nowMs = clock.nowMs();
+    ClockReading now = clocks.read();
     if (store.era() == leader.rowVersion().era()) {
-      renewAsNeeded(nowMs);
-    } else if (nowMs - lastConfirmedMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS) {
+      renewAsNeeded(now);
+    } else if (lastConfirmed.ageMs(now) < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS) {
       keeper.keep(leader);
     } else {
       end("the store was restored after grants had been paused");
     }
-    boolean mayGrant = nowMs - lastConfirmedMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS;
+    boolean mayGrant = lastConfirmed.ageMs(now) < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS;
     if (mayGrant != grantsAllowed) {
       grantsAllowed = mayGrant;
       logger
           .atInfo()
           .with(EventFields.FENCE, leader.term())
-          .with(EventFields.AGE_MS, nowMs - lastConfirmedMs)
+          .with(EventFields.AGE_MS, lastConfirmed.ageMs(now))
           .log(mayGrant ? "grants resumed" : "grants paused until leadership is confirmed");
     }
     Optional<RoutingConfiguration> configuration = state.configuration();
@@ -170,7 +173,7 @@
         planAndExecute(executor, candidates(service.name()));
       }
     }
-    removeUnused(keyed, nowMs);
+    removeUnused(keyed, now.steadyMs());
   }
 
   /**
@@ -187,13 +190,13 @@
 
   /** Plans by a time of its own, since the planning of services before may have taken long. */
   private void planAndExecute(RangeExecutor executor, List<RangeCandidate> candidates) {
-    long plannedMs = clock.nowMs();
-    long ageMs = plannedMs - lastConfirmedMs;
+    ClockReading now = clocks.read();
+    long ageMs = lastConfirmed.ageMs(now);
     if (ageMs < LeadershipTiming.GRANT_RENEWAL_WINDOW_MS) {
       boolean mayMove = ageMs < LeadershipTiming.MOVE_WINDOW_MS;
       List<RangeCommand> commands =
-          executor.controller().nextCommands(candidates, mayMove, plannedMs);
-      executor.execute(commands, plannedMs);
+          executor.controller().nextCommands(candidates, mayMove, now.steadyMs());
+      executor.execute(commands, now.steadyMs());
     }
   }
 
@@ -272,8 +275,8 @@
     return OwnerCapacities.divide(upstreams, loads.busySlots(service));
   }
 
-  private void renewAsNeeded(long nowMs) {
-    if (renewalInFlight || nowMs < nextRenewalMs || ended) {
+  private void renewAsNeeded(ClockReading now) {
+    if (renewalInFlight || now.steadyMs() < nextRenewalMs || ended) {
       return;
     }
     renewalInFlight = true;
@@ -281,7 +284,7 @@
         RenewalRecord.newBuilder()
             .setTerm(leader.term())
             .setCount(++renewalCount)
-            .setEarlierGrantsLeftMs(earlierGrants.leftMs(nowMs))
+            .setEarlierGrantsLeftMs(earlierGrants.leftMs(now.steadyMs()))
             .build()
             .toByteArray();
     List<RowWrite> rows =
@@ -291,10 +294,10 @@
             RowWrite.put(SystemTables.LEADER, SystemTables.RENEWAL_KEY, -1, value));
     store
         .write(rows, leader.rowVersion().era(), TablePoller.TIMEOUT_MS)
-        .whenCompleteAsync((version, failure) -> onRenewed(version, failure, nowMs), loop);
+        .whenCompleteAsync((version, failure) -> onRenewed(version, failure, now), loop);
   }
 
-  private void onRenewed(Optional<StoreVersion> version, Throwable failure, long sentMs) {
+  private void onRenewed(Optional<StoreVersion> version, Throwable failure, ClockReading sent) {
     renewalInFlight = false;
     long nowMs = clock.nowMs();
     if (failure != null) {
@@ -302,31 +305,31 @@
       logger
           .atInfo()
           .with(EventFields.FENCE, leader.term())
-          .with(EventFields.AGE_MS, nowMs - lastConfirmedMs)
+          .with(EventFields.AGE_MS, confirmedAgeMs())
           .with(EventFields.REASON, String.valueOf(failure))
           .log("leadership not renewed");
     } else if (version.isEmpty()) {
       end("another VM acquired leadership");
     } else {
-      confirm(sentMs);
-      long ageMs = nowMs - sentMs;
+      confirm(sent);
+      long ageMs = nowMs - sent.steadyMs();
       state.ages().record(SystemTables.RANGES, state.ages().nowMs() - ageMs); // its own writes
-      nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
+      nextRenewalMs = sent.steadyMs() + LeadershipTiming.RENEW_INTERVAL_MS;
     }
   }
 
   /**
    * Records a confirmation; one that was asked for before a pause may have been overtaken in it.
    */
-  private void confirm(long sentMs) {
-    if (sentMs > pauseEndedMs) {
-      lastConfirmedMs = sentMs;
+  private void confirm(ClockReading sent) {
+    if (sent.steadyMs() > pauseEndedMs) {
+      lastConfirmed = sent;
     }
   }
 
   /** Suspends grants after a pause of the process, until the store confirms the leadership. */
   void onPause() {
-    lastConfirmedMs = Long.MIN_VALUE / 2;
+    lastConfirmed = ClockReading.LONG_AGO;
     pauseEndedMs = clock.nowMs();
     nextRenewalMs = pauseEndedMs + 1;
   }
@@ -396,14 +399,14 @@
   private final class KeptLeadership implements LeadershipKeeper.Listener {
 
     @Override
-    public void onKept(KnownLeader kept, Map<String, Long> mapVersions, long sentMs) {
+    public void onKept(KnownLeader kept, Map<String, Long> mapVersions, ClockReading sent) {
       if (ended) {
         return;
       }
       leader = kept;
       earlierGrants = EarlierGrants.afterTakeover(clock.nowMs());
-      confirm(sentMs);
-      nextRenewalMs = sentMs + LeadershipTiming.RENEW_INTERVAL_MS;
+      confirm(sent);
+      nextRenewalMs = sent.steadyMs() + LeadershipTiming.RENEW_INTERVAL_MS;
       executors.forEach(
           (service, executor) -> executor.onStoreRestored(mapVersions.getOrDefault(service, 0L)));
       listener.onLeadershipKept(kept);
@@ -417,6 +420,6 @@
 
   /** Returns the time since the store last confirmed the leadership, in milliseconds. */
   long confirmedAgeMs() {
-    return clock.nowMs() - lastConfirmedMs;
+    return lastConfirmed.ageMs(clocks.read());
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeadershipKeeper.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/control/LeadershipKeeper.java
@@ -15,7 +15,7 @@
 import org.foxtailford.core.store.RowStore;
 import org.foxtailford.core.store.RowWrite;
 import org.foxtailford.core.store.StoreVersion;
-import org.foxtailford.core.time.MillisClock;
+import org.foxtailford.core.time.ClockReading;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.schema.entry.LeaderRecord;
 
@@ -39,36 +39,35 @@
      *
      * @param kept this leader in the new era
      * @param mapVersions numbers of the versions of the services' maps in the restored store
-     * @param sentMs when the confirming call was sent, in milliseconds
+     * @param sent when the confirming call was sent
      */
-    void onKept(KnownLeader kept, Map<String, Long> mapVersions, long sentMs);
+    void onKept(KnownLeader kept, Map<String, Long> mapVersions, ClockReading sent);
 
     /** Called if another VM has acquired leadership in the new era. */
     void onTaken();
   }
 
   private final RowStore store;
-  private final MillisClock clock;
+  private final ControlClocks clocks;
   private final Executor loop;
   private final Listener listener;
   private boolean callInFlight;
   private long nextTryMs;
 
-  LeadershipKeeper(RowStore store, MillisClock clock, Executor loop, Listener listener) {
+  LeadershipKeeper(RowStore store, ControlClocks clocks, Executor loop, Listener listener) {
     this.store = Assert.notNull(store, "store");
-    this.clock = Assert.notNull(clock, "clock");
+    this.clocks = Assert.notNull(clocks, "clocks");
     this.loop = Assert.notNull(loop, "loop");
     this.listener = Assert.notNull(listener, "listener");
   }
 
   /** Tries to keep the leadership, unless a try is in flight or the last one was recent. */
   void keep(KnownLeader leader) {
-    long nowMs = clock.nowMs();
-    if (callInFlight || nowMs < nextTryMs) {
+    ClockReading sent = clocks.read();
+    if (callInFlight || sent.steadyMs() < nextTryMs) {
       return;
     }
     callInFlight = true;
-    long sentMs = nowMs;
     store
         .readAll(SystemTables.LEADER, TablePoller.TIMEOUT_MS)
         .thenCombine(
@@ -77,7 +76,7 @@
         .whenCompleteAsync(
             (pages, failure) -> {
               if (failure == null) {
-                onRead(leader, pages.get(0), pages.get(1), sentMs);
+                onRead(leader, pages.get(0), pages.get(1), sent);
               } else {
                 retry(failure);
               }
@@ -85,7 +84,7 @@
             loop);
   }
 
-  private void onRead(KnownLeader leader, RowPage recordPage, RowPage mapPage, long sentMs) {
+  private void onRead(KnownLeader leader, RowPage recordPage, RowPage mapPage, ClockReading sent) {
     long era = recordPage.version().era();
     if (mapPage.version().era() != era) {
       retry(new EraChangedException(era, mapPage.version().era()));
@@ -98,7 +97,7 @@
         record.getNode().equals(leader.node()) && record.getLife() == leader.incarnation();
     if (isOfThisEra && isOwn) {
       // An earlier try succeeded though its answer was lost.
-      onWritten(leader, record.getTerm(), row.get().version(), mapPage, sentMs);
+      onWritten(leader, record.getTerm(), row.get().version(), mapPage, sent);
     } else if (isOfThisEra) {
       callInFlight = false;
       listener.onTaken();
@@ -113,7 +112,7 @@
       Optional<StoreVersion> storedVersion,
       RowPage mapPage,
       long era) {
-    long sentMs = clock.nowMs();
+    ClockReading sent = clocks.read();
     long term = LeadershipTerms.next(era, storedTerm, leader.term());
     byte[] value =
         RecordCodec.serializeLeader(
@@ -132,7 +131,7 @@
               if (failure != null) {
                 retry(failure);
               } else if (version.isPresent()) {
-                onWritten(leader, term, version.get(), mapPage, sentMs);
+                onWritten(leader, term, version.get(), mapPage, sent);
               } else {
                 callInFlight = false; // the record changed meanwhile and is read again
               }
@@ -141,7 +140,7 @@
   }
 
   private void onWritten(
-      KnownLeader leader, long term, StoreVersion version, RowPage mapPage, long sentMs) {
+      KnownLeader leader, long term, StoreVersion version, RowPage mapPage, ClockReading sent) {
     callInFlight = false;
     Map<String, Long> mapVersions = new HashMap<>();
     mapPage.rows().forEach(row -> mapVersions.put(row.key(), row.version().number()));
@@ -154,12 +153,12 @@
     listener.onKept(
         new KnownLeader(leader.node(), leader.incarnation(), term, leader.address(), version),
         mapVersions,
-        sentMs);
+        sent);
   }
 
   private void retry(Throwable failure) {
     callInFlight = false;
-    nextTryMs = clock.nowMs() + LeadershipTiming.RETRY_INTERVAL_MS;
+    nextTryMs = clocks.steady().nowMs() + LeadershipTiming.RETRY_INTERVAL_MS;
     logger
         .atInfo()
         .with(EventFields.REASON, String.valueOf(failure))
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LeaderTasksTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LeaderTasksTests.java
@@ -37,7 +37,7 @@
         null,
         null,
         new Ignoring(),
-        () -> nowMs,
+        clocks,
         Runnable::run);
   }
 
