A closed VM closes its connections, also when its event loop is amid tasks

Cause: the loop of Netty 4.2.18 asks whether it is shut down after its I/O, and closes its channels only then; it asks again after its tasks, and ends. A loop that is shut down while it runs tasks ends without having closed anything. Its listeners and connections stay open for the peers, and what decoders, attempts and unsent answers hold of received buffers is not released. EntryVm.close() does so from another thread at any time. Netty 4.2.18's byte code shows it (SingleThreadIoEventLoop.run, SingleThreadEventExecutor.confirmShutdown with a quiet period of 0).

Change: ClosingEventLoopGroup closes the channels once the shutdown is confirmed, while their handlers can still be told. Used by entry VMs, the rehearsal and the tests of foxtailford-entry that own event loops.

A longer quiet period would not do: the loop may still end if it had no task in that time.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryRehearsal.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryRehearsal.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -31,6 +29,7 @@
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
 import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
 import org.foxtailford.schema.Endpoint;
 
 /**
@@ -48,8 +47,7 @@
   private static final Pattern BASE64_PLACEHOLDER = Pattern.compile("<<base64:(.*?)>>");
 
   private final JsonNode script;
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup loops = new ClosingEventLoopGroup(1);
   private final HttpLimits limits = new HttpLimits(8 << 10, 1 << 20);
 
   EntryRehearsal(Path file) throws IOException {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -7,8 +7,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +58,7 @@
 import org.foxtailford.net.proxy.CallerBuffers;
 import org.foxtailford.net.proxy.CallerServer;
 import org.foxtailford.net.proxy.UpstreamPool;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
 import org.foxtailford.platform.HeaderDialect;
 import org.foxtailford.platform.HttpRangeCommandClient;
 import org.foxtailford.platform.HttpRowStore;
@@ -101,8 +100,7 @@
   private final MillisClock clock = new SystemMillisClock();
   private final ArrivalClock arrivals = new ArrivalClock(clock);
   private final ControlClocks clocks = ControlClocks.of(clock, System::currentTimeMillis);
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup loops = new ClosingEventLoopGroup(1);
   private final EventLoop loop = (EventLoop) loops.next();
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/ByteBudgetSocketTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/ByteBudgetSocketTests.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -14,6 +12,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
 import org.foxtailford.testkit.published.UpstreamProcessStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -29,8 +28,7 @@
   private static final int ANSWER_BYTES = 512 << 10;
   private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
 
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup loops = new ClosingEventLoopGroup(1);
   private final List<RawCaller> callers = new ArrayList<>();
   private EntryTestCluster cluster;
   private LargeAnswerUpstream upstream;
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/CallersOfALateLoopTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/CallersOfALateLoopTests.java
@@ -26,6 +26,7 @@
   private EntryTestCluster cluster;
   private SilentUpstream upstream;
   private RowsThatHoldUpTheLoop rows;
+  private EntryVm vm;
 
   @BeforeMethod
   public void begin() throws Exception {
@@ -36,7 +37,7 @@
       cluster.register(id, "plain", upstream.port());
     }
     rows = new RowsThatHoldUpTheLoop();
-    cluster.addVm("vm-1", List.of(), cluster.storeAddress(), rows);
+    vm = cluster.addVm("vm-1", List.of(), cluster.storeAddress(), rows);
     EntryTestCluster.await("ready", () -> cluster.readiness(0) == 200);
   }
 
@@ -96,6 +97,18 @@
     assertThat(upstream.arrivedAtMs()).as("requests that arrived").hasSize(6 * 4);
   }
 
+  /** Guards against connections, and what was received on them, that outlast their VM. */
+  @Test(timeOut = TIMEOUT_MS)
+  public void connectionsEndWithAVmThatIsClosedWhileTheLoopIsHeldUp() throws Exception {
+    connect();
+    holdUp();
+    vm.close();
+    rows.release();
+    for (RawCaller caller : callers) {
+      assertThat(caller.readHead()).as("answer to no request").isEmpty();
+    }
+  }
+
   private void connect() throws Exception {
     for (int i = 0; i < CALLERS; i++) {
       callers.add(new RawCaller(cluster.settings(0).callers()));
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -1,8 +1,6 @@
 package org.foxtailford.entry;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -28,6 +26,7 @@
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.net.http.PooledHttpClient;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
 import org.foxtailford.platform.JsonPlatformRows;
 import org.foxtailford.schema.Endpoint;
 import org.foxtailford.testkit.published.RowStoreStandIn;
@@ -73,8 +72,7 @@
     KeptLog.start();
   }
 
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final EventLoopGroup loops = new ClosingEventLoopGroup(2);
   private final PooledHttpClient client = new PooledHttpClient(loops, 64, 4 << 20);
   private final RowStoreStandIn store = new RowStoreStandIn(loops).start();
   private final Map<String, UpstreamProcessStandIn> upstreams = new HashMap<>();
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/LateRejectionTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/LateRejectionTests.java
@@ -5,8 +5,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,6 +20,7 @@
 import org.foxtailford.net.proxy.UpstreamPool;
 import org.foxtailford.net.proxy.UpstreamRequest;
 import org.foxtailford.net.proxy.UsedConnections;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
 import org.foxtailford.platform.HeaderDialect;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -32,8 +31,7 @@
 
   private static final int TIMEOUT_MS = 10_000;
 
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup loops = new ClosingEventLoopGroup(1);
   private RepeatingUpstream upstream;
   private UpstreamPool pool;
 
