The fields between entry VMs count in answers of entry VMs only

What callers saw: a request that had run once was answered 503, which promises that it has not run, if a VM that reached no upstream had relayed it and the upstream's answer had the field Foxtailford-Not-Run. Callers of the other VM got the fields. No user reported it; found by reading. Cause: the VM that has the upstream passed these fields on as they were, and the first VM took them for the second one's statement. Change: Attempt.onHead takes the fields off each answer, and only PeerAttempt, whose connection leads to an entry VM, reads what was taken. Ruled out: trailers and interim answers carry none, since neither is passed on.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/Attempt.java
@@ -96,11 +96,19 @@
   /** Called with the size of each part of the body that is sent after the first one. */
   abstract void onBodyPart(int bytes);
 
-  /** Returns whether an answer states that the request has not run and will not run. */
-  abstract boolean isNotRun(HttpResponse answer);
+  /**
+   * Returns whether an answer states that the request has not run and will not run.
+   *
+   * @param marks marks that the answer came with, which are to be believed of entry VMs only
+   */
+  abstract boolean isNotRun(HttpResponse answer, RelayHeaders.AnswerMarks marks);
 
-  /** Called with the head of the answer. */
-  abstract void onAnswerHead(HttpResponse answer);
+  /**
+   * Called with the head of the answer.
+   *
+   * @param marks marks that the answer came with, which are to be believed of entry VMs only
+   */
+  abstract void onAnswerHead(HttpResponse answer, RelayHeaders.AnswerMarks marks);
 
   /** Returns whether the answer may be passed on, given that the target has run the request. */
   abstract boolean isFinal(HttpResponse answer);
@@ -188,8 +196,9 @@
   @Override
   public final void onHead(HttpResponse newHead) {
     head = newHead;
-    refused = isNotRun(newHead);
-    onAnswerHead(newHead);
+    RelayHeaders.AnswerMarks marks = RelayHeaders.takeFrom(newHead.headers());
+    refused = isNotRun(newHead, marks);
+    onAnswerHead(newHead, marks);
   }
 
   private boolean isAcceptable(HttpResponse answer) {
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/PeerAttempt.java
@@ -92,23 +92,20 @@
   void onBodyPart(int bytes) {}
 
   @Override
-  boolean isNotRun(HttpResponse answer) {
-    return RelayHeaders.isNotRun(answer.headers());
+  boolean isNotRun(HttpResponse answer, RelayHeaders.AnswerMarks marks) {
+    return marks.notRun();
   }
 
   @Override
-  void onAnswerHead(HttpResponse answer) {
+  void onAnswerHead(HttpResponse answer, RelayHeaders.AnswerMarks marks) {
     answered = true;
-    refusedAsCutOff = isRefused() && RelayHeaders.isCutOff(answer.headers());
+    refusedAsCutOff = isRefused() && marks.cutOff();
     long nowMs = scheduler().nowMs();
     peer.fitness().recordAnswer(nowMs);
     if (refusedAsCutOff) {
       peer.fitness().recordCutOff(nowMs);
     }
-    RelayHeaders.version(answer.headers()).ifPresent(scheduler()::recordConfigurationHeardOf);
-    if (!isRefused()) {
-      RelayHeaders.removeFrom(answer.headers());
-    }
+    marks.version().ifPresent(scheduler()::recordConfigurationHeardOf);
   }
 
   /**
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
@@ -22,8 +22,25 @@
   /** Version of the configuration that decided a request, or its answer. */
   private static final String VERSION = "Foxtailford-Configuration";
 
+  /**
+   * What an entry VM states in an answer to another one.
+   *
+   * @param notRun whether the request has not run and will not run
+   * @param cutOff whether the VM reaches no upstream; false from a VM of an earlier build
+   * @param version version of the configuration that decided the request, if it is stated
+   */
+  record AnswerMarks(boolean notRun, boolean cutOff, OptionalLong version) {}
+
   private RelayHeaders() {}
 
+  /** Removes the marks from an answer and returns them; only those of an entry VM are true. */
+  static AnswerMarks takeFrom(HttpHeaders headers) {
+    AnswerMarks marks =
+        new AnswerMarks(headers.contains(NOT_RUN), headers.contains(CUT_OFF), version(headers));
+    removeFrom(headers);
+    return marks;
+  }
+
   /** States the version of the configuration that decided a request, or its answer. */
   static void setVersion(HttpHeaders headers, long version) {
     headers.set(VERSION, version);
@@ -57,19 +74,10 @@
     headers.set(NOT_RUN, "1");
   }
 
-  static boolean isNotRun(HttpHeaders headers) {
-    return headers.contains(NOT_RUN);
-  }
-
   static void setCutOff(HttpHeaders headers) {
     headers.set(CUT_OFF, "1");
   }
 
-  /** Returns whether a refusal states so; false from a VM of an earlier build. */
-  static boolean isCutOff(HttpHeaders headers) {
-    return headers.contains(CUT_OFF);
-  }
-
   static void removeFrom(HttpHeaders headers) {
     headers.remove(ATTEMPTS).remove(NOT_RUN).remove(CUT_OFF).remove(VERSION);
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/UpstreamAttempt.java
@@ -72,12 +72,12 @@
   }
 
   @Override
-  boolean isNotRun(HttpResponse answer) {
+  boolean isNotRun(HttpResponse answer, RelayHeaders.AnswerMarks marks) {
     return scheduler().dialect().isNotRun(answer.status().code(), answer.headers());
   }
 
   @Override
-  void onAnswerHead(HttpResponse answer) {
+  void onAnswerHead(HttpResponse answer, RelayHeaders.AnswerMarks marks) {
     scheduler().path().recordAnswer();
     ExchangeDialect dialect = scheduler().dialect();
     HttpHeaders headers = answer.headers();
--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/UpstreamProcessStandIn.java
@@ -43,6 +43,7 @@
   private volatile UpstreamBehaviour behaviour = UpstreamBehaviour.NORMAL;
   private volatile long serviceTimeMs = 5;
   private final List<Long> arrivedAtMs = new CopyOnWriteArrayList<>();
+  private final Map<String, String> furtherFields = new ConcurrentHashMap<>();
   private volatile String limit = "";
   private volatile String fatalPath = "";
   private volatile Runnable restartListener = () -> {};
@@ -127,6 +128,11 @@
     limit = Assert.notNull(newLimit, "newLimit");
   }
 
+  /** Adds a field to the answers of requests from now on. */
+  public void addToAnswers(String name, String value) {
+    furtherFields.put(name, value);
+  }
+
   /** Returns when requests arrived, rejected ones included, in Unix milliseconds. */
   public List<Long> arrivedAtMs() {
     return List.copyOf(arrivedAtMs);
@@ -273,6 +279,7 @@
 
   private CompletableFuture<HttpAnswer> runRequest(HttpExchange exchange) {
     HttpHeaders headers = new DefaultHttpHeaders();
+    furtherFields.forEach(headers::set);
     String requestId = exchange.headers().get("Request-Id", "");
     headers.set("Request-Id", requestId).set("Instance-Load", "1,0,4,100").set("Instance-Id", id);
     arrivedAtMs.add(System.currentTimeMillis());
