Nothing that waited is sent before the ends of its callers are read

Cause: the first pass of reading after a gap finds answers of upstreams, which free slots, and the ends of callers in any order, and a free slot was given to a waiting request at once. Change: LateSends puts the queues, and what is submitted meanwhile, off until each connection was read once (ArrivalClock.isBeforeFirstPass), and a request whose connection has more until that was read to its end. Queues go first.

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -154,7 +154,8 @@
             requestRelay(newPool, random),
             retryBudget(settings),
             random::nextDouble,
-            upstreamSelector(settings, metrics, random));
+            upstreamSelector(settings, metrics, random),
+            arrivals);
     routingState.setListener(new RoutingStateListener());
     pathMonitor =
         new UpstreamPathMonitor(
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestScheduler.java
@@ -16,6 +16,7 @@
 import org.foxtailford.core.overload.WindowedRetryBudget;
 import org.foxtailford.core.route.RequestKind;
 import org.foxtailford.core.route.ServicePolicy;
+import org.foxtailford.core.time.ArrivalClock;
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.upstream.UpstreamEntry;
 import org.foxtailford.core.upstream.UpstreamPath;
@@ -92,6 +93,7 @@
   private final UpstreamPath path;
   private final RequestRelay relay;
   private final OwnerLossRetry ownerLossRetry;
+  private final LateSends lateSends;
   private final PartialReachRelay partialReach;
   private final DoubleSupplier random;
   private final QueueAdmissionPolicy admission = new QueueAdmissionPolicy(MAX_WAITING);
@@ -105,6 +107,7 @@
    *
    * @param relay sends requests to other entry VMs while this one reaches no upstream
    * @param upstreams finds upstreams for requests
+   * @param arrivals tells whether callers may have left while the event loop was late
    */
   public RequestScheduler(
       EventLoop loop,
@@ -117,7 +120,8 @@
       RequestRelay relay,
       WindowedRetryBudget retryBudget,
       DoubleSupplier random,
-      UpstreamSelector upstreams) {
+      UpstreamSelector upstreams,
+      ArrivalClock arrivals) {
     this.loop = Assert.notNull(loop, "loop");
     this.clock = Assert.notNull(clock, "clock");
     this.view = Assert.notNull(view, "view");
@@ -134,6 +138,7 @@
     this.upstreams = Assert.notNull(upstreams, "upstreams");
     this.partialReach =
         new PartialReachRelay(relay.reach(), relay, registry, upstreams, this, clock);
+    this.lateSends = new LateSends(arrivals, loop, this);
     this.ownerLossRetry = new OwnerLossRetry(view, registry, upstreams, this, clock, loop);
   }
 
@@ -239,7 +244,7 @@
   void submit(RequestCall call) {
     if (poison.isStopped(call)) {
       call.refuse(STOPPED, RequestCall.BAD_GATEWAY);
-    } else if (!trySend(call)) {
+    } else if (!lateSends.tryPutOff(call) && !trySend(call)) {
       if (path.isCutOff()) {
         relay(call);
       } else if (!partialReach.tryRelay(call)) {
@@ -448,7 +453,7 @@
   /** Sends waiting requests of a service as far as upstreams have capacity. */
   public void sendWaiting(String service) {
     List<RequestCall> queue = waitingByService.get(service);
-    if (queue == null || queue.isEmpty() || sending) {
+    if (queue == null || queue.isEmpty() || sending || lateSends.tryPutOffQueues()) {
       return;
     }
     sending = true;
@@ -461,7 +466,9 @@
       QueueScan scan = new QueueScan(upstreams);
       queue.clear();
       for (RequestCall call : ordered) {
-        if (!call.isFinished()) {
+        if (lateSends.mayHaveLeft(call) && !call.isFinished()) {
+          queue.add(call);
+        } else if (!call.isFinished()) {
           if (!scan.isFull(call) && trySend(call)) {
             metrics.recordWait(service, nowMs - call.waitingSinceMs());
           } else {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/SilentUpstream.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/SilentUpstream.java
@@ -5,16 +5,23 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Upstream that takes requests and never answers. It works on each until its connection ends. */
+/**
+ * Upstream that takes requests and works on each until its connection ends, or it is told to
+ * answer.
+ */
 final class SilentUpstream implements AutoCloseable {
 
+  private static final String ID_FIELD = "Request-Id:";
+
   private final ServerSocket listener =
       new ServerSocket(0, 128, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}));
   private final List<Socket> working = new CopyOnWriteArrayList<>();
   private final List<Long> arrivedAtMs = new CopyOnWriteArrayList<>();
+  private final List<String> arrivedIds = new CopyOnWriteArrayList<>();
 
   SilentUpstream() throws IOException {
     startDaemon(this::accept);
@@ -34,6 +41,19 @@
     return List.copyOf(arrivedAtMs);
   }
 
+  /** Returns the ids of requests that arrived. */
+  List<String> arrivedIds() {
+    return List.copyOf(arrivedIds);
+  }
+
+  /** Answers all requests that it works on. */
+  void answerAll(String answer) throws IOException {
+    for (Socket socket : working) {
+      working.remove(socket); // what it reads from now on is another request
+      socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+    }
+  }
+
   private void accept() {
     try {
       while (true) {
@@ -46,15 +66,19 @@
   }
 
   private void work(Socket socket) {
-    boolean began = false;
     try (socket) {
       InputStream in = socket.getInputStream();
-      while (in.read() >= 0) {
-        if (!began) {
-          began = true;
+      StringBuilder line = new StringBuilder();
+      for (int read = in.read(); read >= 0; read = in.read()) {
+        if (!working.contains(socket)) {
           working.add(socket);
           arrivedAtMs.add(System.currentTimeMillis());
         }
+        line.append((char) read);
+        if (read == '\n') {
+          recordId(line.toString());
+          line.setLength(0);
+        }
       }
     } catch (IOException e) {
       return; // reset
@@ -63,6 +87,12 @@
     }
   }
 
+  private void recordId(String line) {
+    if (line.regionMatches(true, 0, ID_FIELD, 0, ID_FIELD.length())) {
+      arrivedIds.add(line.substring(ID_FIELD.length()).strip());
+    }
+  }
+
   private static void startDaemon(Runnable task) {
     Thread thread = new Thread(task, "silent upstream");
     thread.setDaemon(true);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -267,6 +267,11 @@
     return readAhead.isUnread();
   }
 
+  /** Returns whether bytes are held since the event loop was late. */
+  boolean isCatchingUp() {
+    return readAhead.isCatchingUp();
+  }
+
   boolean isFirst(CallerExchange exchange) {
     return exchanges.peekFirst() == exchange;
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerExchange.java
@@ -128,6 +128,14 @@
     return earliestArrivalMs;
   }
 
+  /**
+   * Returns whether the caller's connection is still being read after the event loop was late, so
+   * that its end may be next.
+   */
+  public boolean isCatchingUp() {
+    return connection.isCatchingUp();
+  }
+
   /** Replaces the listener; events that have already occurred are not repeated. */
   public void setListener(Listener newListener) {
     listener = Assert.notNull(newListener, "newListener");
