Attempts that a caller states can't overflow the count

What callers could do: a request with Foxtailford-Relayed-After: that may be repeated ran on 5 upstreams where its route allows 2, and the retry budget wasn't asked (BUDGET). Nobody reported it. Cause: the callers' port takes requests of other VMs too, so the stated count is anyone's; the count of the first send overflowed it. Change: a stated count is bounded where it is read (RelayHeaders.attempts).

--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RelayHeaders.java
@@ -13,6 +13,9 @@
   /** Number of upstreams that the request may have reached so far; marks a relayed request. */
   private static final String ATTEMPTS = "Foxtailford-Relayed-After";
 
+  /** Largest number that is believed, above what any route allows. */
+  private static final int MAX_ATTEMPTS = 1 << 16;
+
   /** States in an answer that the request has not run and will not run. */
   private static final String NOT_RUN = "Foxtailford-Not-Run";
 
@@ -67,7 +70,8 @@
     if (!headers.contains(ATTEMPTS)) {
       return OptionalInt.empty();
     }
-    return OptionalInt.of(Math.max(0, headers.getInt(ATTEMPTS, 0)));
+    int stated = headers.getInt(ATTEMPTS, 0); // by anyone, since callers use the same port
+    return OptionalInt.of(Math.max(0, Math.min(stated, MAX_ATTEMPTS)));
   }
 
   static void setNotRun(HttpHeaders headers) {
