The link stand-in outlasts a connection that its target refuses

Cause: the thread that accepts a link's connections ended with an exception when the target took none. Its listener stayed open, so the kernel took further connections, and the link was silent for good.

Change: such a connection is reset, and the link goes on.

The new test failed before: the connection was neither passed on nor ended within 5 s, and the thread ended with ConnectException.

--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/published/TcpLinkStandIn.java
@@ -103,14 +103,22 @@
 
   private void accept(ServerSocket listener) throws IOException {
     try {
-      Socket from = listener.accept();
+      passOn(listener.accept());
+    } catch (SocketTimeoutException e) {
+      // no new connection
+    }
+  }
+
+  /** Passes a connection on to the target, or resets it if the target takes none. */
+  private void passOn(Socket from) {
+    sockets.add(from);
+    try {
       Socket to = new Socket(loopback, targetPort);
-      sockets.add(from);
       sockets.add(to);
       new Thread(() -> pump(from, to)).start();
       new Thread(() -> pump(to, from)).start();
-    } catch (SocketTimeoutException e) {
-      // no new connection
+    } catch (IOException e) {
+      close(from);
     }
   }
 
--- a/foxtailford-testkit/src/test/java/org/foxtailford/testkit/published/TcpLinkStandInTests.java
+++ b/foxtailford-testkit/src/test/java/org/foxtailford/testkit/published/TcpLinkStandInTests.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
@@ -21,6 +22,9 @@
 
   private static final int CONNECTIONS = 60;
 
+  /** Time in which a connection is passed on, or ended, in milliseconds. */
+  private static final int END_MS = 5000;
+
   private final InetAddress loopback = InetAddress.getLoopbackAddress();
 
   // Connections that a VM opened at once timed out on a sound link, whose queue took one.
@@ -57,4 +61,28 @@
           .isInstanceOf(SocketTimeoutException.class);
     }
   }
+
+  // A link took connections and was silent for good after its target had refused one.
+  @Test
+  public void linkOutlastsAConnectionThatItsTargetRefuses() throws Exception {
+    ServerSocket ended = new ServerSocket(0, CONNECTIONS, loopback);
+    ended.close();
+    try (TcpLinkStandIn link = new TcpLinkStandIn(ended.getLocalPort())) {
+      try (Socket refused = new Socket(loopback, link.port())) {
+        refused.setSoTimeout(END_MS);
+        assertThatThrownBy(() -> refused.getInputStream().read())
+            .isInstanceOf(SocketException.class)
+            .hasMessageContaining("reset");
+      }
+      try (ServerSocket target = new ServerSocket(ended.getLocalPort(), CONNECTIONS, loopback);
+          Socket caller = new Socket(loopback, link.port())) {
+        target.setSoTimeout(END_MS);
+        caller.getOutputStream().write('x');
+        try (Socket passedOn = target.accept()) {
+          passedOn.setSoTimeout(END_MS);
+          assertThat(passedOn.getInputStream().read()).isEqualTo('x');
+        }
+      }
+    }
+  }
 }
