Tests of what leaders state, of a try without an answer; the number of a session's answer

From the review: mutations of what a resignation states and of when an adopted try counts from went unnoticed; two tests notice them now. SessionClient took the number of the connection after it had let the next request open another one.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/range/EarlierGrants.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/range/EarlierGrants.java
@@ -11,8 +11,8 @@
  * each leader states in its records how much of that time is left, and whoever takes over from an
  * earlier incarnation of itself goes on from there.
  *
- * @param untilMs latest time at which anyone before can send a grant, in milliseconds by the clock
- *     of the new leader
+ * @param untilMs latest time as of which anyone before can plan a grant, in milliseconds by the
+ *     clock of the new leader; it is sent within the timeout of a grant
  */
 public record EarlierGrants(long untilMs) {
 
@@ -45,7 +45,7 @@
     return new EarlierGrants(readMs + (plausible ? leftMs : windowMs));
   }
 
-  /** Returns for how much longer anyone before can send a grant, in milliseconds. */
+  /** Returns for how much longer anyone before can plan a grant, in milliseconds. */
   public long leftMs(long nowMs) {
     return Math.max(0, untilMs - nowMs);
   }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LeaderElectionTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LeaderElectionTests.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.foxtailford.core.range.EarlierGrants;
@@ -11,6 +12,8 @@
 import org.foxtailford.core.store.Row;
 import org.foxtailford.core.store.RowPage;
 import org.foxtailford.core.store.RowStore;
+import org.foxtailford.core.store.RowWrite;
+import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.schema.entry.LeaderRecord;
 import org.foxtailford.schema.entry.RenewalRecord;
@@ -144,10 +147,62 @@
     return LeaderRecord.parseFrom(row.value()).getEarlierGrantsLeftMs();
   }
 
+  /**
+   * The other VM may lead until the write is carried out, which may be seconds after its sending.
+   */
+  @Test
+  public void tryWithoutAnAnswerCountsFromItsAdoption() {
+    write(ownRecord().setNode("other"), renewal(3, 0));
+    RowStore sound = link;
+    link = new FirstAnswerLost(sound);
+    LeaderElection.Acquired acquired = acquire();
+    assertThat(acquired.leader().term()).isEqualTo(4);
+    assertThat(acquired.earlierGrants().leftMs(events.nowMs())).isGreaterThan(WINDOW_MS - 100);
+  }
+
   @Test
   public void takeoverStatesTheWholeTime() throws InvalidProtocolBufferException {
     write(ownRecord().setNode("other").setEarlierGrantsLeftMs(0), renewal(3, 0));
     acquire();
     assertThat(writtenLeftMs()).isEqualTo(WINDOW_MS);
   }
+
+  /** Store that carries out the first write without an answer. */
+  private static final class FirstAnswerLost implements RowStore {
+
+    private final RowStore store;
+    private boolean lost;
+
+    FirstAnswerLost(RowStore store) {
+      this.store = store;
+    }
+
+    @Override
+    public long era() {
+      return store.era();
+    }
+
+    @Override
+    public CompletableFuture<RowPage> readAll(String table, long timeoutMs) {
+      return store.readAll(table, timeoutMs);
+    }
+
+    @Override
+    public CompletableFuture<RowPage> readChanges(
+        String table, StoreVersion after, long waitMs, long timeoutMs) {
+      return store.readChanges(table, after, waitMs, timeoutMs);
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoreVersion>> write(
+        List<RowWrite> rows, long era, long timeoutMs) {
+      CompletableFuture<Optional<StoreVersion>> answer = store.write(rows, era, timeoutMs);
+      if (lost) {
+        return answer;
+      }
+      lost = true;
+      return answer.thenCompose(
+          version -> CompletableFuture.failedFuture(new IllegalStateException("answer lost")));
+    }
+  }
 }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LeaderTasksTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/control/LeaderTasksTests.java
@@ -13,6 +13,8 @@
 import org.foxtailford.core.store.RowWrite;
 import org.foxtailford.core.store.StoreVersion;
 import org.foxtailford.core.upstream.UpstreamAddress;
+import org.foxtailford.schema.entry.LeaderRecord;
+import org.foxtailford.schema.entry.RenewalRecord;
 import org.testng.annotations.Test;
 
 public class LeaderTasksTests {
@@ -28,7 +30,7 @@
         new LeaderElection.Acquired(
             new KnownLeader("vm", 1, 7, address, new StoreVersion(0, 3)),
             true,
-            EarlierGrants.none(nowMs),
+            new EarlierGrants(nowMs + 5000),
             new LeaderElection.Previous("", 0, "no leader yet"),
             nowMs),
         store,
@@ -57,10 +59,25 @@
     assertThat(tasks.confirmedAgeMs()).isZero();
   }
 
+  @Test
+  public void renewalsAndTheResignationStateForHowLongEarlierLeadersMayGrant() throws Exception {
+    LeaderTasks leading = newTasks();
+    long startedMs = nowMs;
+    leading.tick();
+    RenewalRecord renewal = RenewalRecord.parseFrom(store.lastRows.get(1).value());
+    assertThat(renewal.getEarlierGrantsLeftMs()).isEqualTo(5000);
+    nowMs = startedMs + 2000;
+    leading.resign("for the test");
+    LeaderRecord record = LeaderRecord.parseFrom(store.lastRows.get(0).value());
+    assertThat(record.getResigned()).isTrue();
+    assertThat(record.getEarlierGrantsLeftMs()).isEqualTo(3000);
+  }
+
   /** Store whose writes are answered by the test. */
   private static final class PendingStore implements RowStore {
 
     private CompletableFuture<Optional<StoreVersion>> lastWrite = new CompletableFuture<>();
+    private List<RowWrite> lastRows = List.of();
 
     @Override
     public long era() {
@@ -81,6 +98,7 @@
     @Override
     public CompletableFuture<Optional<StoreVersion>> write(
         List<RowWrite> rows, long era, long timeoutMs) {
+      lastRows = rows;
       lastWrite = new CompletableFuture<>();
       return lastWrite;
     }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/SessionClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/SessionClient.java
@@ -188,6 +188,7 @@
       queued.answer().completeExceptionally(notSent("connection closed before sending"));
       return;
     }
+    long number = session.number;
     String host = session.endpoint.getHost() + ":" + session.endpoint.getPort();
     handler
         .exchange(channel, HttpMessages.toRequest(queued.exchange(), host), remainingMs)
@@ -195,7 +196,7 @@
             (answer, failure) -> {
               finish(session);
               if (failure == null) {
-                queued.answer().complete(new SessionAnswer(session.number, answer));
+                queued.answer().complete(new SessionAnswer(number, answer));
               } else {
                 queued.answer().completeExceptionally(failure);
               }
