--- a/review/standins-3/Lab3.java
+++ b/review/standins-3/Lab3.java
@@ -42,8 +42,7 @@
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
   static final long HEARTBEAT_MS = 870;
 
-  final Path folder;
-  final Path temporary;
+  private final Path temporary;
   final Store store = new Store();
   final List<Instance> instances = new ArrayList<>();
   final List<EntryVm> vms = new ArrayList<>();
@@ -51,9 +50,14 @@
   private final long startedNs = System.nanoTime();
   private volatile boolean closed;
 
-  Lab3(Path folder) throws IOException {
-    this.folder = folder;
-    this.temporary = Files.createTempDirectory("foxtailford-review");
+  /**
+   * Starts the store.
+   *
+   * @param temporary folder for settings and logs of the entry VMs
+   * @param folder folder of the case, for record.txt
+   */
+  Lab3(Path temporary, Path folder) throws IOException {
+    this.temporary = temporary;
     this.record =
         new PrintWriter(
             Files.newBufferedWriter(folder.resolve("record.txt"), StandardCharsets.UTF_8));
--- a/review/standins-3/StopAfterLongAnswer.java
+++ b/review/standins-3/StopAfterLongAnswer.java
@@ -12,7 +12,10 @@
 
   private static final int CONSUMERS = 8;
   private static final long GRACE_MS = 6000;
-  private static final long PLEDGE_WORK_MS = 900;
+  private static final long PLEDGE_WORK_MS = number("PLEDGE_MS", 900);
+
+  /** Time from the begin of the first consumer's sheet to its end; 75 ms more for each next one. */
+  private static final long SHEET_MS = number("SHEET_MS", 5200);
   private static final long PLEDGE_TIMEOUT_MS = 4000;
 
   /** What became of a request. */
@@ -22,11 +25,15 @@
   private static final List<Outcome> outcomes =
       java.util.Collections.synchronizedList(new ArrayList<>());
 
+  private static long number(String name, long fallback) {
+    return Long.parseLong(System.getenv().getOrDefault(name, Long.toString(fallback)));
+  }
+
   public static void main(String[] args) {
     int status = 2; // also if the case fails by itself
-    try (Lab3 lab = new Lab3(Path.of(args[0]))) {
+    try (Lab3 lab = new Lab3(Path.of(args[0]), Path.of(args[1]))) {
       status = play(lab);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       e.printStackTrace();
     }
     System.exit(status);
@@ -100,7 +107,7 @@
     String id = prefix + "01";
     double sentMs = lab.elapsedMs();
     try (Lab3.Connection connection = new Lab3.Connection(lab.vms.get(vm).callers)) {
-      connection.send("GET", "/sheet/" + (5200 + 75 * number), id, 8500, Map.of(), new byte[0]);
+      connection.send("GET", "/sheet/" + (SHEET_MS + 75 * number), id, 8500, Map.of(), new byte[0]);
       Lab3.Answer first = connection.receive(9000);
       record(lab, new Outcome(id, vm, sentMs, lab.elapsedMs(), first.status, false));
       if ("close".equalsIgnoreCase(first.headers.get("connection"))) {
--- a/review/standins-3/StopWhilePipelining.java
+++ b/review/standins-3/StopWhilePipelining.java
@@ -29,9 +29,9 @@
 
   public static void main(String[] args) {
     int status = 2; // also if the case fails by itself
-    try (Lab3 lab = new Lab3(Path.of(args[0]))) {
+    try (Lab3 lab = new Lab3(Path.of(args[0]), Path.of(args[1]))) {
       status = play(lab);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       e.printStackTrace();
     }
     System.exit(status);
