Review: cases 8 to 10 share what they have in common

Cause: the three scripts repeated the stop, the record and the verdict, and carried stand-ins of keys that none uses. An entry VM's port could be given to a connection.

--- a/review/standins-3/Lab3.java
+++ b/review/standins-3/Lab3.java
@@ -12,6 +12,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -29,6 +30,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -40,7 +43,10 @@
 
   static final ObjectMapper JSON = new ObjectMapper();
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
-  static final long HEARTBEAT_MS = 870;
+  private static final long HEARTBEAT_MS = 870;
+  private static final String HOST = "kitchen.example";
+  private static final int SLOTS = 6;
+  private static final int QUEUE = 24;
 
   private final Path temporary;
   final Store store = new Store();
@@ -89,10 +95,31 @@
     }
   }
 
+  /** Returns a free port below those that the kernel gives to connections. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+    for (int tries = 0; tries < 100; tries++) {
+      int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // another one
+      }
     }
+    throw new IOException("no free port");
+  }
+
+  /** Returns the beginning of the ids of a consumer's requests. */
+  static String newIdPrefix(int vm, int number) {
+    return String.format("%d%02d%08x", vm, number, System.nanoTime() & 0xffffffffL);
+  }
+
+  Connection connect(int vm) throws IOException {
+    return connect(vm, 0);
+  }
+
+  /** Connects with a given size of the kernel's receive buffer; 0 for the kernel's own choice. */
+  Connection connect(int vm, int receiveBufferBytes) throws IOException {
+    return new Connection(vms.get(vm).callers, receiveBufferBytes);
   }
 
   /** Keeps the registrations of the instances up to date, as their heartbeats do. */
@@ -109,11 +136,10 @@
     thread.start();
   }
 
-  EntryVm startVm(String name, String zone, boolean firstStart) throws IOException {
+  void startVm(String name, String zone) throws IOException {
     EntryVm vm = new EntryVm(name, zone);
     vms.add(vm);
-    vm.start(firstStart);
-    return vm;
+    vm.start(true);
   }
 
   /** Waits until all entry VMs are ready; ends the case as one that couldn't run otherwise. */
@@ -210,8 +236,8 @@
     }
 
     boolean isReady() {
-      try (Connection connection = new Connection(readiness)) {
-        connection.send("GET", "/readiness", "ready", 0, Map.of(), new byte[0]);
+      try (Connection connection = new Connection(readiness, 0)) {
+        connection.send("GET", "/readiness", "ready", 1000, "");
         return connection.receive(1000).status == 200;
       } catch (IOException e) {
         return false;
@@ -232,7 +258,10 @@
   static final class Answer {
     int status;
     final Map<String, String> headers = new HashMap<>();
-    byte[] body = new byte[0];
+
+    boolean closesConnection() {
+      return "close".equalsIgnoreCase(headers.get("connection"));
+    }
   }
 
   /** Consumer's connection; requests may be sent before earlier ones are answered. */
@@ -241,11 +270,6 @@
     private final InputStream in;
     private final OutputStream out;
 
-    Connection(int port) throws IOException {
-      this(port, 0);
-    }
-
-    /** Connects with a given size of the kernel's receive buffer; 0 for the kernel's own choice. */
     Connection(int port, int receiveBufferBytes) throws IOException {
       socket = new Socket();
       socket.setTcpNoDelay(true);
@@ -257,25 +281,13 @@
       out = new BufferedOutputStream(socket.getOutputStream(), 16 << 10);
     }
 
-    void send(
-        String method,
-        String path,
-        String id,
-        long deadlineMs,
-        Map<String, String> headers,
-        byte[] body)
+    void send(String method, String path, String id, long deadlineMs, String body)
         throws IOException {
-      StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\n");
-      head.append("Host: kitchen.example\r\nRequest-Id: ").append(id).append("\r\n");
-      if (deadlineMs > 0) {
-        head.append("Deadline-Ms: ").append(deadlineMs).append("\r\n");
-      }
-      headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
-      if (body.length > 0 || method.equals("POST")) {
-        head.append("Content-Length: ").append(body.length).append("\r\n");
-      }
-      out.write(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
-      out.write(body);
+      String length = method.equals("POST") ? "Content-Length: " + body.length() + "\r\n" : "";
+      String head =
+          "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%s\r\n"
+              .formatted(method, path, HOST, id, deadlineMs, length);
+      out.write((head + body).getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
     }
 
@@ -285,7 +297,7 @@
       String line = readLine(in);
       answer.status = Integer.parseInt(line.split(" ")[1]);
       readHeaders(in, answer.headers);
-      answer.body = readBody(in, answer.headers);
+      readBody(in, answer.headers);
       return answer;
     }
 
@@ -342,7 +354,7 @@
   }
 
   /** Request as an instance receives it. */
-  record Request(String method, String path, Map<String, String> headers, byte[] body) {
+  record Request(String path, Map<String, String> headers) {
     String id() {
       return headers.getOrDefault("request-id", "");
     }
@@ -353,47 +365,37 @@
    *
    * @param ms time until the answer begins, in milliseconds
    * @param streamMs time from the begin of the answer to its end, in milliseconds
-   * @param breakOff whether the answer is broken off
    */
-  record Work(long ms, int answerBytes, long streamMs, boolean breakOff) {
+  record Work(long ms, int answerBytes, long streamMs) {
 
     Work(long ms, int answerBytes) {
-      this(ms, answerBytes, 0, false);
+      this(ms, answerBytes, 0);
     }
   }
 
   /** Decides what an instance does with a request. */
   interface Worker {
-    Work workOn(Instance instance, Request request);
+    Work workOn(Request request);
   }
 
-  /** An instance that registers itself, takes grants, and runs a bounded number of requests. */
+  /** An instance that registers itself and runs a bounded number of requests at a time. */
   final class Instance {
     final String id;
     final String service;
     final String zone;
-    final boolean sharded;
-    final int slots;
     final Worker worker;
     final long bornMs = System.currentTimeMillis();
     final Map<String, String> runs = new ConcurrentHashMap<>();
-    final long[] fences = new long[65536];
-    final long[] heldUntilMs = new long[65536];
-    volatile boolean registered = true;
     private final ServerSocket server;
-    private final java.util.concurrent.Semaphore running;
+    private final Semaphore running = new Semaphore(SLOTS, true);
     private final AtomicLong sequence = new AtomicLong();
     private final AtomicLong active = new AtomicLong();
 
-    Instance(String id, String service, String zone, boolean sharded, int slots, Worker worker)
-        throws IOException {
+    Instance(String id, String service, String zone, Worker worker) throws IOException {
       this.id = id;
       this.service = service;
       this.zone = zone;
-      this.sharded = sharded;
-      this.slots = slots;
       this.worker = worker;
-      this.running = new java.util.concurrent.Semaphore(slots, true);
       this.server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
       instances.add(this);
       Thread thread = new Thread(this::acceptAll, id);
@@ -402,14 +404,12 @@
     }
 
     void register() {
-      if (registered) {
-        ObjectNode entry = JSON.createObjectNode();
-        entry.put("service", service).put("address", "127.0.0.1:" + server.getLocalPort());
-        entry.put("zone", zone).put("version", "v1").put("slots", slots).put("state", "ready");
-        entry.put("warmup_left", "0ms").put("sequence", sequence.incrementAndGet());
-        entry.put("born", bornMs);
-        store.put("servers", id, entry.toString().getBytes(StandardCharsets.UTF_8));
-      }
+      ObjectNode entry = JSON.createObjectNode();
+      entry.put("service", service).put("address", "127.0.0.1:" + server.getLocalPort());
+      entry.put("zone", zone).put("version", "v1").put("slots", SLOTS).put("state", "ready");
+      entry.put("warmup_left", "0ms").put("sequence", sequence.incrementAndGet());
+      entry.put("born", bornMs);
+      store.put("servers", id, entry.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     private void acceptAll() {
@@ -434,79 +434,33 @@
           String[] line = readLine(in).split(" ");
           Map<String, String> headers = new HashMap<>();
           readHeaders(in, headers);
-          Request request = new Request(line[0], line[1], headers, readBody(in, headers));
-          if (!answer(request, out)) {
-            return;
-          }
+          readBody(in, headers);
+          Request request = new Request(line[1], headers);
+          answer(request, out);
         }
       } catch (IOException e) {
         // the connection has ended
       }
     }
 
-    private boolean answer(Request request, OutputStream out) throws IOException {
+    private void answer(Request request, OutputStream out) throws IOException {
       String target = request.headers().get("target-instance");
       if (target != null && !target.equals(id)) {
         write(out, request, 421, "Not-Executed: 1\r\n", new byte[0], 0);
-        return true;
-      }
-      switch (request.path()) {
-        case "/grant":
-          write(out, request, grant(JSON.readTree(request.body())), "", "{}".getBytes(), 2);
-          return true;
-        case "/release":
-          release(JSON.readTree(request.body()));
-          write(out, request, 200, "Handover: 5c0e7a21d94b36f8\r\n", new byte[0], 0);
-          return true;
-        case "/health":
-          write(out, request, 200, "Instance-Id: " + id + "\r\n", new byte[0], 0);
-          return true;
-        default:
-          return run(request, out);
-      }
-    }
-
-    private synchronized int grant(JsonNode body) {
-      long fence = body.path("fence").asLong();
-      String hold = body.path("hold_time").asText();
-      long untilMs = System.currentTimeMillis() + Long.parseLong(hold.replace("ms", ""));
-      for (int key = body.path("from").asInt(); key <= body.path("to").asInt(); key++) {
-        if (fences[key] > fence) {
-          return 409;
-        }
-      }
-      for (int key = body.path("from").asInt(); key <= body.path("to").asInt(); key++) {
-        fences[key] = fence;
-        heldUntilMs[key] = untilMs;
-      }
-      return 200;
-    }
-
-    private synchronized void release(JsonNode body) {
-      for (int key = body.path("from").asInt(); key <= body.path("to").asInt(); key++) {
-        fences[key] = Math.max(fences[key], body.path("fence").asLong());
-        heldUntilMs[key] = 0;
+      } else if (request.path().equals("/health")) {
+        write(out, request, 200, "Instance-Id: " + id + "\r\n", new byte[0], 0);
+      } else if (active.get() >= SLOTS + QUEUE) {
+        write(out, request, 503, "Not-Executed: 1\r\n", new byte[0], 0);
+      } else {
+        run(request, out);
       }
     }
 
-    synchronized boolean holds(int key) {
-      return heldUntilMs[key] > System.currentTimeMillis();
-    }
-
-    private boolean run(Request request, OutputStream out) throws IOException {
-      if (sharded && !holds(Integer.parseInt(request.headers().get("shard-key")))) {
-        write(out, request, 421, "Not-Executed: 1\r\n", new byte[0], 0);
-        return true;
-      }
-      if (active.get() >= slots + 24) {
-        write(out, request, 503, "Not-Executed: 1\r\n", new byte[0], 0);
-        return true;
-      }
+    private void run(Request request, OutputStream out) throws IOException {
       active.incrementAndGet();
       running.acquireUninterruptibly();
-      Work work;
+      Work work = worker.workOn(request);
       try {
-        work = worker.workOn(this, request);
         runs.put(request.id(), "begun");
         log("run " + request.id() + " at " + id);
         sleep(work.ms());
@@ -517,12 +471,6 @@
       byte[] body = new byte[work.answerBytes()];
       Arrays.fill(body, (byte) 'a');
       String signature = "Response-Signature: 3e1b." + request.id() + "\r\n";
-      if (work.breakOff()) {
-        runs.put(request.id(), "broken off");
-        log("broken off " + request.id() + " at " + id);
-        write(out, request, 200, signature, Arrays.copyOf(body, body.length * 3 / 4), body.length);
-        return false;
-      }
       int sent = work.streamMs() > 0 ? body.length / 2 : body.length;
       write(out, request, 200, signature, Arrays.copyOf(body, sent), body.length);
       long pieces = work.streamMs() / 50;
@@ -533,7 +481,6 @@
         sent = end;
       }
       runs.put(request.id(), "answered");
-      return true;
     }
 
     private void write(
@@ -544,7 +491,7 @@
               + status
               + " X\r\n"
               + (request.id().isEmpty() ? "" : "Request-Id: " + request.id() + "\r\n")
-              + ("Instance-Load: " + active.get() + ",0," + slots + ",100\r\n")
+              + ("Instance-Load: " + active.get() + ",0," + SLOTS + ",100\r\n")
               + "Keep-Alive: timeout=10\r\n"
               + fields
               + ("Content-Length: " + length + "\r\n\r\n");
@@ -587,13 +534,6 @@
       notifyAll();
     }
 
-    synchronized void remove(String table, String key) {
-      tables
-          .computeIfAbsent(table, name -> new TreeMap<>())
-          .put(key, new Row(new byte[0], ++version, true));
-      notifyAll();
-    }
-
     private void handle(HttpExchange exchange) throws IOException {
       byte[] body = exchange.getRequestBody().readAllBytes();
       Map<String, String> query = new HashMap<>();
@@ -731,11 +671,8 @@
   record Route(
       String name, String prefix, String kind, String timeout, String target, String service) {}
 
-  /** A service of the operators' configuration. */
-  record Service(String name, boolean sharded) {}
-
   /** Writes a configuration as the operators do. */
-  void configure(int number, List<Route> routes, List<Service> services) {
+  void configure(int number, List<Route> routes, List<String> services) {
     ObjectNode body = JSON.createObjectNode().put("version", "r" + number);
     ObjectNode routeTable = body.putObject("routes");
     addAll(
@@ -755,7 +692,7 @@
       addAll(
           row,
           route.name(),
-          "kitchen.example",
+          HOST,
           route.prefix(),
           route.kind(),
           route.timeout(),
@@ -771,19 +708,11 @@
         "protocol",
         "tls",
         "warmup",
-        "warmup_per_s",
-        "sharded",
-        "warm",
-        "grants");
+        "warmup_per_s");
     ArrayNode serviceRows = serviceTable.putArray("rows");
-    for (Service service : services) {
+    for (String service : services) {
       ArrayNode row = serviceRows.addArray();
-      row.add(service.name()).add("/health").add(120).add("h1").add(false).add("3s").add(12.0);
-      if (service.sharded()) {
-        row.add(true).add("2s").add("direct_call");
-      } else {
-        row.addNull().addNull().addNull();
-      }
+      row.add(service).add("/health").add(120).add("h1").add(false).add("3s").add(12.0);
     }
     body.putObject("limits")
         .put("max_header_bytes", 16384)
