Review: case 7 within the limits of its own site

Cause: its slow readers used the time limit of another site, and the script left its processes running if it was ended early. Change: 400 KB a second within 1.5 s; run.sh of cases 6 and 7 passes the signal on.

--- a/review/standins-2/Downloads.java
+++ b/review/standins-2/Downloads.java
@@ -32,10 +32,10 @@
   private static final int PROMPT_BYTES = 90_000;
   private static final int LARGE_BYTES = 540_000;
 
-  /** Bytes a millisecond of a slow reader: an answer takes 6.8 s of its time limit. */
-  private static final int SLOW_BYTES_PER_MS = 80;
+  /** Bytes a millisecond of a slow reader: an answer takes 1.35 s of its time limit. */
+  private static final int SLOW_BYTES_PER_MS = 400;
 
-  private static final int TIME_LIMIT_MS = 8500;
+  private static final int TIME_LIMIT_MS = 1500;
 
   /** Four fifths of the idle timeout: callers don't reuse a connection that was idle for longer. */
   private static final long MAX_IDLE_MS = 12_000;
@@ -195,7 +195,7 @@
       Sheets sheets = new Sheets("i-%08x".formatted(0x7f3a0000 + i), record);
       store.put("servers", sheets.id, sheets.row());
     }
-    store.put("op", "config", Lab.configuration("sheets", "download", "4000ms", false));
+    store.put("op", "config", Lab.configuration("sheets", "download", "1500ms", false));
     vm.start();
     if (!vm.awaitReady(20_000)) {
       record.say("the entry VM did not become ready");
--- a/review/standins-2/run.sh
+++ b/review/standins-2/run.sh
@@ -5,7 +5,9 @@
 [ -f target/foxtailford-entry/foxtailford-entry.jar ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout 118 java -Xmx512m -cp target/review-2 "$1" "$folder" "review/$2/record.txt"
+timeout 118 java -Xmx512m -cp target/review-2 "$1" "$folder" "review/$2/record.txt" &
+trap 'kill $!; wait $!; exit 2' INT TERM
+wait $!
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
