Read all answers through one decoder

Cause: upstreams' answers and those of the HTTP clients (store, grants, releases, peers, the daemon) had a decoder each, UpstreamAnswerDecoder and AnswerDecoder, alike but for their names. What an answer in the protocol is had no single place, so a rule for one would have been missing in the other.

Change: UpstreamAnswerDecoder is gone; UpstreamConnection reads through AnswerDecoder. No answer is judged differently.

Ruled out: a common base class of both; nothing in them differs.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -4,16 +4,19 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Decodes the answers on one client connection, which has at most one request in flight.
+ * Decodes the answers on one client connection, which has at most one request in flight. All
+ * clients read answers through this decoder.
  *
  * <p>Tracks whether any byte of the current answer was received, and closes a connection that
  * receives bytes while no request is in flight. Runs on the connection's event loop.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+public final class AnswerDecoder extends HttpResponseDecoder {
 
   private static final int MAX_HEAD_BYTES = 64 << 10;
 
@@ -21,7 +24,8 @@
   private boolean answerStarted;
   private boolean headOnly;
 
-  AnswerDecoder() {
+  /** Creates a decoder for a new connection. */
+  public AnswerDecoder() {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_HEAD_BYTES)
@@ -31,14 +35,14 @@
   }
 
   /** Prepares for the answer to a request that is about to be sent. */
-  void expect(HttpMethod method) {
+  public void expect(HttpMethod method) {
     answerExpected = true;
     answerStarted = false;
     headOnly = method.equals(HttpMethod.HEAD);
   }
 
   /** Marks the answer as ended; further bytes before the next request close the connection. */
-  void finish() {
+  public void finish() {
     answerExpected = false;
   }
 
@@ -48,7 +52,7 @@
   }
 
   /** Returns whether received bytes remain that are not part of the decoded answer. */
-  boolean hasUndecodedBytes() {
+  public boolean hasUndecodedBytes() {
     return actualReadableBytes() > 0;
   }
 
@@ -57,6 +61,16 @@
     return headOnly;
   }
 
+  /** Returns whether an answer ends with its connection, since its head says nothing else. */
+  public boolean endsWithConnection(HttpResponse head) {
+    return !isFramed(head) && !isContentAlwaysEmpty(head);
+  }
+
+  /** Returns whether a head states a length or chunks. */
+  public static boolean isFramed(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
     if (!answerExpected) {
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -25,6 +25,7 @@
 import org.foxtailford.core.time.MillisClock;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
+import org.foxtailford.net.http.AnswerDecoder;
 import org.foxtailford.net.tcp.ConnectionResets;
 import org.jspecify.annotations.Nullable;
 
@@ -49,7 +50,7 @@
   /** Bytes that the head of a skipped answer counts for; an interim one has hardly more. */
   private static final int SKIPPED_HEAD_BYTES = 1 << 10;
 
-  private final UpstreamAnswerDecoder decoder;
+  private final AnswerDecoder decoder;
   private final ExchangeDialect dialect;
   private final MillisClock clock;
   private final UpstreamPool pool;
@@ -70,10 +71,7 @@
   private OptionalLong keepAliveMs = OptionalLong.empty();
 
   UpstreamConnection(
-      UpstreamPool pool,
-      UpstreamAnswerDecoder decoder,
-      ExchangeDialect dialect,
-      MillisClock clock) {
+      UpstreamPool pool, AnswerDecoder decoder, ExchangeDialect dialect, MillisClock clock) {
     this.pool = pool;
     this.decoder = decoder;
     this.dialect = dialect;
@@ -125,7 +123,7 @@
     skippedBytes = 0;
     reusable = true;
     bodySent = false;
-    decoder.expectAnswer(request.method());
+    decoder.expect(request.method());
     DefaultHttpRequest head =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
     head.headers().set(request.headers());
@@ -224,7 +222,7 @@
     }
     headReceived = true;
     endsWithConnection = decoder.endsWithConnection(head);
-    reusable = reusable && HttpUtil.isKeepAlive(head) && UpstreamAnswerDecoder.isFramed(head);
+    reusable = reusable && HttpUtil.isKeepAlive(head) && AnswerDecoder.isFramed(head);
     keepAliveMs = dialect.keepAliveMs(head.headers());
     current.onHead(head);
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -22,6 +22,7 @@
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.core.util.Assert;
 import org.foxtailford.net.exchange.ExchangeDialect;
+import org.foxtailford.net.http.AnswerDecoder;
 import org.foxtailford.net.http.RequestEncoder;
 import org.jspecify.annotations.Nullable;
 
@@ -93,7 +94,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    UpstreamAnswerDecoder decoder = new UpstreamAnswerDecoder();
+                    AnswerDecoder decoder = new AnswerDecoder();
                     channel
                         .pipeline()
                         .addLast(decoder)
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -23,6 +23,7 @@
 import java.util.OptionalLong;
 import org.foxtailford.core.upstream.UpstreamAddress;
 import org.foxtailford.net.exchange.ExchangeDialect;
+import org.foxtailford.net.http.AnswerDecoder;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -66,7 +67,7 @@
     outcome = new Outcome();
     UpstreamPool pool =
         new UpstreamPool(loops, new UpstreamAddress("127.0.0.1", 1), dialect, () -> 0);
-    UpstreamAnswerDecoder decoder = new UpstreamAnswerDecoder();
+    AnswerDecoder decoder = new AnswerDecoder();
     connection = new UpstreamConnection(pool, decoder, dialect, () -> 0);
     channel = new EmbeddedChannel(new Writes(), decoder, connection);
   }
