--- /dev/null
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
@@ -0,0 +1,93 @@
+package org.foxtailford.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.foxtailford.entry.RawAnswerCluster.CUT_VM;
+import static org.foxtailford.entry.RawAnswerCluster.SOUND_VM;
+
+import java.io.IOException;
+import org.foxtailford.entry.RawAnswerCluster.Arrival;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Integration tests of what becomes of requests and upstreams after broken answers. */
+public class BrokenAnswerRetryTests {
+
+  private static final int TIMEOUT_MS = 30_000;
+  private static final String ID = "Request-Id: %s\r\nResponse-Signature: broken\r\n";
+
+  /** Size of an upload of which half is more than a VM waits for before it sends it, in bytes. */
+  private static final int UPLOAD_BYTES = 800_000;
+
+  private RawAnswerCluster cluster;
+
+  @BeforeClass
+  public void begin() throws Exception {
+    cluster = new RawAnswerCluster();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void end() throws IOException {
+    cluster.close();
+  }
+
+  /** Returns broken answers, without their bodies of six bytes. */
+  @DataProvider
+  public Object[][] brokenHeads() {
+    return new Object[][] {
+      {"HTTP/1.1 000 OK\r\n" + ID + "Content-Length: 6\r\n\r\n"},
+    };
+  }
+
+  @Test(dataProvider = "brokenHeads", timeOut = TIMEOUT_MS)
+  public void requestThatMayRepeatIsSentAgain(String head) throws Exception {
+    cluster.awaitRecovery();
+    Arrival arrival =
+        cluster.sendUntilItArrives(
+            head + "broken", id -> cluster.call(SOUND_VM, "GET", "/safe/x", id, ""));
+    assertThat(arrival.received()).startsWith("HTTP/1.1 200 ").endsWith("\r\n\r\nsound");
+    assertThat(cluster.arrivals(arrival.id())).as("arrivals").hasSize(2);
+  }
+
+  @Test(dataProvider = "brokenHeads", timeOut = TIMEOUT_MS)
+  public void answerToHeadIsChecked(String head) throws Exception {
+    Arrival arrival =
+        cluster.sendUntilItArrives(head, id -> cluster.call(SOUND_VM, "HEAD", "/once/x", id, ""));
+    assertThat(arrival.received()).startsWith("HTTP/1.1 502 ").endsWith("\r\n\r\n");
+    assertThat(cluster.arrivals(arrival.id())).as("arrivals").hasSize(1);
+  }
+
+  @Test(dataProvider = "brokenHeads", timeOut = TIMEOUT_MS)
+  public void uploadFailsBeforeItsBodyWasRead(String head) throws Exception {
+    for (int vm : new int[] {SOUND_VM, CUT_VM}) {
+      String half = "x".repeat(UPLOAD_BYTES / 2);
+      Arrival arrival =
+          cluster.sendUntilItArrives(
+              head + "broken", id -> cluster.beginUpload(vm, id, UPLOAD_BYTES, half));
+      assertThat(arrival.received()).startsWith("HTTP/1.1 502 ").doesNotContain("broken");
+      assertThat(cluster.arrivals(arrival.id())).as("arrivals").hasSize(1);
+    }
+  }
+
+  /** Requests that go to the upstream of choice go elsewhere soon after it sends broken answers. */
+  @Test(timeOut = TIMEOUT_MS)
+  public void upstreamInTroubleIsChosenLess() throws Exception {
+    int requests = 120;
+    cluster.awaitRecovery();
+    int chosen = cluster.arrivals(servedRequest()).get(0);
+    cluster.setUpstreamInTrouble(chosen);
+    int arrived = 0;
+    for (int i = 0; i < requests; i++) {
+      arrived += cluster.arrivals(servedRequest()).contains(chosen) ? 1 : 0;
+    }
+    cluster.setUpstreamInTrouble(-1);
+    assertThat(arrived).isBetween(1, requests / RawAnswerCluster.UPSTREAMS);
+  }
+
+  private String servedRequest() {
+    String id = RawAnswerCluster.newId();
+    assertThat(cluster.call(SOUND_VM, "GET", "/safe/x", id, "")).startsWith("HTTP/1.1 200 ");
+    return id;
+  }
+}
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -1,35 +1,46 @@
 package org.foxtailford.net.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
 /**
- * Decodes the answers on one client connection, which has at most one request in flight. All
- * clients read answers through this decoder.
+ * Decodes the answers on one client connection, which has at most one request in flight, and
+ * rejects what is no answer in the protocol. All clients read answers through this decoder.
+ *
+ * <p>A head is passed on only when all of it was received and found sound; anything else becomes a
+ * message whose {@link HttpMessage#decoderResult()} is a failure, and the rest of the connection is
+ * discarded. Rejected are heads that {@link AnswerHeadScanner} rejects, bodies that two
+ * implementations could frame differently.
  *
  * <p>Tracks whether any byte of the current answer was received, and closes a connection that
  * receives bytes while no request is in flight. Runs on the connection's event loop.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
 
-  private static final int MAX_HEAD_BYTES = 64 << 10;
-
+  private final AnswerHeadScanner scanner = new AnswerHeadScanner();
   private boolean answerExpected;
   private boolean answerStarted;
   private boolean headOnly;
+  private boolean awaitsHead = true;
+  private boolean broken;
 
   /** Creates a decoder for a new connection. */
   public AnswerDecoder() {
     super(
         new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_HEAD_BYTES)
-            .setMaxHeaderSize(MAX_HEAD_BYTES)
+            .setMaxInitialLineLength(AnswerHeadScanner.MAX_PART_BYTES)
+            .setMaxHeaderSize(AnswerHeadScanner.MAX_PART_BYTES)
             .setAllowDuplicateContentLengths(false)
             .setUseRfc9112TransferEncoding(true));
   }
@@ -82,6 +93,48 @@
     super.channelRead(ctx, message);
   }
 
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    if (!broken && awaitsHead) {
+      try {
+        awaitsHead = !scanner.scan(buffer);
+      } catch (IllegalArgumentException | TooLongFrameException e) {
+        reject(e, out);
+      }
+    }
+    if (broken) {
+      buffer.skipBytes(buffer.readableBytes());
+    } else if (!awaitsHead) {
+      super.decode(ctx, buffer, out);
+      if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+        onEnd((LastHttpContent) out.get(out.size() - 1));
+      }
+    }
+  }
+
+  private void onEnd(LastHttpContent last) {
+    broken = last.decoderResult().isFailure();
+    awaitsHead = true;
+    scanner.reset();
+  }
+
+  private void reject(Exception cause, List<Object> out) {
+    HttpMessage invalid = createInvalidMessage();
+    invalid.setDecoderResult(DecoderResult.failure(cause));
+    out.add(invalid);
+    broken = true;
+  }
+
+  @Override
+  protected void decodeLast(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    super.decodeLast(ctx, buffer, out);
+    if (!broken && awaitsHead && scanner.hasStatusLine()) {
+      reject(new IllegalArgumentException("the connection ended within the head"), out);
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return headOnly || super.isContentAlwaysEmpty(message);
