Reject answers with a blank in or after the name of a field

What callers saw: a field with a blank or tab in its name was passed on with the name cut at it: another field than was sent. Where that field was the length, the body was framed by something else than was sent. A promise (Not-Executed) in such a head was taken for one.

Cause: in answers, unlike in requests, the library's decoder ends the name at the first blank and looks for the colon behind it.

Change: AnswerHeadScanner checks the names and values of all fields, and the decoder's own step for names, which the fields behind a body pass too, refuses a name that is not followed by its colon. The log names the cause of a broken body.

Held before, kept as tests: other control bytes in names, names without a colon or of no characters, control bytes in values, odd lengths.

Ruled out: names checked where headers are added; the blank is cut off before that.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.foxtailford.entry.RawAnswerCluster.CUT_VM;
+import static org.foxtailford.entry.RawAnswerCluster.OK;
 import static org.foxtailford.entry.RawAnswerCluster.SOUND_VM;
 
 import java.io.IOException;
@@ -37,9 +38,16 @@
   public Object[][] brokenHeads() {
     return new Object[][] {
       {"HTTP/1.1 000 OK\r\n" + ID + "Content-Length: 6\r\n\r\n"},
+      {OK + "X broken: 1\r\n" + ID + "Content-Length: 6\r\n\r\n"},
+      {OK + ID + "Content-Length : 6\r\n\r\n"},
     };
   }
 
+  @DataProvider
+  public Object[][] vms() {
+    return new Object[][] {{SOUND_VM}, {CUT_VM}};
+  }
+
   @Test(dataProvider = "brokenHeads", timeOut = TIMEOUT_MS)
   public void requestThatMayRepeatIsSentAgain(String head) throws Exception {
     cluster.awaitRecovery();
@@ -70,6 +78,24 @@
     }
   }
 
+  /** The caller has had the head and a part of the body when the answer breaks. */
+  @Test(dataProvider = "vms", timeOut = TIMEOUT_MS)
+  public void longAnswerWithABrokenTrailerDoesNotLookComplete(int vm) throws Exception {
+    String chunk = "10000\r\n" + "x".repeat(0x10000) + "\r\n";
+    String head =
+        OK + "Request-Id: %s\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Arrival arrival =
+        cluster.sendUntilItArrives(
+            head + chunk + "0\r\nX broken: 1\r\n\r\n",
+            id -> cluster.call(vm, "GET", "/safe/x", id, ""));
+    assertThat(arrival.received())
+        .startsWith("HTTP/1.1 200 ")
+        .containsIgnoringCase("transfer-encoding: chunked")
+        .doesNotContain("broken", "sound")
+        .doesNotEndWith("0\r\n\r\n");
+    assertThat(cluster.arrivals(arrival.id())).as("arrivals").hasSize(1);
+  }
+
   /** Requests that go to the upstream of choice go elsewhere soon after it sends broken answers. */
   @Test(timeOut = TIMEOUT_MS)
   public void upstreamInTroubleIsChosenLess() throws Exception {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
@@ -43,7 +43,9 @@
   /** Returns answers that are none in the protocol. */
   @DataProvider
   public Object[][] brokenAnswers() {
-    return rows(Stream.of(statusLines(), heads(), interim()).flatMap(forms -> forms));
+    return rows(
+        Stream.of(statusLines(), names(), values(), lengths(), heads(), interim())
+            .flatMap(forms -> forms));
   }
 
   private static Stream<String> statusLines() {
@@ -55,24 +57,73 @@
         .map(line -> line + "\r\n" + ID + SIX);
   }
 
+  private static Stream<String> names() {
+    return Stream.of(
+            "X broken",
+            "X\tbroken",
+            "X broken ",
+            "broken ",
+            "broken\t",
+            " broken",
+            "X(broken",
+            "X\u0001broken",
+            "X\u0000broken",
+            "X\u007fbroken",
+            "X\u00e9broken",
+            "X\rbroken",
+            "")
+        .map(name -> OK + name + ": broken\r\n" + ID + SIX);
+  }
+
+  private static Stream<String> values() {
+    return Stream.of(
+            "a\u0000broken", "a\u0001broken", "a\u000bbroken", "a\rbroken", "a\u007fbroken")
+        .map(value -> OK + ID + "X-A: " + value + "\r\n" + SIX);
+  }
+
+  private static Stream<String> lengths() {
+    return Stream.of(
+            "Content Length: 6",
+            "Content-Length : 6",
+            "Content-Length\t: 6",
+            "Content-Length x: 3\r\nContent-Length: 6",
+            "Transfer-Encoding : chunked\r\nContent-Length: 6",
+            "Content-Length: 6x",
+            "Content-Length: -6",
+            "Content-Length: +6",
+            "Content-Length: 6, 7",
+            "Content-Length: 6\r\nContent-Length: 7",
+            "Content-Length:",
+            "Content-Length",
+            "Transfer-Encoding: chunked\r\nContent-Length: 6")
+        .map(line -> OK + ID + line + "\r\n\r\nbroken");
+  }
+
   private static Stream<String> heads() {
     return Stream.of(
         "\u0000broken" + OK + ID + SIX,
         "broken\r\n\r\n",
         OK.replace("\r", "") + ID + SIX,
         OK + ID + "Content-Length: 6\n\nbroken",
-        "HTTP/1.1 200 O\rK\r\n" + ID + SIX);
+        "HTTP/1.1 200 O\rK\r\n" + ID + SIX,
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX broken: 1\r\n" + ID + SIX,
+        "HTTP/1.1 421 Other\r\n" + ID + "X-A\r\n" + SIX,
+        OK + ID + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX broken: 1\r\n\r\n",
+        OK + ID + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n X-A: 1\r\n\r\n");
   }
 
   private static Stream<String> interim() {
-    return Stream.of("HTTP/1.1 010 Hints\r\n\r\n" + SOUND);
+    return Stream.of(
+        "HTTP/1.1 103 Hints\r\nX broken: 1\r\n\r\n" + SOUND,
+        "HTTP/1.1 010 Hints\r\n\r\n" + SOUND,
+        "HTTP/1.1 100 Continue\r\nContent-Length : 5\r\n\r\n" + SOUND);
   }
 
   private static Object[][] rows(Stream<String> answers) {
     return answers.map(answer -> new Object[] {answer}).toArray(Object[][]::new);
   }
 
-  // MIXED: a caller got an answer with status 000.
+  // MIXED: a caller got an answer with status 000, another field than was sent, or another body.
   @Test(dataProvider = "brokenAnswers", timeOut = TIMEOUT_MS)
   public void requestThatRunsOnceFailsWithoutAPromise(String answer) throws Exception {
     checkFailure(SOUND_VM, answer);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
@@ -144,4 +145,11 @@
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
   }
+
+  /** Takes the name of a field up to a colon or blank; those after a body were not scanned. */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int begin, int length) {
+    AnswerHeadScanner.checkNameEnd(line[begin + length]);
+    return super.splitHeaderName(line, begin, length);
+  }
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerHeadScanner.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerHeadScanner.java
@@ -3,13 +3,15 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.util.ByteProcessor;
+import java.util.BitSet;
 
 /**
  * Decides which bytes are the head of an answer, before a field of it is read.
  *
- * <p>A head begins with a status line of HTTP/1 with a status of three digits from 100 on. Empty
- * lines ahead and further blanks in the status line are accepted, as RFC 9112 allows. The reason
- * phrase is not checked, since it is not passed on. Confined to one thread.
+ * <p>A head is a status line of HTTP/1 with a status of three digits from 100 on, field lines and
+ * an empty line. Empty lines ahead, further blanks in the status line and folded values are
+ * accepted too, as RFC 9112 allows. The reason phrase is not checked, since it is not passed on.
+ * Confined to one thread.
  */
 final class AnswerHeadScanner {
 
@@ -19,9 +21,19 @@
   private static final byte LINE_FEED = '\n';
   private static final byte[] PROTOCOL = {'H', 'T', 'T', 'P', '/', '1', '.'};
   private static final int STATUS_DIGITS = 3;
+  private static final BitSet NAME_CHARACTERS = new BitSet();
+
+  static {
+    NAME_CHARACTERS.set('0', '9' + 1);
+    NAME_CHARACTERS.set('A', 'Z' + 1);
+    NAME_CHARACTERS.set('a', 'z' + 1);
+    "!#$%&'*+-.^_`|~".chars().forEach(NAME_CHARACTERS::set);
+  }
 
   private static final ByteProcessor BLANK = AnswerHeadScanner::isBlank;
   private static final ByteProcessor DIGIT = AnswerHeadScanner::isDigit;
+  private static final ByteProcessor IN_NAME = AnswerHeadScanner::isInName;
+  private static final ByteProcessor IN_VALUE = AnswerHeadScanner::isInValue;
 
   private int scannedBytes;
   private int lines;
@@ -69,8 +81,13 @@
   }
 
   private void checkLine(ByteBuf buffer, int begin, int end) {
+    boolean folded = lines > 1 && isBlank(buffer.getByte(begin));
     if (!hasStatusLine()) {
       checkStatusLine(buffer, begin, end);
+    } else if (folded) {
+      checkValue(buffer, begin, end);
+    } else {
+      checkField(buffer, begin, end);
     }
   }
 
@@ -106,6 +123,45 @@
     return true;
   }
 
+  private static void checkField(ByteBuf buffer, int begin, int end) {
+    int nameEnd = skip(buffer, begin, end, IN_NAME);
+    if (nameEnd == end) {
+      throw new IllegalArgumentException("a field without a colon");
+    }
+    if (nameEnd == begin) {
+      throw new IllegalArgumentException("a field without a name");
+    }
+    checkNameEnd(buffer.getByte(nameEnd));
+    checkValue(buffer, nameEnd + 1, end);
+  }
+
+  private static void checkValue(ByteBuf buffer, int begin, int end) {
+    int illegal = skip(buffer, begin, end, IN_VALUE);
+    if (illegal < end) {
+      throw new IllegalArgumentException(
+          "byte 0x%02x in the value of a field".formatted(buffer.getByte(illegal)));
+    }
+  }
+
+  /**
+   * Checks the byte after the name of a field.
+   *
+   * @throws IllegalArgumentException if it is no colon
+   */
+  static void checkNameEnd(byte next) {
+    if (next != ':') {
+      throw new IllegalArgumentException("byte 0x%02x after the name of a field".formatted(next));
+    }
+  }
+
+  private static boolean isInName(byte character) {
+    return character > 0 && NAME_CHARACTERS.get(character);
+  }
+
+  private static boolean isInValue(byte character) {
+    return character < 0 || character >= ' ' && character != 0x7f || character == '\t';
+  }
+
   private static boolean isBlank(byte character) {
     return character == ' ' || character == '\t';
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamConnection.java
@@ -250,7 +250,7 @@
       return;
     }
     if (content.decoderResult().isFailure()) {
-      fail(UpstreamFailure.BROKEN_OFF, "malformed answer body");
+      fail(UpstreamFailure.BROKEN_OFF, "malformed answer body: " + content.decoderResult().cause());
       return;
     }
     if (last && endsWithConnection && !isEndedByUpstream()) {
--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/AnswerDecoderProperties.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/AnswerDecoderProperties.java
@@ -52,6 +52,17 @@
     return Arbitraries.integers().between(1, 40).array(int[].class).ofMinSize(1).ofMaxSize(8);
   }
 
+  @Provide
+  Arbitrary<Character> bytesOutsideNames() {
+    return Arbitraries.chars()
+        .range('\u0000', '\u00ff')
+        .filter(c -> c != ':' && c != '\n' && TOKEN.indexOf(c) < 0 && !isAlphanumeric(c));
+  }
+
+  private static boolean isAlphanumeric(char c) {
+    return c < 0x80 && Character.isLetterOrDigit(c);
+  }
+
   @Property(seed = "58")
   void everyLawfulHeadIsPassedOnWhole(
       @ForAll("fields") List<Field> fields, @ForAll("pieces") int[] pieces) {
@@ -66,6 +77,26 @@
     received.forEach(ReferenceCountUtil::release);
   }
 
+  @Property(seed = "58")
+  void nothingIsPassedOnOfAHeadWithABrokenName(
+      @ForAll("fields") List<Field> fields,
+      @ForAll("bytesOutsideNames") char illegal,
+      @ForAll("pieces") int[] pieces) {
+    List<Field> broken = new ArrayList<>(fields);
+    broken.add(fields.size() / 2, new Field("X" + illegal + "a", " ", "b", ""));
+    assertBroken(decode(answer("HTTP/1.1 200 OK", broken), pieces));
+  }
+
+  @Property(seed = "58")
+  void nothingIsPassedOnOfAHeadWithABrokenValue(
+      @ForAll("fields") List<Field> fields, @ForAll("pieces") int[] pieces) {
+    for (char illegal : "\u0000\u0001\u0008\u000b\u000c\r\u001b\u007f".toCharArray()) {
+      List<Field> broken = new ArrayList<>(fields);
+      broken.add(fields.size() / 2, new Field("X-A", " ", "a" + illegal + "b", ""));
+      assertBroken(decode(answer("HTTP/1.1 200 OK", broken), pieces));
+    }
+  }
+
   @Property(seed = "58")
   void onlyThreeDigitsFromOneHundredOnAreAStatus(
       @ForAll("statuses") String status, @ForAll("pieces") int[] pieces) {
--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingUpstreamTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingUpstreamTests.java
@@ -70,6 +70,14 @@
       {"HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
       {"HTTP/1.1 +200 OK\r\nContent-Length: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
       {"ICY/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
+      {ok + "X a: b\r\nContent-Length: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
+      {ok + "Content-Length : 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
+      {ok + "Content-Length\t: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
+      {
+        ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX a: b\r\n\r\n",
+        ResultCode.TRUNCATED_ANSWER
+      },
+      {"HTTP/1.1 103 Hints\r\nX a: b\r\n\r\n" + COMPLETE_ANSWER, ResultCode.TRUNCATED_ANSWER},
       {ok + "Content-Length: 1001\r\n\r\n" + "x".repeat(1001), ResultCode.ANSWER_TOO_LARGE},
       {ok + "Foxtail-Attempt: 6\r\nContent-Length: 2\r\n\r\nok", ResultCode.CROSSED_ANSWER},
       {COMPLETE_ANSWER + COMPLETE_ANSWER, ResultCode.TRUNCATED_ANSWER},
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -1,5 +1,6 @@
 package org.foxtailford.net.proxy;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.ByteBuf;
@@ -172,16 +173,36 @@
     assertThat(outcome.text).isEqualTo("complete");
   }
 
+  /**
+   * Guards against a kept connection on which a broken answer in pieces is taken for a sound one.
+   */
+  @Test
+  public void brokenAnswerInPiecesEndsAKeptConnection() {
+    send(HttpMethod.POST, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    assertThat(outcome.text).isEqualTo("complete");
+    send(HttpMethod.POST, "");
+    String broken = "HTTP/1.1 200 OK\r\nX a: b\r\nContent-Length: 2\r\n\r\nok";
+    for (int i = 0; channel.isOpen() && i < broken.length(); i++) {
+      channel.writeInbound(Unpooled.copiedBuffer(broken.substring(i, i + 1), UTF_8));
+    }
+    assertThat(outcome.text).isEqualTo("completeGARBLED");
+    assertThat(outcome.heads).isEqualTo(1);
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   /** Keeps how the answer ended. */
   private static final class Outcome implements UpstreamListener {
 
     private String text = "";
+    private int heads;
 
     @Override
     public void onSent() {}
 
     @Override
-    public void onHead(HttpResponse head) {}
+    public void onHead(HttpResponse head) {
+      heads++;
+    }
 
     @Override
     public void onContent(ByteBuf part) {
