Reject answers in a transfer coding other than chunked

What callers saw: the raw bytes of a coded body as the body, without the name of the coding.

Cause: an answer with an unknown coding counted as one that ends with its connection, or as chunked if chunked was named too, and the field is dropped as one that concerns one connection. RequestDecoder refuses this in requests.

Change: AnswerDecoder accepts Transfer-Encoding only if it names chunked once and nothing else; empty list elements are ignored, as RFC 9110 asks.

Evidence, on: 7 rows of BrokenAnswerTests reached the caller or timed out, directly and relayed (gzip, identity, "gzip, chunked", x-chunked, "chunked;q=1", "chunked x", an empty value). None does now. Held before, kept as tests: "chunked, gzip", chunked twice, HTTP/1.0. ", chunked" and "Chunked" pass as before.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
@@ -40,6 +40,7 @@
       {"HTTP/1.1 000 OK\r\n" + ID + "Content-Length: 6\r\n\r\n"},
       {OK + "X broken: 1\r\n" + ID + "Content-Length: 6\r\n\r\n"},
       {OK + ID + "Content-Length : 6\r\n\r\n"},
+      {OK + ID + "Transfer-Encoding: gzip\r\n\r\n"},
     };
   }
 
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
@@ -25,6 +25,7 @@
   private static final int TIMEOUT_MS = 30_000;
   private static final String ID = "Request-Id: %s\r\nResponse-Signature: broken\r\n";
   private static final String SIX = "Content-Length: 6\r\n\r\nbroken";
+  private static final String CHUNKS = "6\r\nbroken\r\n0\r\n\r\n";
   private static final String WHOLE = "Request-Id: %s\r\nResponse-Signature: whole\r\n";
   private static final String FIVE = "Content-Length: 5\r\n\r\nsound";
 
@@ -44,7 +45,7 @@
   @DataProvider
   public Object[][] brokenAnswers() {
     return rows(
-        Stream.of(statusLines(), names(), values(), lengths(), heads(), interim())
+        Stream.of(statusLines(), names(), values(), lengths(), codings(), heads(), interim())
             .flatMap(forms -> forms));
   }
 
@@ -99,6 +100,23 @@
         .map(line -> OK + ID + line + "\r\n\r\nbroken");
   }
 
+  private static Stream<String> codings() {
+    return Stream.concat(
+        Stream.of(
+                "gzip",
+                "identity",
+                "gzip, chunked",
+                "chunked, gzip",
+                "chunked, chunked",
+                "x-chunked",
+                "chunked;q=1",
+                "chunked x",
+                "",
+                "chunked\r\nTransfer-Encoding: chunked")
+            .map(coding -> OK + ID + "Transfer-Encoding: " + coding + "\r\n\r\n" + CHUNKS),
+        Stream.of("HTTP/1.0 200 OK\r\n" + ID + "Transfer-Encoding: chunked\r\n\r\n" + CHUNKS));
+  }
+
   private static Stream<String> heads() {
     return Stream.of(
         "\u0000broken" + OK + ID + SIX,
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -5,6 +5,9 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -22,7 +26,7 @@
  * <p>A head is passed on only when all of it was received and found sound; anything else becomes a
  * message whose {@link HttpMessage#decoderResult()} is a failure, and the rest of the connection is
  * discarded. Rejected are heads that {@link AnswerHeadScanner} rejects, bodies that two
- * implementations could frame differently.
+ * implementations could frame differently, transfer codings other than chunked.
  *
  * <p>Tracks whether any byte of the current answer was received, and closes a connection that
  * receives bytes while no request is in flight. Runs on the connection's event loop.
@@ -136,11 +140,27 @@
     }
   }
 
+  /**
+   * Returns whether a complete head is followed by no body.
+   *
+   * @throws IllegalArgumentException if the body is in a coding other than chunked
+   */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    HttpHeaders headers = message.headers();
+    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    if (!codings.isEmpty() && !isChunkedOnce(String.join(",", codings))) {
+      throw new IllegalArgumentException("a transfer coding other than chunked");
+    }
     return headOnly || super.isContentAlwaysEmpty(message);
   }
 
+  private static boolean isChunkedOnce(String codings) {
+    List<String> named =
+        Arrays.stream(codings.split(",")).map(String::strip).filter(c -> !c.isEmpty()).toList();
+    return named.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(named.get(0));
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingUpstreamTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingUpstreamTests.java
@@ -73,6 +73,10 @@
       {ok + "X a: b\r\nContent-Length: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
       {ok + "Content-Length : 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
       {ok + "Content-Length\t: 2\r\n\r\nok", ResultCode.TRUNCATED_ANSWER},
+      {
+        ok + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        ResultCode.TRUNCATED_ANSWER
+      },
       {
         ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX a: b\r\n\r\n",
         ResultCode.TRUNCATED_ANSWER
