Fail a request at once whose upstream changes the protocol

What callers saw: 504 after the route's whole timeout if the upstream sent 101 and kept the connection open.

Cause: 101 was skipped like an interim answer, though none follows it. No request asks for a change of the protocol, as Upgrade is not sent on.

Change: AnswerDecoder rejects 101. AnswerFramingHandler, which had a rule of its own for it and for answers without a body, asks the decoder.

Evidence: the row of BrokenAnswerTests and UpstreamConnectionTests.changeOfTheProtocolIsNoAnswer were red on (504 after 1.5 s, no failure). Held before: 101 whose connection ends.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
@@ -124,6 +124,7 @@
         OK.replace("\r", "") + ID + SIX,
         OK + ID + "Content-Length: 6\n\nbroken",
         "HTTP/1.1 200 O\rK\r\n" + ID + SIX,
+        "HTTP/1.1 101 Switching\r\n" + ID + "\r\nbroken",
         "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX broken: 1\r\n" + ID + SIX,
         "HTTP/1.1 421 Other\r\n" + ID + "X-A\r\n" + SIX,
         OK + ID + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX broken: 1\r\n\r\n",
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -26,13 +26,16 @@
  * <p>A head is passed on only when all of it was received and found sound; anything else becomes a
  * message whose {@link HttpMessage#decoderResult()} is a failure, and the rest of the connection is
  * discarded. Rejected are heads that {@link AnswerHeadScanner} rejects, bodies that two
- * implementations could frame differently, transfer codings other than chunked.
+ * implementations could frame differently, transfer codings other than chunked, and a change of the
+ * protocol, for which no client asks.
  *
  * <p>Tracks whether any byte of the current answer was received, and closes a connection that
  * receives bytes while no request is in flight. Runs on the connection's event loop.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
 
+  private static final int SWITCHING_PROTOCOLS = 101;
+
   private final AnswerHeadScanner scanner = new AnswerHeadScanner();
   private boolean answerExpected;
   private boolean answerStarted;
@@ -72,11 +75,6 @@
     return actualReadableBytes() > 0;
   }
 
-  /** Returns whether the expected answer has no body because the request was a HEAD. */
-  boolean isHeadOnly() {
-    return headOnly;
-  }
-
   /** Returns whether an answer ends with its connection, since its head says nothing else. */
   public boolean endsWithConnection(HttpResponse head) {
     return !isFramed(head) && !isContentAlwaysEmpty(head);
@@ -140,6 +138,15 @@
     }
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    HttpResponse response = (HttpResponse) super.createMessage(initialLine);
+    if (response.status().code() == SWITCHING_PROTOCOLS) {
+      throw new IllegalArgumentException("a change of the protocol that was not asked for");
+    }
+    return response;
+  }
+
   /**
    * Returns whether a complete head is followed by no body.
    *
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerFramingHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerFramingHandler.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
@@ -15,10 +14,6 @@
  */
 final class AnswerFramingHandler extends ChannelInboundHandlerAdapter {
 
-  private static final int SWITCHING_PROTOCOLS = 101;
-  private static final int NO_CONTENT = 204;
-  private static final int NOT_MODIFIED = 304;
-
   private final AnswerDecoder decoder;
   private boolean interim;
 
@@ -30,8 +25,10 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (message instanceof HttpResponse) {
       HttpResponse response = (HttpResponse) message;
-      interim = isInterim(response);
-      if (!interim && response.decoderResult().isSuccess() && !isFramed(response)) {
+      interim = HttpStatusClass.INFORMATIONAL.contains(response.status().code());
+      if (!interim
+          && response.decoderResult().isSuccess()
+          && decoder.endsWithConnection(response)) {
         ReferenceCountUtil.release(message);
         ctx.fireExceptionCaught(
             new ResultCodeException(
@@ -45,18 +42,4 @@
       ctx.fireChannelRead(message);
     }
   }
-
-  private static boolean isInterim(HttpResponse response) {
-    int status = response.status().code();
-    return HttpStatusClass.INFORMATIONAL.contains(status) && status != SWITCHING_PROTOCOLS;
-  }
-
-  private boolean isFramed(HttpResponse response) {
-    int status = response.status().code();
-    return HttpUtil.isContentLengthSet(response)
-        || HttpUtil.isTransferEncodingChunked(response)
-        || decoder.isHeadOnly()
-        || status == NO_CONTENT
-        || status == NOT_MODIFIED;
-  }
 }
--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/AnswerDecoderProperties.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/AnswerDecoderProperties.java
@@ -101,7 +101,7 @@
   void onlyThreeDigitsFromOneHundredOnAreAStatus(
       @ForAll("statuses") String status, @ForAll("pieces") int[] pieces) {
     List<HttpObject> received = decode(answer("HTTP/1.1 " + status + " Any", List.of()), pieces);
-    if (status.matches("[1-9][0-9]{2}")) {
+    if (status.matches("[1-9][0-9]{2}") && !status.equals("101")) {
       assertThat(received).allMatch(part -> part.decoderResult().isSuccess());
     } else {
       assertBroken(received);
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -190,6 +190,13 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  /** Guards against an answer whose end nobody sees, as it is skipped like an interim one. */
+  @Test
+  public void changeOfTheProtocolIsNoAnswer() {
+    send(HttpMethod.POST, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+    assertThat(outcome.text).isEqualTo("GARBLED");
+  }
+
   /** Keeps how the answer ended. */
   private static final class Outcome implements UpstreamListener {
 
