Reject answers that state several values of a field that decides

What callers saw: an answer with the request's id and another one was passed on if the right id came first; if it came second, the answer was skipped as that to another request, and the caller waited until 504.

Cause: the first field of a name was taken.

Change: a dialect names the fields of which an answer has one value (request id, response signature, Retry-After); AnswerDecoder rejects heads with several. The HTTP clients do the same for their own fields and their echoed id. Equal values pass as before.

Left: the store's field for its era and the handover token are still taken from the first of several.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerTests.java
@@ -45,7 +45,15 @@
   @DataProvider
   public Object[][] brokenAnswers() {
     return rows(
-        Stream.of(statusLines(), names(), values(), lengths(), codings(), heads(), interim())
+        Stream.of(
+                statusLines(),
+                names(),
+                values(),
+                lengths(),
+                codings(),
+                severalValues(),
+                heads(),
+                interim())
             .flatMap(forms -> forms));
   }
 
@@ -117,6 +125,14 @@
         Stream.of("HTTP/1.0 200 OK\r\n" + ID + "Transfer-Encoding: chunked\r\n\r\n" + CHUNKS));
   }
 
+  private static Stream<String> severalValues() {
+    return Stream.of(
+        OK + "Request-Id: other\r\n" + ID + SIX,
+        OK + ID + "Request-Id: other\r\n" + SIX,
+        OK + ID + "Response-Signature: other\r\n" + SIX,
+        "HTTP/1.1 503 Full\r\n" + ID + "Retry-After: 1\r\nRetry-After: 9\r\n" + SIX);
+  }
+
   private static Stream<String> heads() {
     return Stream.of(
         "\u0000broken" + OK + ID + SIX,
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RangeCommandAnswersTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RangeCommandAnswersTests.java
@@ -51,6 +51,7 @@
       {OK + "Handover : token\r\n" + EMPTY},
       {OK + "Handover: token\r\nX a: 1\r\n" + EMPTY},
       {OK + "Handover: token\r\nContent-Length : 0\r\n\r\n"},
+      {OK + "Request-Id: other\r\nHandover: token\r\n" + EMPTY},
       {"HTTP/1.1 0200 OK\r\nRequest-Id: %s\r\nHandover: token\r\n" + EMPTY},
       {"HTTP/1.1 0409 Conflict\r\nRequest-Id: %s\r\n" + EMPTY},
       {"HTTP/1.1 000 OK\r\nRequest-Id: %s\r\n" + EMPTY},
--- a/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
@@ -1,6 +1,7 @@
 package org.foxtailford.net.exchange;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
@@ -25,6 +26,9 @@
   /** Sets the time left for a request that goes to no particular upstream, in milliseconds. */
   void setTimeLeft(HttpHeaders headers, long timeLeftMs);
 
+  /** Returns the names of the fields of which an answer may have one value only. */
+  List<String> singleAnswerFields();
+
   /** Returns whether an answer states that the upstream did not run the request. */
   boolean isNotRun(int status, HttpHeaders headers);
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Decodes the answers on one client connection, which has at most one request in flight, and
@@ -26,8 +27,8 @@
  * <p>A head is passed on only when all of it was received and found sound; anything else becomes a
  * message whose {@link HttpMessage#decoderResult()} is a failure, and the rest of the connection is
  * discarded. Rejected are heads that {@link AnswerHeadScanner} rejects, bodies that two
- * implementations could frame differently, transfer codings other than chunked, and a change of the
- * protocol, for which no client asks.
+ * implementations could frame differently, transfer codings other than chunked, several values of a
+ * field that stands once, and a change of the protocol, for which no client asks.
  *
  * <p>Tracks whether any byte of the current answer was received, and closes a connection that
  * receives bytes while no request is in flight. Runs on the connection's event loop.
@@ -36,6 +37,7 @@
 
   private static final int SWITCHING_PROTOCOLS = 101;
 
+  private final List<String> singleFields;
   private final AnswerHeadScanner scanner = new AnswerHeadScanner();
   private boolean answerExpected;
   private boolean answerStarted;
@@ -43,14 +45,19 @@
   private boolean awaitsHead = true;
   private boolean broken;
 
-  /** Creates a decoder for a new connection. */
-  public AnswerDecoder() {
+  /**
+   * Creates a decoder for a new connection.
+   *
+   * @param singleFields names of the fields of which an answer may have one value only
+   */
+  public AnswerDecoder(List<String> singleFields) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(AnswerHeadScanner.MAX_PART_BYTES)
             .setMaxHeaderSize(AnswerHeadScanner.MAX_PART_BYTES)
             .setAllowDuplicateContentLengths(false)
             .setUseRfc9112TransferEncoding(true));
+    this.singleFields = List.copyOf(singleFields);
   }
 
   /** Prepares for the answer to a request that is about to be sent. */
@@ -150,7 +157,8 @@
   /**
    * Returns whether a complete head is followed by no body.
    *
-   * @throws IllegalArgumentException if the body is in a coding other than chunked
+   * @throws IllegalArgumentException if the body is in a coding other than chunked, or a field that
+   *     stands once has several values
    */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
@@ -159,6 +167,12 @@
     if (!codings.isEmpty() && !isChunkedOnce(String.join(",", codings))) {
       throw new IllegalArgumentException("a transfer coding other than chunked");
     }
+    for (String name : singleFields) {
+      List<String> values = headers.getAll(name);
+      if (values.size() > 1 && Set.copyOf(values).size() > 1) {
+        throw new IllegalArgumentException("several values of the field " + name);
+      }
+    }
     return headOnly || super.isContentAlwaysEmpty(message);
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
@@ -1,5 +1,7 @@
 package org.foxtailford.net.http;
 
+import java.util.List;
+
 /** Header fields of the interfaces to callers, upstreams and relays. */
 public final class FoxtailHeaders {
 
@@ -45,5 +47,9 @@
   /** Boot id of the upstream process, in each of its answers; unsigned decimal, never 0. */
   public static final String BOOT_ID = "Foxtail-Boot-Id";
 
+  /** Fields that decide what becomes of a request; an answer has one value of each. */
+  static final List<String> SINGLE_IN_ANSWERS =
+      List.of(CODE, EFFECT, ATTEMPT, REFUSED, RETRY_AFTER_MS, BOOT_ID);
+
   private FoxtailHeaders() {}
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
@@ -7,6 +7,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -120,7 +122,9 @@
   }
 
   static void addHandlers(Channel channel, int maxAnswerBytes, Optional<EchoedId> echoedId) {
-    AnswerDecoder decoder = new AnswerDecoder();
+    List<String> singleFields = new ArrayList<>(FoxtailHeaders.SINGLE_IN_ANSWERS);
+    echoedId.map(EchoedId::field).ifPresent(singleFields::add);
+    AnswerDecoder decoder = new AnswerDecoder(singleFields);
     channel
         .pipeline()
         .addLast(decoder)
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/UpstreamPool.java
@@ -94,7 +94,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    AnswerDecoder decoder = new AnswerDecoder();
+                    AnswerDecoder decoder = new AnswerDecoder(dialect.singleAnswerFields());
                     channel
                         .pipeline()
                         .addLast(decoder)
--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/AnswerDecoderProperties.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/AnswerDecoderProperties.java
@@ -126,7 +126,7 @@
   }
 
   private static List<HttpObject> decode(String answer, int[] pieces) {
-    AnswerDecoder decoder = new AnswerDecoder();
+    AnswerDecoder decoder = new AnswerDecoder(List.of());
     EmbeddedChannel channel = new EmbeddedChannel(decoder);
     decoder.expect(HttpMethod.GET);
     byte[] bytes = answer.getBytes(StandardCharsets.ISO_8859_1);
--- a/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingUpstreamTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/http/MisbehavingUpstreamTests.java
@@ -82,6 +82,10 @@
         ResultCode.TRUNCATED_ANSWER
       },
       {"HTTP/1.1 103 Hints\r\nX a: b\r\n\r\n" + COMPLETE_ANSWER, ResultCode.TRUNCATED_ANSWER},
+      {
+        ok + "Foxtail-Attempt: 7\r\nFoxtail-Attempt: 6\r\nContent-Length: 2\r\n\r\nok",
+        ResultCode.TRUNCATED_ANSWER
+      },
       {ok + "Content-Length: 1001\r\n\r\n" + "x".repeat(1001), ResultCode.ANSWER_TOO_LARGE},
       {ok + "Foxtail-Attempt: 6\r\nContent-Length: 2\r\n\r\nok", ResultCode.CROSSED_ANSWER},
       {COMPLETE_ANSWER + COMPLETE_ANSWER, ResultCode.TRUNCATED_ANSWER},
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamConnectionTests.java
@@ -20,6 +20,7 @@
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.foxtailford.core.upstream.UpstreamAddress;
@@ -68,7 +69,7 @@
     outcome = new Outcome();
     UpstreamPool pool =
         new UpstreamPool(loops, new UpstreamAddress("127.0.0.1", 1), dialect, () -> 0);
-    AnswerDecoder decoder = new AnswerDecoder();
+    AnswerDecoder decoder = new AnswerDecoder(List.of());
     connection = new UpstreamConnection(pool, decoder, dialect, () -> 0);
     channel = new EmbeddedChannel(new Writes(), decoder, connection);
   }
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamPoolTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/UpstreamPoolTests.java
@@ -11,11 +11,13 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
+import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -39,14 +41,18 @@
           Proxy.newProxyInstance(
               getClass().getClassLoader(),
               new Class<?>[] {ExchangeDialect.class},
-              (proxy, method, arguments) ->
-                  method.getReturnType() == OptionalLong.class
-                      ? OptionalLong.empty()
-                      : Optional.empty());
+              (proxy, method, arguments) -> absent(method));
   private EventLoopGroup loops;
   private ServerSocket upstream;
   private UpstreamPool pool;
 
+  private static Object absent(Method method) {
+    if (method.getReturnType() == List.class) {
+      return List.of();
+    }
+    return method.getReturnType() == OptionalLong.class ? OptionalLong.empty() : Optional.empty();
+  }
+
   @BeforeMethod
   public void begin() throws Exception {
     loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
