Read the operators' interface through the same decoder

What operators saw: foxtailctl printed the result of an answer with status 2000 or 200x as that of 200, and the raw bytes of a coded body.

Cause: foxtailctl used the JDK's HTTP client, which reads three digits of the status whatever follows, and hides the bytes.

Change: SingleRequestClient sends each request on a connection of its own and reads answers through AnswerDecoder; ClientTls secures it, with the server's name checked as before. An entity tag or code that is no number is a lost answer instead of an uncaught exception, and a failure with code 0 is no success.

TlsTests.singleRequestClient*: an accepted server, one of another authority, one of another name, a certificate that the server rejects.

Ruled out: a check on the JDK's answer; the status line is gone there. PooledHttpClient: its pool waits 1 s for a connection whatever the command's timeout is.

--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/OperatorClient.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/OperatorClient.java
@@ -3,21 +3,33 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLContext;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.core.util.Assert;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpClient;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.SingleRequestClient;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
+import org.foxtailford.net.tls.ChannelSecurity;
+import org.foxtailford.net.tls.ClientTls;
+import org.foxtailford.schema.Endpoint;
 
 /**
  * Sends requests to the operators' interface, to the first endpoint that answers.
@@ -29,12 +41,15 @@
 
   private static final String RESENT_HEADER = "Foxtail-Resent";
   private static final String CODE_HEADER = "Foxtail-Code";
+  private static final String NO_CODE = "-1";
   private static final int RESENDS = 3;
 
+  /** Maximum size of an answer's body, in bytes; a configuration takes a few. */
+  private static final int MAX_ANSWER_BYTES = 64 << 20;
+
   private final List<String> endpoints;
-  private final String scheme;
+  private final Optional<SSLContext> tls;
   private final Duration timeout;
-  private final HttpClient client;
   private final ObjectMapper json = new ObjectMapper();
 
   /**
@@ -48,11 +63,7 @@
     Assert.isTrue(!endpoints.isEmpty(), "endpoints must not be empty");
     this.endpoints = List.copyOf(endpoints);
     this.timeout = Assert.notNull(timeout, "timeout");
-    this.scheme = tls.isPresent() ? "https" : "http";
-    HttpClient.Builder builder =
-        HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(timeout);
-    tls.ifPresent(builder::sslContext);
-    this.client = builder.build();
+    this.tls = Assert.notNull(tls, "tls");
   }
 
   List<String> endpoints() {
@@ -120,35 +131,62 @@
   private OperatorReply send(
       String endpoint, String path, Optional<String> body, Map<String, String> headers)
       throws IOException {
-    HttpRequest.Builder request =
-        HttpRequest.newBuilder(URI.create(scheme + "://" + endpoint + path)).timeout(timeout);
-    headers.forEach(request::header);
-    body.ifPresent(text -> request.PUT(HttpRequest.BodyPublishers.ofString(text)));
+    HttpHeaders fields = new DefaultHttpHeaders();
+    headers.forEach(fields::set);
+    HttpMethod method = body.isPresent() ? HttpMethod.PUT : HttpMethod.GET;
+    byte[] content = body.orElse("").getBytes(StandardCharsets.UTF_8);
+    EventLoopGroup loops = new ClosingEventLoopGroup(1);
     try {
-      return reply(client.send(request.build(), HttpResponse.BodyHandlers.ofString()));
+      HttpClient client =
+          new SingleRequestClient(loops, MAX_ANSWER_BYTES, this::security, new SystemMillisClock());
+      HttpExchange exchange = new HttpExchange(method, path, fields, content);
+      return reply(client.send(parse(endpoint), exchange, timeout.toMillis()).get());
+    } catch (ExecutionException e) {
+      throw new IOException(reason(e.getCause()), e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new IOException("interrupted", e);
+    } finally {
+      loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
   }
 
-  private OperatorReply reply(HttpResponse<String> response) throws IOException {
+  private static String reason(Throwable failure) {
+    Throwable cause = failure.getCause();
+    return failure.getMessage() + (cause == null ? "" : ": " + cause);
+  }
+
+  private static Endpoint parse(String endpoint) {
+    int colon = endpoint.lastIndexOf(':');
+    return Endpoint.newBuilder()
+        .setHost(endpoint.substring(0, colon))
+        .setPort(Integer.parseInt(endpoint.substring(colon + 1)))
+        .build();
+  }
+
+  private ChannelSecurity security(Endpoint endpoint) {
+    return tls.map(context -> ClientTls.security(context, endpoint.getHost(), endpoint.getPort()))
+        .orElse(ChannelSecurity.NONE);
+  }
+
+  private OperatorReply reply(HttpAnswer answer) throws IOException {
     JsonNode body;
+    long version;
+    int code;
     try {
-      body = json.readTree(response.body());
-    } catch (JsonProcessingException e) {
-      throw new IOException("the answer is not JSON; is this an operators' interface?", e);
+      body = json.readTree(answer.bodyText());
+      version = Long.parseLong(answer.headers().get("ETag", "0").replace("\"", ""));
+      code = Integer.parseInt(answer.headers().get(CODE_HEADER, NO_CODE));
+    } catch (JsonProcessingException | NumberFormatException e) {
+      throw new IOException("the answer can't be read; is this an operators' interface?", e);
     }
-    if (response.statusCode() == 200) {
-      String tag = response.headers().firstValue("ETag").orElse("0");
-      return new OperatorReply(body, Long.parseLong(tag.replace("\"", "")));
+    if (answer.status() == 200) {
+      return new OperatorReply(body, version);
     }
-    ResultCode code =
-        response
-            .headers()
-            .firstValue(CODE_HEADER)
-            .flatMap(number -> ResultCode.findByNumber(Integer.parseInt(number)))
+    ResultCode failure =
+        ResultCode.findByNumber(code)
+            .filter(found -> found != ResultCode.OK)
             .orElse(ResultCode.INTERNAL_ERROR);
-    throw new OperatorReplyException(code, body);
+    throw new OperatorReplyException(failure, body);
   }
 }
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -5,6 +5,10 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -15,6 +19,7 @@
 import org.foxtailford.core.result.ResultCodeException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class FoxtailctlCommandTests {
@@ -169,6 +174,45 @@
     assertThat(fixture.err()).contains("6004", CLOSED_ENDPOINT);
   }
 
+  @DataProvider
+  public Object[][] brokenAnswers() {
+    String body = "Content-Length: 2\r\n\r\n{}";
+    return new Object[][] {
+      {"HTTP/1.1 2000 OK\r\n" + body},
+      {"HTTP/1.1 200x OK\r\n" + body},
+      {"HTTP/1.1 000 OK\r\n" + body},
+      {"HTTP/1.1 200 OK\r\nETag : \"7\"\r\n" + body},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + body},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}"},
+      {"HTTP/1.1 200 OK\r\nETag: \"x\"\r\n" + body},
+      {"HTTP/1.1 500 Failed\r\nFoxtail-Code: 0\r\n" + body},
+    };
+  }
+
+  // An answer with status 2000 was taken for 200: the command printed an empty list.
+  @Test(dataProvider = "brokenAnswers")
+  public void brokenAnswerIsNoAnswerOfTheOperatorsInterface(String answer) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress())) {
+      Thread thread = new Thread(() -> answerOnce(server, answer), "broken operators' interface");
+      thread.start();
+      assertThat(fixture.runAt("127.0.0.1:" + server.getLocalPort(), "vms"))
+          .isIn(ExitStatus.UNAVAILABLE, ExitStatus.INTERNAL);
+      thread.join();
+    }
+  }
+
+  private static void answerOnce(ServerSocket server, String answer) {
+    try (Socket socket = server.accept()) {
+      socket.setSoTimeout(500); // a client that keeps the connection doesn't close it
+      socket.getInputStream().read(new byte[8192]);
+      socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+      socket.shutdownOutput();
+      socket.getInputStream().readAllBytes();
+    } catch (IOException e) {
+      return; // closed or reset
+    }
+  }
+
   @Test
   public void ownerAndWhyTellTheDecision() {
     fixture.grant("menu-planning", "menu-a2");
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpClientHandler.java
@@ -187,7 +187,9 @@
     } else if (cause instanceof TooLongFrameException) {
       fail(ctx.channel(), ResultCode.ANSWER_TOO_LARGE, "the answer is over the limit");
     } else {
-      fail(ctx.channel(), connectionLost(ctx.channel()));
+      ResultCodeException lost = connectionLost(ctx.channel());
+      lost.initCause(cause);
+      fail(ctx.channel(), lost);
     }
   }
 
--- a/foxtailford-net/src/main/java/org/foxtailford/net/tls/ClientTls.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/tls/ClientTls.java
@@ -2,10 +2,13 @@
 
 import io.netty.handler.ssl.JdkSslContext;
 import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslProvider;
 import java.io.File;
 import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLEngine;
 import javax.net.ssl.SSLException;
+import javax.net.ssl.SSLParameters;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
 
@@ -15,7 +18,7 @@
   private ClientTls() {}
 
   /**
-   * Creates a context for the JDK's HTTP client from PEM files.
+   * Creates a context from PEM files.
    *
    * @param certificateFile the client's certificate chain
    * @param keyFile the client's private key
@@ -37,4 +40,19 @@
           ResultCode.USAGE, "the certificate files cannot be used: " + e.getMessage(), e);
     }
   }
+
+  /**
+   * Returns the security of connections to an address, which the other side's certificate must
+   * name.
+   */
+  public static ChannelSecurity security(SSLContext context, String host, int port) {
+    return channel -> {
+      SSLEngine engine = context.createSSLEngine(host, port);
+      engine.setUseClientMode(true);
+      SSLParameters parameters = engine.getSSLParameters();
+      parameters.setEndpointIdentificationAlgorithm("HTTPS");
+      engine.setSSLParameters(parameters);
+      channel.pipeline().addFirst(new SslHandler(engine));
+    };
+  }
 }
--- a/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/tls/TlsTests.java
@@ -2,10 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -35,11 +38,13 @@
 import javax.net.ssl.X509ExtendedKeyManager;
 import org.foxtailford.core.result.ResultCode;
 import org.foxtailford.core.result.ResultCodeException;
+import org.foxtailford.core.time.SystemMillisClock;
 import org.foxtailford.net.http.HttpAnswer;
 import org.foxtailford.net.http.HttpExchange;
 import org.foxtailford.net.http.HttpExchangeHandler;
 import org.foxtailford.net.http.HttpLimits;
 import org.foxtailford.net.http.HttpServer;
+import org.foxtailford.net.http.SingleRequestClient;
 import org.foxtailford.net.peer.LinkTimeouts;
 import org.foxtailford.net.peer.PeerIdentity;
 import org.foxtailford.net.peer.PeerLink;
@@ -117,6 +122,46 @@
     assertThat(get(client("asha", "authority")).body()).isEqualTo("CN=asha");
   }
 
+  @Test
+  public void singleRequestClientChecksTheServer() throws Exception {
+    assertThat(getOnce("127.0.0.1", client("asha", "authority")).join().bodyText())
+        .isEqualTo("CN=asha");
+    SSLContext otherAuthority = client("asha", "stranger-authority");
+    assertThat(codeOf(getOnce("127.0.0.1", otherAuthority)))
+        .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
+    SSLContext trusting = client("asha", "authority");
+    assertThat(codeOf(getOnce("127.0.0.1", trusting, "other-name.invalid")))
+        .isEqualTo(ResultCode.UPSTREAM_UNREACHABLE);
+  }
+
+  @Test
+  public void singleRequestClientFailsIfItsCertificateIsRejected() throws Exception {
+    SSLContext unknown = context(new UnconditionalKeyManager("stranger"));
+    assertThat(codeOf(getOnce("127.0.0.1", unknown)))
+        .isIn(ResultCode.UPSTREAM_UNREACHABLE, ResultCode.OUTCOME_UNKNOWN);
+  }
+
+  private CompletableFuture<HttpAnswer> getOnce(String host, SSLContext context) {
+    return getOnce(host, context, host);
+  }
+
+  private CompletableFuture<HttpAnswer> getOnce(String host, SSLContext context, String name) {
+    SingleRequestClient client =
+        new SingleRequestClient(
+            loops,
+            1000,
+            endpoint -> ClientTls.security(context, name, endpoint.getPort()),
+            new SystemMillisClock());
+    Endpoint endpoint = Endpoint.newBuilder().setHost(host).setPort(port).build();
+    HttpExchange exchange =
+        new HttpExchange(HttpMethod.GET, "/", new DefaultHttpHeaders(), new byte[0]);
+    return client.send(endpoint, exchange, TIMEOUT_MS);
+  }
+
+  private static ResultCode codeOf(CompletableFuture<HttpAnswer> answer) {
+    return ResultCodeException.codeOf(catchThrowable(answer::join));
+  }
+
   @Test
   public void clientRejectsServerOfAnotherAuthority() {
     assertThatThrownBy(() -> get(client("asha", "stranger-authority")))
