--- a/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/DemoClient.java
+++ b/foxtailford-testkit/src/main/java/org/foxtailford/testkit/command/DemoClient.java
@@ -1,20 +1,32 @@
 package org.foxtailford.testkit.command;
 
-import java.io.IOException;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
-import org.foxtailford.core.util.Assert;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletionException;
+import org.foxtailford.core.time.SystemMillisClock;
+import org.foxtailford.net.http.HttpAnswer;
+import org.foxtailford.net.http.HttpClient;
+import org.foxtailford.net.http.HttpExchange;
+import org.foxtailford.net.http.SingleRequestClient;
+import org.foxtailford.net.tcp.ClosingEventLoopGroup;
+import org.foxtailford.net.tls.ChannelSecurity;
+import org.foxtailford.schema.Endpoint;
 
 /** Blocking HTTP calls of the demonstration. */
 final class DemoClient {
 
-  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final long TIMEOUT_MS = 5000;
+  private static final int MAX_ANSWER_BYTES = 16 << 20;
 
   private final HttpClient client =
-      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
+      new SingleRequestClient(
+          new ClosingEventLoopGroup(1),
+          MAX_ANSWER_BYTES,
+          endpoint -> ChannelSecurity.NONE,
+          new SystemMillisClock());
 
   /** An answer; status 0 stands for no answer. */
   record Answer(int status, String body, String code, String upstream, String etag) {
@@ -29,31 +41,24 @@
   }
 
   Answer send(String base, String path, String method, String body, String... headers) {
-    HttpRequest.Builder request =
-        HttpRequest.newBuilder(URI.create(base + path))
-            .timeout(TIMEOUT)
-            .method(method, HttpRequest.BodyPublishers.ofString(body));
-    if (headers.length > 0) {
-      request.headers(headers);
+    HttpHeaders fields = new DefaultHttpHeaders();
+    for (int i = 0; i < headers.length; i += 2) {
+      fields.set(headers[i], headers[i + 1]);
     }
+    URI uri = URI.create(base);
+    Endpoint endpoint = Endpoint.newBuilder().setHost(uri.getHost()).setPort(uri.getPort()).build();
+    byte[] content = body.getBytes(StandardCharsets.UTF_8);
+    HttpExchange exchange = new HttpExchange(HttpMethod.valueOf(method), path, fields, content);
     try {
-      HttpResponse<String> response =
-          client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+      HttpAnswer answer = client.send(endpoint, exchange, TIMEOUT_MS).join();
       return new Answer(
-          response.statusCode(),
-          Assert.notNull(response.body(), "body"),
-          header(response, "Foxtail-Code"),
-          header(response, "Foxtail-Upstream"),
-          header(response, "ETag"));
-    } catch (IOException e) {
+          answer.status(),
+          answer.bodyText(),
+          answer.headers().get("Foxtail-Code", ""),
+          answer.headers().get("Foxtail-Upstream", ""),
+          answer.headers().get("ETag", ""));
+    } catch (CompletionException e) {
       return new Answer(0, String.valueOf(e.getMessage()), "", "", "");
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IllegalStateException(e);
     }
   }
-
-  private static String header(HttpResponse<String> response, String name) {
-    return response.headers().firstValue(name).orElse("");
-  }
 }
