Fail a command whose connection closes at its beginning

Read in review: SingleRequestClient would have waited without end if a connection was closed between its handshake and its first request, as its pipeline is empty then; and a port over 65535 ended foxtailctl with an exception of the library. The first is a lost connection now, the second a wrong use of the command.

Evidence: FoxtailctlCommandTests, TlsTests and RunbookTests; the closed connection has no test, as no test can choose that moment.

--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/AbstractCommand.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/AbstractCommand.java
@@ -19,6 +19,8 @@
   /** Environment variable with endpoints, separated by commas. */
   static final String OPERATORS_VARIABLE = "FOXTAILCTL_OPERATORS";
 
+  private static final int MAX_PORT = 65_535;
+
   @Option(
       name = "--operator",
       metaVar = "HOST:PORT",
@@ -95,7 +97,8 @@
           ResultCode.USAGE, "name an entry VM with --operator HOST:PORT or " + OPERATORS_VARIABLE);
     }
     for (String endpoint : endpoints) {
-      if (!endpoint.matches("[^\\s/]+:[0-9]{1,5}")) {
+      boolean valid = endpoint.matches("[^\\s/]+:[0-9]{1,5}");
+      if (!valid || OperatorClient.parse(endpoint).getPort() > MAX_PORT) {
         throw new ResultCodeException(ResultCode.USAGE, "not HOST:PORT: " + endpoint);
       }
     }
--- a/foxtailford-cli/src/main/java/org/foxtailford/cli/OperatorClient.java
+++ b/foxtailford-cli/src/main/java/org/foxtailford/cli/OperatorClient.java
@@ -156,7 +156,8 @@
     return failure.getMessage() + (cause == null ? "" : ": " + cause);
   }
 
-  private static Endpoint parse(String endpoint) {
+  /** Returns the address that stands in the form HOST:PORT. */
+  static Endpoint parse(String endpoint) {
     int colon = endpoint.lastIndexOf(':');
     return Endpoint.newBuilder()
         .setHost(endpoint.substring(0, colon))
--- a/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
+++ b/foxtailford-cli/src/test/java/org/foxtailford/cli/FoxtailctlCommandTests.java
@@ -302,6 +302,7 @@
     assertThat(fixture.run("vms", "--colour")).isEqualTo(ExitStatus.USAGE);
     assertThat(fixture.runAt("", "vms")).isEqualTo(ExitStatus.USAGE);
     assertThat(fixture.runAt("nonsense", "vms")).isEqualTo(ExitStatus.USAGE);
+    assertThat(fixture.runAt("127.0.0.1:70000", "vms")).isEqualTo(ExitStatus.USAGE);
   }
 
   @Test
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/SingleRequestClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/SingleRequestClient.java
@@ -99,17 +99,16 @@
       long deadlineMs,
       CompletableFuture<HttpAnswer> answer) {
     long leftMs = deadlineMs - clock.nowMs();
-    if (!ready.isSuccess() || leftMs <= 0) {
+    HttpClientHandler handler = channel.pipeline().get(HttpClientHandler.class);
+    if (!ready.isSuccess() || leftMs <= 0 || handler == null) { // none once it is closed
       channel.close();
       request.release();
-      String reason = ready.isSuccess() ? "its time is over" : String.valueOf(ready.cause());
+      String reason = ready.isSuccess() ? "closed or too late" : String.valueOf(ready.cause());
       answer.completeExceptionally(
           new ResultCodeException(ResultCode.UPSTREAM_UNREACHABLE, "no connection: " + reason));
       return;
     }
-    channel
-        .pipeline()
-        .get(HttpClientHandler.class)
+    handler
         .exchange(channel, request, leftMs)
         .whenComplete(
             (received, failure) -> {
