--- a/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/exchange/ExchangeDialect.java
@@ -1,6 +1,7 @@
 package org.foxtailford.net.exchange;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -27,7 +28,7 @@
   void setTimeLeft(HttpHeaders headers, long timeLeftMs);
 
   /** Returns the names of the fields of which an answer may have one value only. */
-  List<String> singleAnswerFields();
+  List<AsciiString> singleAnswerFields();
 
   /** Returns whether an answer states that the upstream did not run the request. */
   boolean isNotRun(int status, HttpHeaders headers);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerDecoder.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 
@@ -37,7 +36,7 @@
 
   private static final int SWITCHING_PROTOCOLS = 101;
 
-  private final List<String> singleFields;
+  private final List<AsciiString> singleFields;
   private final AnswerHeadScanner scanner = new AnswerHeadScanner();
   private boolean answerExpected;
   private boolean answerStarted;
@@ -50,7 +49,7 @@
    *
    * @param singleFields names of the fields of which an answer may have one value only
    */
-  public AnswerDecoder(List<String> singleFields) {
+  public AnswerDecoder(List<AsciiString> singleFields) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(AnswerHeadScanner.MAX_PART_BYTES)
@@ -163,11 +162,11 @@
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     HttpHeaders headers = message.headers();
-    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-    if (!codings.isEmpty() && !isChunkedOnce(String.join(",", codings))) {
+    if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+        && !isChunkedOnce(headers.getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
       throw new IllegalArgumentException("a transfer coding other than chunked");
     }
-    for (String name : singleFields) {
+    for (AsciiString name : singleFields) {
       List<String> values = headers.getAll(name);
       if (values.size() > 1 && Set.copyOf(values).size() > 1) {
         throw new IllegalArgumentException("several values of the field " + name);
@@ -176,10 +175,17 @@
     return headOnly || super.isContentAlwaysEmpty(message);
   }
 
-  private static boolean isChunkedOnce(String codings) {
-    List<String> named =
-        Arrays.stream(codings.split(",")).map(String::strip).filter(c -> !c.isEmpty()).toList();
-    return named.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(named.get(0));
+  /** Returns whether lists of codings name chunked only, once; their empty elements are ignored. */
+  private static boolean isChunkedOnce(List<String> lists) {
+    int named = 0;
+    for (String coding : String.join(",", lists).split(",")) {
+      String name = coding.strip();
+      if (!name.isEmpty() && !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(name)) {
+        return false;
+      }
+      named += name.isEmpty() ? 0 : 1;
+    }
+    return named == 1;
   }
 
   @Override
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerHeadScanner.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/AnswerHeadScanner.java
@@ -1,9 +1,9 @@
 package org.foxtailford.net.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.util.ByteProcessor;
-import java.util.BitSet;
+import java.util.Arrays;
 
 /**
  * Decides which bytes are the head of an answer, before a field of it is read.
@@ -18,23 +18,21 @@
   /** Size of a status line, and of all fields together, that a decoder should accept, in bytes. */
   static final int MAX_PART_BYTES = 64 << 10;
 
-  private static final byte LINE_FEED = '\n';
   private static final byte[] PROTOCOL = {'H', 'T', 'T', 'P', '/', '1', '.'};
   private static final int STATUS_DIGITS = 3;
-  private static final BitSet NAME_CHARACTERS = new BitSet();
+  private static final boolean[] IN_NAME = new boolean[256];
+  private static final boolean[] IN_VALUE = new boolean[256];
 
   static {
-    NAME_CHARACTERS.set('0', '9' + 1);
-    NAME_CHARACTERS.set('A', 'Z' + 1);
-    NAME_CHARACTERS.set('a', 'z' + 1);
-    "!#$%&'*+-.^_`|~".chars().forEach(NAME_CHARACTERS::set);
+    Arrays.fill(IN_NAME, '0', '9' + 1, true);
+    Arrays.fill(IN_NAME, 'A', 'Z' + 1, true);
+    Arrays.fill(IN_NAME, 'a', 'z' + 1, true);
+    "!#$%&'*+-.^_`|~".chars().forEach(character -> IN_NAME[character] = true);
+    Arrays.fill(IN_VALUE, ' ', IN_VALUE.length, true);
+    IN_VALUE['\t'] = true;
+    IN_VALUE[0x7f] = false;
   }
 
-  private static final ByteProcessor BLANK = AnswerHeadScanner::isBlank;
-  private static final ByteProcessor DIGIT = AnswerHeadScanner::isDigit;
-  private static final ByteProcessor IN_NAME = AnswerHeadScanner::isInName;
-  private static final ByteProcessor IN_VALUE = AnswerHeadScanner::isInValue;
-
   private int scannedBytes;
   private int lines;
 
@@ -57,89 +55,93 @@
    * @throws TooLongFrameException if the head has no end within the limit
    */
   boolean scan(ByteBuf buffer) {
-    int begin = buffer.readerIndex() + scannedBytes;
-    int lineFeed = buffer.indexOf(begin, buffer.writerIndex(), LINE_FEED);
-    while (lineFeed >= 0) {
-      int end = lineFeed - 1;
-      if (end < begin || buffer.getByte(end) != '\r') {
+    int length = buffer.readableBytes();
+    boolean direct = buffer.hasArray();
+    byte[] bytes = direct ? buffer.array() : ByteBufUtil.getBytes(buffer);
+    int first = direct ? buffer.arrayOffset() + buffer.readerIndex() : 0;
+    int begin = first + scannedBytes;
+    for (int i = begin; i < first + length; i++) {
+      if (bytes[i] != '\n') {
+        continue;
+      }
+      if (i == begin || bytes[i - 1] != '\r') {
         throw new IllegalArgumentException("a line feed without a carriage return");
       }
-      if (end > begin) {
-        checkLine(buffer, begin, end);
+      if (i - 1 > begin) {
+        checkLine(bytes, begin, i - 1);
         lines++;
       } else if (hasStatusLine()) {
         return true;
       }
-      begin = lineFeed + 1;
-      scannedBytes = begin - buffer.readerIndex();
-      lineFeed = buffer.indexOf(begin, buffer.writerIndex(), LINE_FEED);
+      begin = i + 1;
+      scannedBytes = begin - first;
     }
-    if (buffer.readableBytes() > 2 * MAX_PART_BYTES) {
-      throw new TooLongFrameException("no end of the head in " + buffer.readableBytes() + " bytes");
+    if (length > 2 * MAX_PART_BYTES) {
+      throw new TooLongFrameException("no end of the head in " + length + " bytes");
     }
     return false;
   }
 
-  private void checkLine(ByteBuf buffer, int begin, int end) {
-    boolean folded = lines > 1 && isBlank(buffer.getByte(begin));
+  private void checkLine(byte[] bytes, int begin, int end) {
+    boolean folded = lines > 1 && isBlank(bytes[begin]);
     if (!hasStatusLine()) {
-      checkStatusLine(buffer, begin, end);
+      checkStatusLine(bytes, begin, end);
     } else if (folded) {
-      checkValue(buffer, begin, end);
+      checkValue(bytes, begin, end);
     } else {
-      checkField(buffer, begin, end);
+      checkField(bytes, begin, end);
     }
   }
 
-  private static void checkStatusLine(ByteBuf buffer, int begin, int end) {
-    int version = skip(buffer, begin, end, BLANK);
+  private static void checkStatusLine(byte[] bytes, int begin, int end) {
+    int version = skipBlanks(bytes, begin, end);
     int versionEnd = version + PROTOCOL.length + 1;
     if (end <= versionEnd
-        || !hasProtocol(buffer, version)
-        || !isDigit(buffer.getByte(versionEnd - 1))
-        || !isBlank(buffer.getByte(versionEnd))) {
+        || !Arrays.equals(bytes, version, versionEnd - 1, PROTOCOL, 0, PROTOCOL.length)
+        || !isDigit(bytes[versionEnd - 1])
+        || !isBlank(bytes[versionEnd])) {
       throw new IllegalArgumentException("the first line begins with no version of HTTP/1");
     }
-    int status = skip(buffer, versionEnd, end, BLANK);
-    int statusEnd = skip(buffer, status, end, DIGIT);
-    boolean delimited = statusEnd == end || isBlank(buffer.getByte(statusEnd));
-    if (statusEnd - status != STATUS_DIGITS || buffer.getByte(status) == '0' || !delimited) {
+    int status = skipBlanks(bytes, versionEnd, end);
+    int statusEnd = status;
+    while (statusEnd < end && isDigit(bytes[statusEnd])) {
+      statusEnd++;
+    }
+    boolean delimited = statusEnd == end || isBlank(bytes[statusEnd]);
+    if (statusEnd - status != STATUS_DIGITS || bytes[status] == '0' || !delimited) {
       throw new IllegalArgumentException("the status is not three digits from 100 on");
     }
   }
 
-  /** Returns the index of the first byte that is not to be skipped, or the end. */
-  private static int skip(ByteBuf buffer, int begin, int end, ByteProcessor skipped) {
-    int next = buffer.forEachByte(begin, end - begin, skipped);
-    return next < 0 ? end : next;
-  }
-
-  private static boolean hasProtocol(ByteBuf buffer, int begin) {
-    for (int i = 0; i < PROTOCOL.length; i++) {
-      if (buffer.getByte(begin + i) != PROTOCOL[i]) {
-        return false;
-      }
+  private static int skipBlanks(byte[] bytes, int begin, int end) {
+    int next = begin;
+    while (next < end && isBlank(bytes[next])) {
+      next++;
     }
-    return true;
+    return next;
   }
 
-  private static void checkField(ByteBuf buffer, int begin, int end) {
-    int nameEnd = skip(buffer, begin, end, IN_NAME);
+  private static void checkField(byte[] bytes, int begin, int end) {
+    int nameEnd = begin;
+    while (nameEnd < end && IN_NAME[bytes[nameEnd] & 0xff]) {
+      nameEnd++;
+    }
     if (nameEnd == end) {
       throw new IllegalArgumentException("a field without a colon");
     }
     if (nameEnd == begin) {
       throw new IllegalArgumentException("a field without a name");
     }
-    checkNameEnd(buffer.getByte(nameEnd));
-    checkValue(buffer, nameEnd + 1, end);
+    checkNameEnd(bytes[nameEnd]);
+    checkValue(bytes, nameEnd + 1, end);
   }
 
-  private static void checkValue(ByteBuf buffer, int begin, int end) {
-    int illegal = skip(buffer, begin, end, IN_VALUE);
-    if (illegal < end) {
-      throw new IllegalArgumentException(
-          "byte 0x%02x in the value of a field".formatted(buffer.getByte(illegal)));
+  private static void checkValue(byte[] bytes, int begin, int end) {
+    for (int i = begin; i < end; i++) {
+      if (!IN_VALUE[bytes[i] & 0xff]) {
+        throw new IllegalArgumentException(
+            "byte 0x%02x in the value of a field".formatted(bytes[i]));
+      }
     }
   }
 
@@ -154,14 +156,6 @@
     }
   }
 
-  private static boolean isInName(byte character) {
-    return character > 0 && NAME_CHARACTERS.get(character);
-  }
-
-  private static boolean isInValue(byte character) {
-    return character < 0 || character >= ' ' && character != 0x7f || character == '\t';
-  }
-
   private static boolean isBlank(byte character) {
     return character == ' ' || character == '\t';
   }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/FoxtailHeaders.java
@@ -1,6 +1,8 @@
 package org.foxtailford.net.http;
 
+import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** Header fields of the interfaces to callers, upstreams and relays. */
 public final class FoxtailHeaders {
@@ -48,8 +50,10 @@
   public static final String BOOT_ID = "Foxtail-Boot-Id";
 
   /** Fields that decide what becomes of a request; an answer has one value of each. */
-  static final List<String> SINGLE_IN_ANSWERS =
-      List.of(CODE, EFFECT, ATTEMPT, REFUSED, RETRY_AFTER_MS, BOOT_ID);
+  static final List<AsciiString> SINGLE_IN_ANSWERS =
+      Stream.of(CODE, EFFECT, ATTEMPT, REFUSED, RETRY_AFTER_MS, BOOT_ID)
+          .map(AsciiString::cached)
+          .toList();
 
   private FoxtailHeaders() {}
 }
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/PooledHttpClient.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.util.AsciiString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -122,8 +123,8 @@
   }
 
   static void addHandlers(Channel channel, int maxAnswerBytes, Optional<EchoedId> echoedId) {
-    List<String> singleFields = new ArrayList<>(FoxtailHeaders.SINGLE_IN_ANSWERS);
-    echoedId.map(EchoedId::field).ifPresent(singleFields::add);
+    List<AsciiString> singleFields = new ArrayList<>(FoxtailHeaders.SINGLE_IN_ANSWERS);
+    echoedId.map(EchoedId::field).map(AsciiString::cached).ifPresent(singleFields::add);
     AnswerDecoder decoder = new AnswerDecoder(singleFields);
     channel
         .pipeline()
