Wait for the cut in the tests of broken answers

Requests to the VM without links were still sent over those links ("LOST: Connection reset", then "Connection refused" at the links' ports) and two upstreams excluded, as one request had been served before the cut took effect, which begin() took for a relay. It waits until the VM says that it is cut off.

upstreamInTroubleIsChosenLess: the upstream of the last request was put in trouble, and none of the next ones happened to go there, so 0 of at least 1 arrived. The one that gets the next request is put in trouble now. No bound is changed.

--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/BrokenAnswerRetryTests.java
@@ -6,6 +6,8 @@
 import static org.foxtailford.entry.RawAnswerCluster.SOUND_VM;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.stream.IntStream;
 import org.foxtailford.entry.RawAnswerCluster.Arrival;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -102,14 +104,11 @@
   public void upstreamInTroubleIsChosenLess() throws Exception {
     int requests = 120;
     cluster.awaitRecovery();
-    int chosen = cluster.arrivals(servedRequest()).get(0);
-    cluster.setUpstreamInTrouble(chosen);
-    int arrived = 0;
-    for (int i = 0; i < requests; i++) {
-      arrived += cluster.arrivals(servedRequest()).contains(chosen) ? 1 : 0;
-    }
-    cluster.setUpstreamInTrouble(-1);
-    assertThat(arrived).isBetween(1, requests / RawAnswerCluster.UPSTREAMS);
+    cluster.putNextUpstreamInTrouble();
+    List<String> ids = IntStream.range(0, requests).mapToObj(i -> servedRequest()).toList();
+    int upstream = cluster.endTrouble();
+    long arrived = ids.stream().filter(id -> cluster.arrivals(id).contains(upstream)).count();
+    assertThat(arrived).isBetween(1L, (long) requests / RawAnswerCluster.UPSTREAMS);
   }
 
   private String servedRequest() {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RawAnswerCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RawAnswerCluster.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.foxtailford.net.http.HttpAnswer;
@@ -40,6 +41,9 @@
   /** Requests at once that shall reach several upstreams, which have four slots each. */
   private static final int CONCURRENT = 24;
 
+  private static final String CUT_OFF = "foxtailford_upstreams_cut_off 1";
+  private static final int NONE = -1;
+  private static final int NEXT = -2;
   private static final String CLOSE = "Connection: close\r\n\r\n";
 
   private final EntryTestCluster cluster = new EntryTestCluster();
@@ -48,7 +52,7 @@
   private final List<RawAnswerUpstream> upstreams = new ArrayList<>();
   private final List<TcpLinkStandIn> links = new ArrayList<>();
   private volatile int workMs;
-  private volatile int upstreamInTrouble = -1;
+  private final AtomicInteger upstreamInTrouble = new AtomicInteger(NONE);
 
   /**
    * A request that arrived at an upstream.
@@ -81,9 +85,15 @@
       EntryTestCluster.await("served", () -> isServed(vm));
     }
     links.forEach(link -> link.setState(TcpLinkStandIn.State.RESET));
+    EntryTestCluster.await("cut off", this::isCutOffAfterRequest);
     EntryTestCluster.await("relayed", () -> isServed(CUT_VM));
   }
 
+  private boolean isCutOffAfterRequest() {
+    isServed(CUT_VM);
+    return cluster.metrics(CUT_VM).contains(CUT_OFF);
+  }
+
   private int link(int targetPort) {
     try {
       TcpLinkStandIn link = new TcpLinkStandIn(targetPort);
@@ -106,7 +116,8 @@
       sentTo.add(upstream);
     }
     work();
-    boolean broken = upstream == upstreamInTrouble;
+    upstreamInTrouble.compareAndSet(NEXT, upstream);
+    boolean broken = upstream == upstreamInTrouble.get();
     String answer = first ? firstAnswers.getOrDefault(id, SOUND) : SOUND;
     return (broken ? SOUND.replace("200", "000") : answer).replace("%s", id);
   }
@@ -128,9 +139,14 @@
     return List.copyOf(arrivals.getOrDefault(id, List.of()));
   }
 
-  /** Makes an upstream send broken answers only. */
-  void setUpstreamInTrouble(int upstream) {
-    upstreamInTrouble = upstream;
+  /** Makes the upstream that gets the next request send broken answers only. */
+  void putNextUpstreamInTrouble() {
+    upstreamInTrouble.set(NEXT);
+  }
+
+  /** Ends the trouble and returns the number of the upstream that was in it. */
+  int endTrouble() {
+    return upstreamInTrouble.getAndSet(NONE);
   }
 
   /** Returns whether a connection on which a request arrived has not been closed by its VM. */
