Schedule a stop by the timeouts in force

Cause: EntryVm.stop computed the whole schedule at SIGTERM, from the longest timeout of the configuration of that moment. New requests got the raised timeout, while connections were kept open until the old one would just have fitted.

Change: StopPlan has the parts that depend on the stop time alone; the time to stop listening is computed from the longest timeout in force, at each look. A line "stopped listening" names that timeout.

Ruled out: a configuration that arrives late (the requests ran with the new timeout); an end of the process before its schedule.

Left: the look is every 50 ms, so a request may still begin with a few milliseconds less than its timeout.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/overload/StopPlan.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/StopPlan.java
@@ -7,12 +7,13 @@
  *
  * <p>Callers may still be directed to this VM after it reports that it is not ready, if few other
  * VMs are ready. It therefore accepts connections as long as a request that arrives last still has
- * its full timeout before the process exits.
+ * its full timeout before the process exits. Timeouts may change during the shutdown, so the plan
+ * is asked with those in force.
  *
- * @param listenMs time for which new connections are accepted, in milliseconds
+ * @param minListenMs minimum time for which new connections are accepted, in milliseconds
  * @param endMs time after which the process exits even if requests are unfinished, in milliseconds
  */
-public record StopPlan(long listenMs, long endMs) {
+public record StopPlan(long minListenMs, long endMs) {
 
   /** Fraction of the shutdown time that is reserved for the exit of the process. */
   private static final double RESERVE_SHARE = 0.07;
@@ -24,13 +25,19 @@
    * Creates the schedule of a shutdown.
    *
    * @param stopMs time from the stop signal to the end of the process, in milliseconds; positive
-   * @param maxRequestMs maximum duration of a request, in milliseconds
    */
-  public static StopPlan of(long stopMs, long maxRequestMs) {
+  public static StopPlan of(long stopMs) {
     Assert.isTrue(stopMs > 0, "stopMs must be positive");
+    return new StopPlan((long) (stopMs * LISTEN_SHARE), (long) (stopMs * (1 - RESERVE_SHARE)));
+  }
+
+  /**
+   * Returns the time from the stop signal for which new connections are accepted, in milliseconds.
+   *
+   * @param maxRequestMs maximum duration of a request, in milliseconds
+   */
+  public long listenMs(long maxRequestMs) {
     Assert.isTrue(maxRequestMs >= 0, "maxRequestMs must not be negative");
-    long end = (long) (stopMs * (1 - RESERVE_SHARE));
-    long listen = Math.max((long) (stopMs * LISTEN_SHARE), end - maxRequestMs);
-    return new StopPlan(Math.min(listen, end), end);
+    return Math.max(minListenMs, endMs - maxRequestMs);
   }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -184,7 +184,11 @@
             clock,
             arrivals,
             buffers);
-    shutdown = new GracefulShutdown(callers, scheduler, clock, loop);
+    shutdown = new GracefulShutdown(callers, scheduler, this::maxRequestMs, clock, loop);
+  }
+
+  private long maxRequestMs() {
+    return routingState.configuration().map(RoutingConfiguration::maxTimeoutMs).orElse(0L);
   }
 
   private RequestRelay requestRelay(
@@ -395,9 +399,7 @@
     loop.execute(
         () -> {
           control.stop();
-          long maxRequestMs =
-              routingState.configuration().map(RoutingConfiguration::maxTimeoutMs).orElse(0L);
-          shutdown.begin(StopPlan.of(settings.bounds().stopMs(), maxRequestMs), stopped);
+          shutdown.begin(StopPlan.of(settings.bounds().stopMs()), stopped);
         });
     return stopped;
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/GracefulShutdown.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.StopPlan;
 import org.foxtailford.core.time.MillisClock;
@@ -23,16 +24,28 @@
 
   private final CallerServer callers;
   private final RequestScheduler scheduler;
+  private final LongSupplier maxRequestMs;
   private final MillisClock clock;
   private final EventLoop loop;
   private volatile boolean stopping;
   private boolean listening = true;
   private long startedMs;
 
+  /**
+   * Creates a shutdown that has not begun.
+   *
+   * @param maxRequestMs maximum duration of a request under the configuration in force, in
+   *     milliseconds
+   */
   GracefulShutdown(
-      CallerServer callers, RequestScheduler scheduler, MillisClock clock, EventLoop loop) {
+      CallerServer callers,
+      RequestScheduler scheduler,
+      LongSupplier maxRequestMs,
+      MillisClock clock,
+      EventLoop loop) {
     this.callers = Assert.notNull(callers, "callers");
     this.scheduler = Assert.notNull(scheduler, "scheduler");
+    this.maxRequestMs = Assert.notNull(maxRequestMs, "maxRequestMs");
     this.clock = Assert.notNull(clock, "clock");
     this.loop = Assert.notNull(loop, "loop");
   }
@@ -59,9 +72,8 @@
 
   private void poll(StopPlan plan, CompletableFuture<Void> stopped) {
     long elapsedMs = clock.nowMs() - startedMs;
-    if (listening && elapsedMs >= plan.listenMs()) {
-      listening = false;
-      callers.stopListening();
+    if (listening) {
+      stopListeningIfDue(plan, elapsedMs);
     }
     int connections = listening ? callers.connections() : callers.closeIdle();
     boolean done = !listening && connections == 0 && scheduler.activeRequests() == 0;
@@ -76,4 +88,19 @@
       loop.schedule(() -> poll(plan, stopped), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
   }
+
+  private void stopListeningIfDue(StopPlan plan, long elapsedMs) {
+    long requestMs = maxRequestMs.getAsLong();
+    if (elapsedMs < plan.listenMs(requestMs)) {
+      return;
+    }
+    listening = false;
+    callers.stopListening();
+    logger
+        .atInfo()
+        .with(EventFields.COUNT, (long) callers.connections())
+        .with(EventFields.TOOK_MS, elapsedMs)
+        .with(EventFields.REASON, "requests may last " + requestMs + " ms")
+        .log("stopped listening");
+  }
 }
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/EntryTestCluster.java
@@ -117,6 +117,12 @@
     store.put("op", "config", String.format(CONFIGURATION, version));
   }
 
+  /** Stores a configuration whose routes all have the same timeout. */
+  void configureTimeouts(int version, long timeoutMs) {
+    String text = String.format(CONFIGURATION, version);
+    store.put("op", "config", text.replace("1500ms", timeoutMs + "ms"));
+  }
+
   /**
    * Stores a configuration with a public route {@code /open/} and tenants.
    *
