Start no request that may outlast a stopping VM

Cause: nothing compared a request with the time that the stop leaves. Only the time to stop listening was computed so that requests fit; an answer that had begun before the signal doesn't announce the close, so its connection was open afterwards, and a request that came before the next look at idle connections was started whatever time was left.

Change: StopPlan.mayStart says whether a request may begin, by the deadline that the request has under the configuration in force, and RequestDispatcher asks it at each begin. One that doesn't fit is refused at once: 503, which is true as nothing was sent, Retry-After 0, since any other VM may serve it, "Connection: close", and for a relaying peer the mark that it hasn't run. An idle connection closes only a second after its last answer, so that a caller that sends on at once gets this refusal rather than a closed connection.

Ruled out: closing such a connection with its answer. The request that crosses the close would end without a promise.

The test of idle connections in CallerConnectionTests waits for that second; its bound is the same, and a new test checks the second itself.

--- a/foxtailford-core/src/test/java/org/foxtailford/core/overload/StopPlanTests.java
+++ b/foxtailford-core/src/test/java/org/foxtailford/core/overload/StopPlanTests.java
@@ -23,4 +23,21 @@
     assertThat(plan.listenMs(1200)).isGreaterThan(plan.listenMs(2500));
     assertThat(plan.endMs() - plan.listenMs(2500)).isGreaterThanOrEqualTo(2500);
   }
+
+  /** Guards against a request that is passed on and outlasts the process. */
+  @Test
+  public void startsNoRequestThatMayOutlastTheProcess() {
+    long elapsedMs = plan.listenMs(2500) + 1;
+    assertThat(plan.mayStart(elapsedMs, elapsedMs + 2500)).isFalse();
+    assertThat(plan.mayStart(elapsedMs, elapsedMs + 1000)).isTrue();
+    assertThat(plan.mayStart(plan.endMs() - 1, plan.endMs())).isFalse();
+  }
+
+  @Test
+  public void startsRequestsThatArriveWhileItListens() {
+    for (long requestMs : new long[] {200, 1500, 2500, 8500}) {
+      long elapsedMs = plan.listenMs(requestMs) - 1;
+      assertThat(plan.mayStart(elapsedMs, elapsedMs + requestMs)).isTrue();
+    }
+  }
 }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/EntryVm.java
@@ -179,7 +179,8 @@
     callers =
         new CallerServer(
             loops,
-            new RequestDispatcher(routingState, scheduler, authentication, quotas.gate(), clock),
+            new RequestDispatcher(
+                routingState, scheduler, authentication, quotas.gate(), this::mayStart, clock),
             routingState::callerLimits,
             clock,
             arrivals,
@@ -187,6 +188,10 @@
     shutdown = new GracefulShutdown(callers, scheduler, this::maxRequestMs, clock, loop);
   }
 
+  private boolean mayStart(long deadlineMs) {
+    return shutdown.mayStart(deadlineMs);
+  }
+
   private long maxRequestMs() {
     return routingState.configuration().map(RoutingConfiguration::maxTimeoutMs).orElse(0L);
   }
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/GracefulShutdown.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/GracefulShutdown.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -28,6 +29,7 @@
   private final MillisClock clock;
   private final EventLoop loop;
   private volatile boolean stopping;
+  private Optional<StopPlan> plan = Optional.empty();
   private boolean listening = true;
   private long startedMs;
 
@@ -55,29 +57,40 @@
   }
 
   /** Begins the shutdown unless it has begun; completes the future when the process may exit. */
-  void begin(StopPlan plan, CompletableFuture<Void> stopped) {
+  void begin(StopPlan newPlan, CompletableFuture<Void> stopped) {
     if (stopping) {
       return;
     }
     stopping = true;
+    plan = Optional.of(newPlan);
     startedMs = clock.nowMs();
     callers.drain();
     logger
         .atInfo()
         .with(EventFields.COUNT, (long) scheduler.activeRequests())
-        .with(EventFields.LEFT_MS, plan.endMs())
+        .with(EventFields.LEFT_MS, newPlan.endMs())
         .log("stopping");
-    poll(plan, stopped);
+    poll(newPlan, stopped);
   }
 
-  private void poll(StopPlan plan, CompletableFuture<Void> stopped) {
+  /**
+   * Returns whether a request may be started now.
+   *
+   * @param deadlineMs when the request's time is up, in milliseconds of the clock
+   */
+  boolean mayStart(long deadlineMs) {
+    long elapsedMs = clock.nowMs() - startedMs;
+    return plan.map(p -> p.mayStart(elapsedMs, deadlineMs - startedMs)).orElse(true);
+  }
+
+  private void poll(StopPlan current, CompletableFuture<Void> stopped) {
     long elapsedMs = clock.nowMs() - startedMs;
     if (listening) {
-      stopListeningIfDue(plan, elapsedMs);
+      stopListeningIfDue(current, elapsedMs);
     }
     int connections = listening ? callers.connections() : callers.closeIdle();
     boolean done = !listening && connections == 0 && scheduler.activeRequests() == 0;
-    if (done || elapsedMs > plan.endMs()) {
+    if (done || elapsedMs > current.endMs()) {
       logger
           .atInfo()
           .with(EventFields.COUNT, (long) scheduler.activeRequests())
@@ -85,13 +98,13 @@
           .log("stopped");
       stopped.complete(null);
     } else {
-      loop.schedule(() -> poll(plan, stopped), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> poll(current, stopped), POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
   }
 
-  private void stopListeningIfDue(StopPlan plan, long elapsedMs) {
+  private void stopListeningIfDue(StopPlan current, long elapsedMs) {
     long requestMs = maxRequestMs.getAsLong();
-    if (elapsedMs < plan.listenMs(requestMs)) {
+    if (elapsedMs < current.listenMs(requestMs)) {
       return;
     }
     listening = false;
--- a/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
+++ b/foxtailford-entry/src/main/java/org/foxtailford/entry/request/RequestDispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.LongPredicate;
 import org.foxtailford.core.event.EventFields;
 import org.foxtailford.core.overload.WaitingRequest;
 import org.foxtailford.core.overload.WeightedTenant;
@@ -44,6 +45,9 @@
    */
   private static final long LATE_RETRY_MS = 200;
 
+  /** Retry delay sent to callers of a VM that stops, in milliseconds; any other VM may be ready. */
+  private static final long STOPPING_RETRY_MS = 0;
+
   /**
    * Retry delay sent to callers while the budget of request bodies is used up, in milliseconds;
    * stalled bodies leave it at their deadlines, which are some seconds away at most.
@@ -54,20 +58,28 @@
   private final RequestScheduler scheduler;
   private final CallerAuthentication authentication;
   private final QuotaGate quotas;
+  private final LongPredicate intake;
   private final KeyRefusalLog keyRefusals;
   private final WeightedRoundRobin serviceSelector = new WeightedRoundRobin();
 
-  /** Creates a dispatcher. */
+  /**
+   * Creates a dispatcher.
+   *
+   * @param intake tells whether a request may be started whose time is up at a time, in
+   *     milliseconds of the clock
+   */
   public RequestDispatcher(
       RoutingView view,
       RequestScheduler scheduler,
       CallerAuthentication authentication,
       QuotaGate quotas,
+      LongPredicate intake,
       MillisClock clock) {
     this.view = Assert.notNull(view, "view");
     this.scheduler = Assert.notNull(scheduler, "scheduler");
     this.authentication = Assert.notNull(authentication, "authentication");
     this.quotas = Assert.notNull(quotas, "quotas");
+    this.intake = Assert.notNull(intake, "intake");
     this.keyRefusals = new KeyRefusalLog(scheduler.dialect(), clock);
   }
 
@@ -129,13 +141,14 @@
             : timeoutAtMs;
     long deadlineMs = Math.min(callerDeadlineMs, timeoutAtMs);
     if (deadlineMs <= scheduler.nowMs()) {
-      HttpHeaders headers = new DefaultHttpHeaders();
-      scheduler.dialect().setRetryAfter(headers, LATE_RETRY_MS);
-      answer(
+      refuse(exchange, LATE_RETRY_MS, "time may be up", configuration.version());
+      return;
+    }
+    if (!intake.test(deadlineMs)) {
+      refuse(
           exchange,
-          headers,
-          RequestCall.SERVICE_UNAVAILABLE,
-          "time may be up",
+          STOPPING_RETRY_MS,
+          "the VM may end before the request",
           configuration.version());
       return;
     }
@@ -208,7 +221,13 @@
   }
 
   private void refuse(CallerExchange exchange, String reason) {
-    answer(exchange, withRetryAfter(), RequestCall.SERVICE_UNAVAILABLE, reason, 0);
+    refuse(exchange, NO_CONFIGURATION_RETRY_MS, reason, 0);
+  }
+
+  private void refuse(CallerExchange exchange, long retryMs, String reason, long version) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    scheduler.dialect().setRetryAfter(headers, retryMs);
+    answer(exchange, headers, RequestCall.SERVICE_UNAVAILABLE, reason, version);
   }
 
   private void answer(CallerExchange exchange, int status, String reason, long version) {
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/RawCaller.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/RawCaller.java
@@ -54,6 +54,17 @@
     return head.toString(StandardCharsets.ISO_8859_1);
   }
 
+  /** Reads bytes of a body; returns whether all came before the connection closed. */
+  boolean readBody(int bytes) throws IOException {
+    InputStream in = socket.getInputStream();
+    for (int i = 0; i < bytes; i++) {
+      if (readOrEnd(in) < 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Reads until the connection closes, and returns what came. */
   String readToEnd() throws IOException {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/StoppingVmTests.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/StoppingVmTests.java
@@ -1,11 +1,15 @@
 package org.foxtailford.entry;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -32,16 +36,13 @@
   /** Time that a late request takes, which is more than the VM has, in milliseconds. */
   private static final long WORK_MS = 1200;
 
-  private final Set<String> answered = ConcurrentHashMap.newKeySet();
+  private final Map<String, String> answers = new ConcurrentHashMap<>();
   private EntryTestCluster cluster;
 
   @BeforeMethod
   public void begin() throws IOException {
-    answered.clear();
+    answers.clear();
     cluster = new EntryTestCluster();
-    for (int i = 0; i < UPSTREAMS; i++) {
-      cluster.addUpstream("upstream-" + i, "plain");
-    }
   }
 
   @AfterMethod(alwaysRun = true)
@@ -49,6 +50,10 @@
     cluster.close();
   }
 
+  private void addUpstreams() {
+    upstreamIds().forEach(id -> cluster.addUpstream(id, "plain"));
+  }
+
   private EntryVm startVm() throws Exception {
     EntryVm vm = cluster.addVm("vm-1", List.of(), cluster.storeAddress());
     EntryTestCluster.await("ready", () -> cluster.readiness(0) == 200);
@@ -58,6 +63,7 @@
   /** Guards against a schedule of the stop that keeps the timeouts of its begin. */
   @Test(timeOut = TIMEOUT_MS)
   public void requestsUnderTimeoutsThatWereRaisedDuringTheStopAreAnswered() throws Exception {
+    addUpstreams();
     cluster.configureTimeouts(4, 500);
     EntryVm vm = startVm();
     List<RawCaller> callers = new ArrayList<>();
@@ -76,7 +82,47 @@
     }
     stopped.get();
     vm.close();
-    EntryTestCluster.await("run requests answered", () -> answered.containsAll(lateRequests()));
+    EntryTestCluster.await(
+        "run requests answered", () -> answers.keySet().containsAll(lateRequests()));
+  }
+
+  /** Guards against a request behind a long answer that is run though the process ends before. */
+  @Test(timeOut = TIMEOUT_MS)
+  public void requestsBehindAnswersThatBeganBeforeTheStopAreNotRunInVain() throws Exception {
+    try (TwoPartAnswerUpstream upstream = new TwoPartAnswerUpstream()) {
+      cluster.configure(4);
+      upstreamIds().forEach(id -> cluster.register(id, "plain", upstream.port()));
+      EntryVm vm = startVm();
+      CountDownLatch begun = new CountDownLatch(CALLERS);
+      for (int i = 0; i < CALLERS; i++) {
+        int number = i;
+        RawCaller caller = new RawCaller(cluster.settings(0).callers());
+        startDaemon(() -> getAndPost(caller, number, begun));
+      }
+      begun.await();
+      CompletableFuture<Void> stopped = vm.stop();
+      TimeUnit.MILLISECONDS.sleep(LATE_MS);
+      upstream.sendEnds();
+      stopped.get();
+      vm.close();
+      assertThat(upstream.workedOn()).isEmpty();
+      assertThat(answers.values())
+          .allSatisfy(
+              head -> assertThat(head).contains("HTTP/1.1 503").contains("connection: close"));
+    }
+  }
+
+  /** Takes a long answer, and sends a request that may not repeat as soon as it has all of it. */
+  private void getAndPost(RawCaller caller, int number, CountDownLatch begun) {
+    try {
+      caller.begin("GET", "/safe/a", "early-" + number, "\r\n").readHead();
+      begun.countDown();
+      if (caller.readBody(TwoPartAnswerUpstream.BODY_BYTES)) {
+        post(caller, "late-" + number);
+      }
+    } catch (IOException e) {
+      return; // closed before
+    }
   }
 
   private void setWorkMs(long workMs) {
@@ -101,8 +147,9 @@
   private void post(RawCaller caller, String id) {
     try {
       caller.begin("POST", "/once/a", id, "Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nx");
-      if (!caller.readHead().isEmpty()) {
-        answered.add(id);
+      String head = caller.readHead();
+      if (!head.isEmpty()) {
+        answers.put(id, head);
       }
     } catch (IOException e) {
       return; // closed before
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -63,6 +63,13 @@
   /** Time for which the rest of an incompletely read request is drained, in milliseconds. */
   private static final long LINGER_MS = 1000;
 
+  /**
+   * Time for which an idle connection is kept open during a drain, in milliseconds. Its caller may
+   * send on before it notices the close, most often at once, and would not learn that the request
+   * has not run.
+   */
+  private static final long DRAIN_IDLE_MS = 1000;
+
   /** Reason for the refusal of a request whose body does not fit into the budget of all bodies. */
   static final String BODIES_FULL = "request bodies are over the budget";
 
@@ -433,8 +440,12 @@
     return unsent.heldBytes() > 0 && incoming != null && !incoming.isStarted();
   }
 
+  /** Returns whether the connection has been idle for so long that it may close during a drain. */
   boolean isIdle() {
-    return exchanges.isEmpty() && headStartedMs == 0 && readAhead.isEmpty();
+    return exchanges.isEmpty()
+        && headStartedMs == 0
+        && readAhead.isEmpty()
+        && clock.nowMs() - Math.max(lastSentMs, idleSinceMs) >= DRAIN_IDLE_MS;
   }
 
   /** Closes an idle connection once its last answer is flushed. */
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerServer.java
@@ -247,7 +247,7 @@
     connections.forEach(CallerConnection::drain);
   }
 
-  /** Closes the idle connections, and returns the number of connections still open. */
+  /** Closes connections that are idle for a second, and returns the number of those still open. */
   public int closeIdle() {
     for (CallerConnection connection : List.copyOf(connections)) {
       if (connection.isIdle()) {
--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionTests.java
@@ -100,6 +100,7 @@
     EmbeddedChannel channel = connect();
     channel.writeInbound(request(HttpMethod.GET, "/a"));
     answer(exchanges.get(0), "whole");
+    nowMs += 1000;
     server.closeIdle();
     channel.runPendingTasks();
     assertThat(channel.isOpen()).isTrue();
@@ -109,6 +110,25 @@
     assertThat(channel.outboundMessages()).hasSizeGreaterThanOrEqualTo(3);
   }
 
+  /** Guards against a close that crosses the request that a caller sends on its next turn. */
+  @Test
+  public void connectionThatWasJustInUseIsNotClosedAsIdle() {
+    EmbeddedChannel channel = connect();
+    channel.writeInbound(request(HttpMethod.GET, "/a"));
+    nowMs += 5000;
+    answer(exchanges.get(0), "whole");
+    writes.writeDeferred();
+    nowMs += 999;
+    server.closeIdle();
+    channel.runPendingTasks();
+    assertThat(channel.isOpen()).isTrue();
+    nowMs += 1;
+    server.closeIdle();
+    writes.writeDeferred();
+    channel.runPendingTasks();
+    assertThat(channel.isOpen()).isFalse();
+  }
+
   @Test
   public void postRequestStartsOnlyAfterEarlierRequestsAreAnswered() {
     EmbeddedChannel channel = connect();
