Deliver the last answer of a connection whole, whatever follows it

Cause: a connection was closed as soon as its last answer was written to the kernel. If the caller sends on meanwhile, its bytes arrive at a closed connection; TCP answers with a reset and drops what it has not sent. Only a request that wasn't read to its end got the orderly way: end of the output first, input discarded. It isn't bound to a stop: any answer that closes its connection was at risk, also when the caller asked for the close.

Change: each last answer goes that way. Input is discarded until the caller closes; one that doesn't is cut off by the idle timeout, and after a second, as before, if its request is incomplete. Requests behind the last answer are ended at once, which the close did before, and none is started or written to.

Ruled out: the entry VM's own buffers (the whole answer was in the kernel); a larger send buffer, which moves the size at which it happens.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -61,7 +61,7 @@
   private static final int UNSENT_TIMEOUT_FACTOR = 4;
 
   /** Time for which the rest of an incompletely read request is drained, in milliseconds. */
-  private static final long LINGER_MS = 1000;
+  private static final long DISCARD_MS = 1000;
 
   /**
    * Time for which an idle connection is kept open during a drain, in milliseconds. Its caller may
@@ -89,7 +89,7 @@
   private final ByteBudget.Share unsent;
   private long bodyBytes;
   private boolean closing;
-  private boolean aborted;
+  private boolean ended;
   private boolean draining;
   private long idleSinceMs;
   private long headStartedMs;
@@ -209,14 +209,16 @@
    * connection ends with an earlier one.
    */
   private boolean mayStart(CallerExchange exchange) {
+    if (ended) {
+      return false;
+    }
     if (isFirst(exchange)) {
-      return !aborted;
+      return true;
     }
     boolean safeMethod =
         exchange.method().equals(HttpMethod.GET) || exchange.method().equals(HttpMethod.HEAD);
     return safeMethod
         && !draining
-        && !aborted
         && exchanges.stream()
             .takeWhile(earlier -> earlier != exchange)
             .noneMatch(CallerExchange::mayEndConnection);
@@ -319,6 +321,11 @@
    * @param bytes bytes that it was recorded with
    */
   void write(Object message, int bytes) {
+    if (ended) { // by the answer to an earlier request
+      ReferenceCountUtil.release(message);
+      unsent.release(bytes);
+      return;
+    }
     ChannelFuture written = context().write(message);
     if (bytes > 0) {
       written.addListener(sent -> onSent(bytes));
@@ -357,11 +364,13 @@
 
   /** Removes exchanges whose answers are complete and starts writing the next answer. */
   void onAnswerEnded() {
+    if (ended) {
+      return;
+    }
     while (!exchanges.isEmpty() && exchanges.peekFirst().isAnswerEnded()) {
       CallerExchange finished = exchanges.pollFirst();
       finished.releaseBody();
       if (finished.closesConnection()) {
-        closing = true;
         closeAfterFlush(finished.isBodyReceived());
         return;
       }
@@ -376,28 +385,45 @@
   }
 
   /**
-   * Closes the connection after flushing the answer. If the request is incomplete, output is shut
-   * down first and input is drained for {@link #LINGER_MS} from then on: closing with unread input
-   * would make TCP send a reset, on which the caller may discard the answer.
+   * Closes the connection after flushing the answer. Output is shut down first, and input is
+   * discarded until the caller closes too: on input that is unread, or comes after the close, TCP
+   * sends a reset and drops what it has not sent of the answer.
+   *
+   * <p>A caller that doesn't close is cut off by the idle timeout, or after {@link #DISCARD_MS} if
+   * its request is incomplete, as it may send on at any rate.
    */
   private void closeAfterFlush(boolean requestComplete) {
+    closing = true;
+    ended = true;
+    headStartedMs = 0;
+    idleSinceMs = clock.nowMs();
     ChannelFuture flushed = context().writeAndFlush(Unpooled.EMPTY_BUFFER);
-    if (requestComplete || !(context().channel() instanceof SocketChannel)) {
+    if (!(context().channel() instanceof SocketChannel)) {
       flushed.addListener(ChannelFutureListener.CLOSE);
       return;
     }
     SocketChannel channel = (SocketChannel) context().channel();
     readAhead.discard();
+    channel.eventLoop().execute(this::dropRequests); // the caller of this method may be one's own
     flushed.addListener(
         ignored -> {
           channel.shutdownOutput();
-          channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+          if (!requestComplete) {
+            channel.eventLoop().schedule(() -> channel.close(), DISCARD_MS, TimeUnit.MILLISECONDS);
+          }
         });
   }
 
+  /** Ends the requests that get no answer, as the connection ends before. */
+  private void dropRequests() {
+    List<CallerExchange> open = List.copyOf(exchanges);
+    exchanges.clear();
+    open.forEach(CallerExchange::fireCallerGone);
+  }
+
   void abort() {
     closing = true;
-    aborted = true;
+    ended = true;
     context().close();
   }
 
@@ -420,7 +446,7 @@
     int factor = unsent.heldBytes() > 0 ? UNSENT_TIMEOUT_FACTOR : 1;
     boolean idle =
         waits && nowMs - Math.max(lastSentMs, idleSinceMs) > factor * limits.get().idleTimeoutMs();
-    if ((slowHead || idle) && readAhead.readOn()) {
+    if ((slowHead || idle) && !ended && readAhead.readOn()) {
       return; // what it waits for may be there
     }
     if (slowHead) {
@@ -461,9 +487,7 @@
     server.remove(this);
     closing = true;
     unsent.close();
-    List<CallerExchange> open = List.copyOf(exchanges);
-    exchanges.clear();
-    open.forEach(CallerExchange::fireCallerGone);
+    dropRequests();
   }
 
   @Override
