Deliver the last answer of the HTTP server's connections whole too

The HTTP server of foxtaild, of the operators' interface, of status pages and of reports between VMs closed a connection as soon as its last answer was in the kernel; a further request made TCP reset it and drop the rest of the answer. An answer to a request over the limit on bodies ended in the same way.

Change: ConnectionEnd ends the output, with TLS its closing message first, and discards input until the other side closes. The timeouts that hold for the connection anyway, for idle ones and for incomplete requests, end it at last.

Evidence: HttpServerCloseTests.lastAnswerIsWholeThoughTheCallerSendsOn fails on (connection reset) and passes now. Found by reading; nobody has reported it. With TLS, and for bodies over the limit, it is not tried.

--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServerHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServerHandler.java
@@ -102,7 +102,8 @@
   private void onWritten(ChannelHandlerContext ctx, boolean keepAlive) {
     currentAnswer = null;
     if (!keepAlive) {
-      ctx.close();
+      timeouts.onAnswerWritten(ctx);
+      ConnectionEnd.end(ctx);
       return;
     }
     FullHttpRequest next = waiting.poll();
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/RefusingAggregator.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/RefusingAggregator.java
@@ -1,6 +1,5 @@
 package org.foxtailford.net.http;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -32,7 +31,7 @@
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-    ctx.writeAndFlush(tooLarge()).addListener(ChannelFutureListener.CLOSE);
+    ctx.writeAndFlush(tooLarge()).addListener(written -> ConnectionEnd.end(ctx));
   }
 
   private FullHttpResponse tooLarge() {
