Keep a test of drawn sequences on one thread

Cause: the test's clock of arrivals stands still, so its 3,000 connections all begin in one pass of the event loop. From the seventeenth on CallerServer leaves them to a task of the loop, whose thread then changes an embedded channel that the test's thread uses. Nothing of the product is in doubt: there a connection has one thread.

Change: each connection of the test begins in a pass of its own.

--- a/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionCloseTests.java
+++ b/foxtailford-net/src/test/java/org/foxtailford/net/proxy/CallerConnectionCloseTests.java
@@ -51,15 +51,16 @@
         }
       };
   private final CallerBuffers buffers = new CallerBuffers();
+  private final ArrivalClock arrivals = new ArrivalClock(() -> 0);
   private final CallerServer server =
-      new CallerServer(
-          loops, handler, () -> CallerLimits.DEFAULT, () -> 0, new ArrivalClock(() -> 0), buffers);
+      new CallerServer(loops, handler, () -> CallerLimits.DEFAULT, () -> 0, arrivals, buffers);
   private EmbeddedChannel channel;
   private CallerConnection connection;
 
   @BeforeMethod
   public void connect() {
     started.clear();
+    arrivals.beginPass(); // the loop's thread would start connections beyond a number in a pass
     ReadAhead readAhead = new ReadAhead(server, () -> 0);
     connection =
         new CallerConnection(server, readAhead, handler, () -> CallerLimits.DEFAULT, () -> 0);
