Accept no request in foxtaild that may outlast its grace period

Between the end of listening and the end of the grace period, a request on an open connection was admitted whatever its deadline, and cut off when the grace period ended.

Change: from the end of listening, RequestPath refuses a request whose deadline lies behind the end of the grace period, with STOPPING (503, not run). The deadline is each request's own, so a changed timeout counts at once.

Evidence: EntryVmStopTests.requestThatMayOutlastTheGracePeriodIsRefused fails on (the upstream gets the request) and passes now. Found by reading.

--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/GracefulShutdown.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/GracefulShutdown.java
@@ -10,7 +10,8 @@
  *
  * <p>Until the load balancer has noticed that this VM is not ready, requests are still served, and
  * each answer asks the caller to close its connection. Then the listener stops accepting
- * connections, and the shutdown completes once no request is in flight or the grace period ends.
+ * connections, requests that may outlast the grace period are refused, and the shutdown completes
+ * once no request is in flight or the grace period ends.
  */
 public final class GracefulShutdown {
 
@@ -51,8 +52,10 @@
     CompletableFuture<Void> idle = new CompletableFuture<>();
     scheduler.schedule(
         () -> {
+          long graceEndMs = clock.nowMs() + graceMs;
+          path.acceptUntil(graceEndMs);
           server.stopListening();
-          awaitIdle(clock.nowMs() + graceMs, 0, idle);
+          awaitIdle(graceEndMs, 0, idle);
         },
         announceMs);
     return idle;
--- a/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
+++ b/foxtailford-daemon/src/main/java/org/foxtailford/daemon/request/RequestPath.java
@@ -42,6 +42,7 @@
   private final MillisClock clock;
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile boolean stopping;
+  private volatile long lastDeadlineMs = Long.MAX_VALUE;
 
   /**
    * Creates the path.
@@ -76,6 +77,15 @@
     stopping = true;
   }
 
+  /**
+   * Refuses, from now on, new requests that may not end in time, with {@link ResultCode#STOPPING}.
+   *
+   * @param endMs when this VM ends whether requests are in flight or not, by this VM's clock
+   */
+  public void acceptUntil(long endMs) {
+    lastDeadlineMs = endMs;
+  }
+
   /** Returns the number of admitted requests that are not completed. */
   public int inFlight() {
     return inFlight.get();
@@ -128,7 +138,7 @@
   }
 
   private CompletableFuture<HttpAnswer> admit(HttpExchange exchange, RequestAttributes attributes) {
-    if (stopping) {
+    if (stopping || attributes.deadlineMs() > lastDeadlineMs) {
       return failWith(ResultCode.STOPPING, "this VM is stopping");
     }
     int priority = findKind(attributes).map(RequestKind::getWorth).orElse(0);
--- a/foxtailford-daemon/src/test/java/org/foxtailford/daemon/EntryVmStopTests.java
+++ b/foxtailford-daemon/src/test/java/org/foxtailford/daemon/EntryVmStopTests.java
@@ -8,6 +8,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -234,4 +236,35 @@
     stopped.join();
     assertThatThrownBy(() -> sendCheck().join()).hasMessageContaining("no connection");
   }
+
+  /** Guards against a request that is passed on though the process may end before its answer. */
+  @Test
+  public void requestThatMayOutlastTheGracePeriodIsRefused() throws Exception {
+    startVm(0);
+    List<CompletableFuture<HttpAnswer>> early = List.of(sendCheck(), sendCheck());
+    answerNext();
+    answerNext();
+    early.forEach(CompletableFuture::join);
+    CompletableFuture<HttpAnswer> running = sendCheck();
+    CompletableFuture<HttpAnswer> pendingAnswer =
+        pendingAnswers.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    CompletableFuture<Void> stopped = vm.stop(TIMEOUT_MS / 2);
+    awaitNotListening();
+    HttpAnswer late = sendCheck().get(TIMEOUT_MS / 4, TimeUnit.MILLISECONDS);
+    assertThat(late.status()).isEqualTo(503);
+    assertThat(pendingAnswers.size()).isZero();
+    pendingAnswer.complete(HttpAnswer.text(200, "text/plain", "done"));
+    assertThat(running.join().status()).isEqualTo(200);
+    stopped.join();
+  }
+
+  private void awaitNotListening() {
+    while (true) {
+      try (Socket socket = new Socket("127.0.0.1", vm.callerPort())) {
+        Thread.onSpinWait();
+      } catch (IOException e) {
+        return; // refused
+      }
+    }
+  }
 }
