Close a connection at once whose answer could not be written

Since the HTTP server left such a connection to its timeouts, as if the answer were on its way. Two comments say better what they are about.

--- a/foxtailford-core/src/main/java/org/foxtailford/core/overload/StopPlan.java
+++ b/foxtailford-core/src/main/java/org/foxtailford/core/overload/StopPlan.java
@@ -11,8 +11,8 @@
  * is asked with those in force.
  *
  * <p>A request on an open connection is taken if its time is up before the process exits, so that
- * its caller gets an answer in any case. Until new connections are refused for certain, requests
- * are taken whatever time they may need, as most need a fraction of it.
+ * its caller gets an answer in any case. During the minimum listening time, requests are taken
+ * whatever their deadlines, as most need a fraction of their time.
  *
  * @param minListenMs minimum time for which new connections are accepted, in milliseconds
  * @param lastDeadlineMs time after which the time of a request must not end, in milliseconds
--- a/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServerHandler.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/http/HttpServerHandler.java
@@ -96,11 +96,15 @@
   private void write(
       ChannelHandlerContext ctx, HttpAnswer answer, boolean keepAlive, boolean headOnly) {
     ctx.writeAndFlush(HttpMessages.toResponse(answer, keepAlive, headOnly))
-        .addListener((ChannelFuture written) -> onWritten(ctx, written.isSuccess() && keepAlive));
+        .addListener((ChannelFuture written) -> onWritten(ctx, written.isSuccess(), keepAlive));
   }
 
-  private void onWritten(ChannelHandlerContext ctx, boolean keepAlive) {
+  private void onWritten(ChannelHandlerContext ctx, boolean whole, boolean keepAlive) {
     currentAnswer = null;
+    if (!whole) {
+      ctx.close();
+      return;
+    }
     if (!keepAlive) {
       timeouts.onAnswerWritten(ctx);
       ConnectionEnd.end(ctx);
--- a/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
+++ b/foxtailford-net/src/main/java/org/foxtailford/net/proxy/CallerConnection.java
@@ -404,7 +404,7 @@
     }
     SocketChannel channel = (SocketChannel) context().channel();
     readAhead.discard();
-    channel.eventLoop().execute(this::dropRequests); // the caller of this method may be one's own
+    channel.eventLoop().execute(this::dropRequests); // not amid the end of one of them
     flushed.addListener(
         ignored -> {
           channel.shutdownOutput();
