--- a/foxtailford-entry/src/test/java/org/foxtailford/entry/TwoPartAnswerUpstream.java
+++ b/foxtailford-entry/src/test/java/org/foxtailford/entry/TwoPartAnswerUpstream.java
@@ -88,7 +88,8 @@
       return;
     }
     String answer =
-        "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: whole\r\nContent-Length: %d\r\n\r\n"
+        ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: whole\r\n"
+                + "Content-Length: %d\r\n\r\n")
             .formatted(id, BODY_BYTES);
     socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().write(BODY, 0, BODY_BYTES - END_BYTES);
