Review case 11: downloads that a stopping VM accepts are cut off by its end

Cause: in the first 2.1 s after SIGTERM each request is taken, whatever its deadline, and the process ends 5.6 s after it with answers unsent that callers read slowly. The other cases are 12 to 14 from here on.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-3 ] || exit 2
-exec java -cp target/review-3 CaseLost review/12
+exec java -cp target/review-3 CaseStop review/12
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 and up; they need the JDK only.
+# Builds the stand-ins of the third review; they need the JDK only.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
